--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+LIBS = core wire process share store control router agent standins cli bench
+export PYTHONPATH = $(subst $(eval ) ,:,$(foreach l,$(LIBS),$(CURDIR)/libs/$(l)/src))
+
+.PHONY: setup demo test lint format proto build bench clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock $(foreach l,$(LIBS),libs/$(l)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements.lock
+	$(BIN)/python -m pip install --quiet --no-build-isolation --no-deps $(foreach l,$(LIBS),-e libs/$(l))
+	touch $@
+
+demo: setup
+	$(BIN)/python examples/demo.py
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+proto: setup
+	cd libs/wire/src && ../../../$(BIN)/python -m grpc_tools.protoc -I . \
+	  --plugin=protoc-gen-grpclib_python=../../../$(BIN)/protoc-gen-grpclib_python \
+	  --python_out=. --grpclib_python_out=. bulrushbend/wire/fleet.proto
+
+build: setup
+	./tools/build.sh
+
+bench: setup
+	$(BIN)/python -m bulrushbend.bench.main
+
+clean:
+	rm -rf $(VENV) build dist run
--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent daemon."""
--- /dev/null
+++ b/libs/bench/src/bulrushbend/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring tool."""
--- /dev/null
+++ b/libs/cli/src/bulrushbend/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/libs/control/src/bulrushbend/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control daemon."""
--- /dev/null
+++ b/libs/core/src/bulrushbend/core/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, errors, event log, logs, settings and manifest."""
--- /dev/null
+++ b/libs/core/src/bulrushbend/core/errors.py
@@ -0,0 +1,146 @@
+"""Exception tree of bulrushbend.
+
+Each error carries the step at which it arose and the peer it concerns, so that a
+log line names both without parsing the message.
+"""
+
+
+class BulrushbendError(Exception):
+    """Base of all errors of bulrushbend.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong, as a short sentence.
+    step : str, default=""
+        Step during which the error arose, such as ``"claim"``.
+    peer : str, default=""
+        Name or address of the peer concerned, empty for a local error.
+    """
+
+    def __init__(self, message: str, *, step: str = "", peer: str = ""):
+        super().__init__(message)
+        self._message = message
+        self._step = step
+        self._peer = peer
+
+    @property
+    def message(self) -> str:
+        """Sentence that says what went wrong."""
+        return self._message
+
+    @property
+    def step(self) -> str:
+        """Step during which the error arose."""
+        return self._step
+
+    @property
+    def peer(self) -> str:
+        """Peer the error concerns, empty for a local error."""
+        return self._peer
+
+    def __str__(self) -> str:
+        text = f"{self._step}: {self._message}" if self._step else self._message
+        return f"{text} ({self._peer})" if self._peer else text
+
+
+class ConfigurationError(BulrushbendError):
+    """Bad settings or a bad manifest."""
+
+
+class SettingsError(ConfigurationError):
+    """The settings file is missing, unreadable or invalid."""
+
+
+class ManifestError(ConfigurationError):
+    """The manifest is missing, unreadable or invalid."""
+
+
+class PeerError(BulrushbendError):
+    """Trouble on the way to or from another process."""
+
+
+class ConnectFailed(PeerError):
+    """No connection was made, so nothing was sent."""
+
+
+class PeerSilent(PeerError):
+    """The peer sent nothing within the allowed time."""
+
+
+class TruncatedAnswer(PeerError):
+    """The connection ended before the answer was complete."""
+
+
+class ProtocolFault(PeerError):
+    """The peer broke the protocol."""
+
+
+class AttemptError(BulrushbendError):
+    """An attempt to run a request on an endpoint failed."""
+
+
+class NotRun(AttemptError):
+    """The request provably did not run."""
+
+
+class OutcomeUnknown(AttemptError):
+    """The request may or may not have run."""
+
+
+class RunFailed(AttemptError):
+    """The request ran and failed."""
+
+
+class AdmissionError(BulrushbendError):
+    """A request was refused at admission.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong.
+    retry_after_ms : float, default=0.0
+        Time in milliseconds after which the caller should come back.
+    step, peer : str
+        See `BulrushbendError`.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        retry_after_ms: float = 0.0,
+        step: str = "admission",
+        peer: str = "",
+    ):
+        super().__init__(message, step=step, peer=peer)
+        self._retry_after_ms = retry_after_ms
+
+    @property
+    def retry_after_ms(self) -> float:
+        """Time in milliseconds after which the caller should come back."""
+        return self._retry_after_ms
+
+
+class StoreError(BulrushbendError):
+    """Base of the errors of durable storage."""
+
+
+class CorruptLog(StoreError):
+    """A record before the end of the log fails its checksum."""
+
+
+class StoreFailed(StoreError):
+    """A write or sync failed; the store must not be used any more."""
+
+
+class ConsensusError(BulrushbendError):
+    """Base of the errors of the replicated state."""
+
+
+class NotLeader(ConsensusError):
+    """The replica does not lead; `peer` names the leader if it is known."""
+
+
+class NoQuorum(ConsensusError):
+    """No majority answered in time; the outcome of a write is unknown."""
--- /dev/null
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -0,0 +1,146 @@
+"""Event log: the time line of one process as JSON lines.
+
+Every process appends to its own log. ``bulrushbend timeline`` merges the logs.
+"""
+
+import enum
+import json
+from collections.abc import Callable
+from typing import Any, Protocol, TextIO
+
+from bulrushbend.core.clock import Clock
+
+
+class EventKind(enum.StrEnum):
+    """Kinds of events that a process writes."""
+
+    PROCESS_STARTED = "process-started"
+    PROCESS_READY = "process-ready"
+    PROCESS_DRAINING = "process-draining"
+    PROCESS_STOPPED = "process-stopped"
+    MANIFEST_ACCEPTED = "manifest-accepted"
+    MANIFEST_CONFLICT = "manifest-conflict"
+    MANIFEST_STALE = "manifest-stale"
+    MANIFEST_IN_FORCE = "manifest-in-force"
+    MEMBER_JOINED = "member-joined"
+    MEMBER_LOST = "member-lost"
+    LINK_UP = "link-up"
+    LINK_DOWN = "link-down"
+    LEADER_ELECTED = "leader-elected"
+    LEADER_STEPPED_DOWN = "leader-stepped-down"
+    VOTERS_CHANGED = "voters-changed"
+    STORE_REPAIRED = "store-repaired"
+    STORE_FAILED = "store-failed"
+    REQUEST_QUEUED = "request-queued"
+    REQUEST_REFUSED = "request-refused"
+    REQUEST_ANSWERED = "request-answered"
+    REQUEST_NOT_RUN = "request-not-run"
+    REQUEST_UNKNOWN = "request-unknown"
+    REQUEST_FAILED = "request-failed"
+    REQUEST_REQUEUED = "request-requeued"
+    REQUEST_ABANDONED = "request-abandoned"
+    KEY_RECORDED = "key-recorded"
+    KEY_COMPLETED = "key-completed"
+    KEY_RELEASED = "key-released"
+    CLAIM_SENT = "claim-sent"
+    CLAIM_MISSED = "claim-missed"
+    CLAIM_EXPIRED = "claim-expired"
+    ATTEMPT_SENT = "attempt-sent"
+    ATTEMPT_STARTED = "attempt-started"
+    ATTEMPT_REFUSED = "attempt-refused"
+    ATTEMPT_RESUMED = "attempt-resumed"
+    ATTEMPT_FINISHED = "attempt-finished"
+    ATTEMPT_FAILED = "attempt-failed"
+    ATTEMPT_CANCELLED = "attempt-cancelled"
+    LEAVING_STARTED = "leaving-started"
+    LEAVING_FINISHED = "leaving-finished"
+    SLOT_LIMIT_CHANGED = "slot-limit-changed"
+
+
+class EventLog(Protocol):
+    """Receives the events of one process."""
+
+    def write(self, kind: EventKind, **fields: Any) -> None:
+        """Append one event.
+
+        Parameters
+        ----------
+        kind : EventKind
+            What happened.
+        **fields : JSON values
+            Details. Usual names are ``request_id``, ``attempt_id``, ``team``,
+            ``service``, ``peer``, ``version`` and ``reason``.
+        """
+        ...
+
+
+class StreamEventLog:
+    """Event log over an open text file.
+
+    Parameters
+    ----------
+    stream : text file
+        Where the JSON lines go; the caller owns and closes it.
+    process : str
+        Name of the process.
+    incarnation : int
+        Incarnation of the process.
+    clock : Clock
+        Gives the wall time of each event in milliseconds.
+    """
+
+    def __init__(self, stream: TextIO, process: str, incarnation: int, clock: Clock):
+        self._stream = stream
+        self._process = process
+        self._incarnation = incarnation
+        self._clock = clock
+        self._sequence = 0
+
+    def write(self, kind: EventKind, **fields: Any) -> None:
+        """Append one event and flush it, so that a killed process keeps its trace."""
+        self._sequence += 1
+        record = {
+            "wall_ms": self._clock.wall_ms(),
+            "process": self._process,
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
+            "kind": str(kind),
+            **fields,
+        }
+        self._stream.write(json.dumps(record, separators=(",", ":")) + "\n")
+        self._stream.flush()
+
+
+class MemoryEventLog:
+    """Event log in memory, for tests and processes without a log file.
+
+    Parameters
+    ----------
+    observer : callable, optional
+        Called with each record.
+    capacity : int, default=10_000
+        Number of records kept; the oldest are dropped first.
+    """
+
+    def __init__(
+        self,
+        observer: Callable[[dict[str, Any]], None] | None = None,
+        capacity: int = 10_000,
+    ):
+        self._observer = observer
+        self._capacity = capacity
+        self._records: list[dict[str, Any]] = []
+
+    @property
+    def records(self) -> list[dict[str, Any]]:
+        """Records in the order of their writing."""
+        return self._records
+
+    def write(self, kind: EventKind, **fields: Any) -> None:
+        """Append one event."""
+        record = {"kind": str(kind), **fields}
+        self._records.append(record)
+        if len(self._records) > self._capacity:
+            del self._records[: -self._capacity]
+        if self._observer is not None:
+            self._observer(record)
--- /dev/null
+++ b/libs/core/src/bulrushbend/core/manifest.py
@@ -0,0 +1,178 @@
+"""Manifest: the teams, services and endpoints that operators publish."""
+
+import functools
+import hashlib
+import json
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from bulrushbend.core.errors import ManifestError
+from bulrushbend.core.validation import explain_validation
+
+Name = Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Limits(_Model):
+    """Fleet-wide limits; times are in milliseconds, sizes in bytes."""
+
+    waiting_per_team: int = Field(256, ge=1, le=100_000)
+    waiting_per_router: int = Field(4096, ge=1, le=1_000_000)
+    body_bytes: int = Field(1_048_576, ge=1, le=1 << 30)
+    retry_share: float = Field(0.1, ge=0.0, le=1.0)
+    default_deadline_ms: int = Field(120_000, ge=1, le=86_400_000)
+    key_ttl_ms: int = Field(86_400_000, ge=1000)
+
+
+class Service(_Model):
+    """Endpoints that serve the same kind of request."""
+
+    name: str = Name
+    kind: Literal["model", "application"]
+    idempotent_posts: bool | None = None
+    resume: Literal["last-event-id", "none"] = "none"
+
+    @property
+    def posts_are_idempotent(self) -> bool:
+        """Whether a POST may be repeated; true for models unless stated."""
+        if self.idempotent_posts is None:
+            return self.kind == "model"
+        return self.idempotent_posts
+
+
+class Team(_Model):
+    """A team, its weight and the hash of its bearer token."""
+
+    name: str = Name
+    share: float = Field(1.0, gt=0.0, le=1_000_000.0)
+    token_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+
+
+class Endpoint(_Model):
+    """A rented endpoint."""
+
+    name: str = Name
+    service: str = Name
+    vm: str = Name
+    data_centre: str = Name
+    slots: int = Field(8, ge=1, le=10_000)
+    state: Literal["live", "leaving"] = "live"
+
+
+class Manifest(_Model):
+    """Everything that operators declare, under one version."""
+
+    version: int = Field(ge=1, le=(1 << 63) - 1)
+    limits: Limits = Limits()
+    services: tuple[Service, ...] = ()
+    teams: tuple[Team, ...] = ()
+    endpoints: tuple[Endpoint, ...] = ()
+
+    @model_validator(mode="after")
+    def _check_references(self) -> "Manifest":
+        _require_unique("services", [service.name for service in self.services])
+        _require_unique("teams", [team.name for team in self.teams])
+        _require_unique("teams.token_sha256", [t.token_sha256 for t in self.teams])
+        _require_unique("endpoints", [endpoint.name for endpoint in self.endpoints])
+        known = {service.name for service in self.services}
+        for endpoint in self.endpoints:
+            if endpoint.service not in known:
+                raise ValueError(
+                    f"endpoint {endpoint.name!r} names unknown service "
+                    f"{endpoint.service!r}; known services: {sorted(known)}"
+                )
+        return self
+
+    @functools.cached_property
+    def services_by_name(self) -> dict[str, Service]:
+        """Services by their name."""
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def teams_by_name(self) -> dict[str, Team]:
+        """Teams by their name."""
+        return {team.name: team for team in self.teams}
+
+    @functools.cached_property
+    def teams_by_token(self) -> dict[str, Team]:
+        """Teams by the SHA-256 of their bearer token in hexadecimal."""
+        return {team.token_sha256: team for team in self.teams}
+
+    @functools.cached_property
+    def endpoints_by_name(self) -> dict[str, Endpoint]:
+        """Endpoints by their name."""
+        return {endpoint.name: endpoint for endpoint in self.endpoints}
+
+    def canonical(self) -> bytes:
+        """Return the canonical JSON form; equal manifests give equal bytes."""
+        document = self.model_dump(mode="json")
+        return json.dumps(document, sort_keys=True, separators=(",", ":")).encode()
+
+    @functools.cached_property
+    def digest(self) -> str:
+        """SHA-256 of the canonical form in hexadecimal."""
+        return hashlib.sha256(self.canonical()).hexdigest()
+
+
+def _require_unique(label: str, values: list[str]) -> None:
+    seen: set[str] = set()
+    for value in values:
+        if value in seen:
+            raise ValueError(f"{label}: {value!r} appears twice")
+        seen.add(value)
+
+
+def parse_manifest(content: bytes | str, source: str = "manifest") -> Manifest:
+    """Parse a manifest from TOML or JSON text.
+
+    Parameters
+    ----------
+    content : bytes or str
+        The text; JSON if its first character is an opening brace, else TOML.
+    source : str, default="manifest"
+        Name of the file or peer, for error messages.
+
+    Raises
+    ------
+    ManifestError
+        If the text cannot be parsed or breaks a rule; the message names the key.
+    """
+    try:
+        text = content.decode() if isinstance(content, bytes) else content
+        parse: Callable[[str], Any] = (
+            json.loads if text.lstrip().startswith("{") else tomllib.loads
+        )
+        return Manifest.model_validate(parse(text))
+    except ValidationError as error:
+        message = explain_validation(error)
+        raise ManifestError(message, step="manifest", peer=source) from None
+    except (ValueError, RecursionError) as error:
+        raise ManifestError(str(error), step="manifest", peer=source) from None
+
+
+def load_manifest(path: str | Path) -> Manifest:
+    """Read and parse the manifest file `path`.
+
+    Raises
+    ------
+    ManifestError
+        If the file cannot be read or is invalid.
+    """
+    try:
+        content = Path(path).read_bytes()
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise ManifestError(reason, step="manifest", peer=str(path)) from None
+    return parse_manifest(content, str(path))
+
+
+def hash_token(token: str) -> str:
+    """Return the SHA-256 of a bearer token in hexadecimal."""
+    return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/libs/core/src/bulrushbend/core/settings.py
@@ -0,0 +1,157 @@
+"""Settings of the processes, read from TOML files.
+
+Times are in milliseconds, sizes in bytes. Addresses are ``"host:port"``.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal, TypeVar
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
+
+from bulrushbend.core.errors import SettingsError
+from bulrushbend.core.validation import explain_validation
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``"host:port"`` into its parts.
+
+    Raises
+    ------
+    ValueError
+        If the port is missing or not a number from 0 to 65535.
+    """
+    host, colon, port = address.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit():
+        raise ValueError("an address has the form host:port")
+    if int(port) > 65535:
+        raise ValueError("a port is at most 65535")
+    return host.strip("[]"), int(port)
+
+
+def _check_address(address: str) -> str:
+    split_address(address)
+    return address
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+PositiveMs = Annotated[int, Field(ge=1, le=86_400_000)]
+
+
+class _Settings(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class PeerAddress(_Settings):
+    """Name and gRPC address of a control replica."""
+
+    name: Name
+    address: Address
+
+
+class ProcessSettings(_Settings):
+    """What every process needs.
+
+    The silence deadlines differ by distance: within a data centre a round trip takes
+    well under 5 ms, so 2 s without four heartbeats means a dead peer or connection;
+    between data centres and regions queues and route changes last longer.
+    """
+
+    name: Name
+    vm: Name
+    data_centre: Name
+    region: Name = "region-1"
+    http_address: Address
+    control: tuple[PeerAddress, ...] = Field(min_length=1)
+    event_log: str | None = None
+    log_level: Literal["info", "warning", "error"] = "info"
+    heartbeat_ms: PositiveMs = 500
+    silence_ms: PositiveMs = 2000
+    silence_between_data_centres_ms: PositiveMs = 3000
+    silence_between_regions_ms: PositiveMs = 6000
+    connect_timeout_ms: PositiveMs = 1000
+    spread_ms: PositiveMs = 100
+    drain_ms: PositiveMs = 30_000
+
+    def silence_for(self, data_centre: str, region: str) -> int:
+        """Return the silence deadline in milliseconds for a peer's place."""
+        if region and region != self.region:
+            return self.silence_between_regions_ms
+        if data_centre and data_centre != self.data_centre:
+            return self.silence_between_data_centres_ms
+        return self.silence_ms
+
+
+class ControlSettings(ProcessSettings):
+    """Settings of a control replica."""
+
+    link_address: Address
+    data_folder: str
+    election_timeout_ms: PositiveMs = 1000
+    append_interval_ms: PositiveMs = 150
+    snapshot_entries: int = Field(1000, ge=1)
+    member_timeout_ms: PositiveMs = 5000
+
+
+class RouterSettings(ProcessSettings):
+    """Settings of a router."""
+
+    header_bytes: int = Field(16_384, ge=1024, le=1 << 20)
+    stall_ms: PositiveMs = 1500
+    first_byte_ms: PositiveMs = 60_000
+    key_timeout_ms: PositiveMs = 3000
+
+
+class AgentSettings(ProcessSettings):
+    """Settings of an agent."""
+
+    link_address: Address
+    endpoint: Name
+    endpoint_address: Address
+    platform_url: str | None = None
+    platform_poll_ms: PositiveMs = 1000
+    load_url: str | None = None
+    load_poll_ms: PositiveMs = 500
+    claim_timeout_ms: PositiveMs = 2000
+    endpoint_idle_ms: PositiveMs = 30_000
+    replay_bytes: int = Field(1_048_576, ge=1024)
+    replay_keep_ms: PositiveMs = 10_000
+    orphan_ms: PositiveMs = 10_000
+
+
+SettingsModel = TypeVar("SettingsModel", bound=_Settings)
+
+
+def load_settings(path: str | Path, model: type[SettingsModel]) -> SettingsModel:
+    """Read the settings file `path`.
+
+    Parameters
+    ----------
+    path : str or Path
+        TOML file.
+    model : type
+        Settings class, such as `RouterSettings`.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or is invalid; the message names file and key.
+    """
+    try:
+        document = tomllib.loads(Path(path).read_text())
+        return model.model_validate(document)
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise SettingsError(reason, step="settings", peer=str(path)) from None
+    except ValidationError as error:
+        message = explain_validation(error)
+        raise SettingsError(message, step="settings", peer=str(path)) from None
+    except ValueError as error:
+        raise SettingsError(str(error), step="settings", peer=str(path)) from None
--- /dev/null
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -0,0 +1,163 @@
+"""Start and stop of a daemon, and its operational HTTP pages."""
+
+import asyncio
+import contextlib
+import resource
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import prometheus_client
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import RequestHandler
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import SettingsError
+from bulrushbend.core.events import EventLog, MemoryEventLog, StreamEventLog
+from bulrushbend.core.identity import Identity
+from bulrushbend.core.settings import ProcessSettings, split_address
+from bulrushbend.wire.fleet_pb2 import Member
+
+
+class MetricsHandler(RequestHandler):
+    """``/metrics`` in the Prometheus text format."""
+
+    def get(self) -> None:
+        """Answer with the metrics of this process."""
+        self.set_header("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
+        self.write(prometheus_client.generate_latest())
+
+
+class HealthHandler(RequestHandler):
+    """``/healthz``: the process runs its event loop."""
+
+    def get(self) -> None:
+        """Answer 200."""
+        self.write("ok\n")
+
+
+class ReadyHandler(RequestHandler):
+    """``/readyz``: the process accepts work."""
+
+    def initialize(self, is_ready: Callable[[], bool]) -> None:
+        """Keep the callable that tells whether the process is ready."""
+        self._is_ready = is_ready
+
+    def get(self) -> None:
+        """Answer 200 when ready, else 503."""
+        ready = self._is_ready()
+        self.set_status(200 if ready else 503)
+        self.write("ready\n" if ready else "not ready\n")
+
+
+def operational_routes(is_ready: Callable[[], bool]) -> list[tuple]:
+    """Return the Tornado routes that every process serves.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Tells whether the process accepts work.
+    """
+    return [
+        (r"/metrics", MetricsHandler),
+        (r"/healthz", HealthHandler),
+        (r"/readyz", ReadyHandler, {"is_ready": is_ready}),
+    ]
+
+
+def listen_http(server: HTTPServer, address: str) -> None:
+    """Bind `server` to ``"host:port"``.
+
+    Raises
+    ------
+    SettingsError
+        If the address cannot be bound.
+    """
+    host, port = split_address(address)
+    try:
+        server.add_sockets(bind_sockets(port, host))
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise SettingsError(reason, step="listen", peer=address) from None
+
+
+def open_event_log(
+    stack: contextlib.ExitStack,
+    settings: ProcessSettings,
+    identity: Identity,
+    clock: Clock,
+) -> EventLog:
+    """Open the event log named in the settings; `stack` closes it.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be opened.
+    """
+    if settings.event_log is None:
+        return MemoryEventLog()
+    try:
+        Path(settings.event_log).parent.mkdir(parents=True, exist_ok=True)
+        stream = stack.enter_context(open(settings.event_log, "a"))  # noqa: SIM115
+    except OSError as error:
+        raise SettingsError(
+            error.strerror or str(error), step="event log", peer=settings.event_log
+        ) from None
+    return StreamEventLog(stream, identity.name, identity.incarnation, clock)
+
+
+def describe_member(
+    settings: ProcessSettings, identity: Identity, role: str, **fields: str
+) -> Member:
+    """Return the `Member` message of this process.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        Place and addresses.
+    identity : Identity
+        Name and incarnation.
+    role : {"control", "router", "agent"}
+        Role of the process.
+    **fields : str
+        Further fields of `Member`.
+    """
+    return Member(
+        name=identity.name,
+        role=role,
+        incarnation=identity.incarnation,
+        vm=settings.vm,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        http_address=settings.http_address,
+        **fields,
+    )
+
+
+def cpu_ms() -> float:
+    """Return the processor time that this process has used, in milliseconds."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return (usage.ru_utime + usage.ru_stime) * 1000.0
+
+
+async def run_until_signal(drain: Callable[[], Awaitable[None]]) -> None:
+    """Wait for SIGTERM or SIGINT, then drain; a second signal ends the drain.
+
+    Parameters
+    ----------
+    drain : callable
+        Coroutine function that finishes what is in progress.
+    """
+    loop = asyncio.get_running_loop()
+    signals: asyncio.Queue[int] = asyncio.Queue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    await signals.get()
+    draining = asyncio.ensure_future(drain())
+    second = asyncio.ensure_future(signals.get())
+    await asyncio.wait({draining, second}, return_when=asyncio.FIRST_COMPLETED)
+    second.cancel()
+    draining.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await draining
--- /dev/null
+++ b/libs/process/src/bulrushbend/process/inforce.py
@@ -0,0 +1,108 @@
+"""The manifest in force in one process. It never reverts."""
+
+import asyncio
+from collections.abc import Callable
+
+from bulrushbend.core.errors import ManifestError
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.logs import part_logger
+from bulrushbend.core.manifest import Manifest
+from bulrushbend.wire.documents import pack_manifest, unpack_manifest
+from bulrushbend.wire.fleet_pb2 import ManifestDocument
+
+_log = part_logger("process.manifest")
+
+
+class ManifestInForce:
+    """Holds the newest manifest that this process has adopted.
+
+    The first manifest must be confirmed: a process that starts empty beside a stale
+    control replica would otherwise fall back behind its own earlier version. Later
+    ones are adopted from any source when their version is higher.
+
+    Parameters
+    ----------
+    events : EventLog
+        Receives ``manifest-in-force``.
+    """
+
+    def __init__(self, events: EventLog):
+        self._events = events
+        self._current: Manifest | None = None
+        self._document: ManifestDocument | None = None
+        self._listeners: list[Callable[[Manifest], None]] = []
+        self._adopted = asyncio.Event()
+
+    @property
+    def current(self) -> Manifest | None:
+        """Manifest in force, or None before the first one is confirmed."""
+        return self._current
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 before the first one."""
+        return self._current.version if self._current else 0
+
+    def listen(self, listener: Callable[[Manifest], None]) -> None:
+        """Call `listener` with each manifest that comes into force."""
+        self._listeners.append(listener)
+        if self._current is not None:
+            listener(self._current)
+
+    async def wait(self) -> Manifest:
+        """Wait for the first manifest and return the one in force."""
+        await self._adopted.wait()
+        assert self._current is not None
+        return self._current
+
+    def document_for(self, peer_version: int) -> ManifestDocument | None:
+        """Return the manifest message for a peer that has an older version."""
+        if self._document is None or self._document.version <= peer_version:
+            return None
+        return self._document
+
+    def offer(
+        self, document: ManifestDocument, *, peer: str, confirmed: bool = False
+    ) -> bool:
+        """Adopt a manifest if it is newer than the one in force.
+
+        Parameters
+        ----------
+        document : ManifestDocument
+            Manifest from a peer.
+        peer : str
+            Name of the peer.
+        confirmed : bool, default=False
+            Whether a majority of control confirmed that nothing newer was accepted
+            before. Needed for the first manifest.
+
+        Returns
+        -------
+        bool
+            True if the manifest came into force.
+        """
+        if document.version <= self.version:
+            return False
+        if self._current is None and not confirmed:
+            return False
+        try:
+            manifest = unpack_manifest(document, peer)
+        except ManifestError as error:
+            _log.error("refused a manifest: %s", error)
+            return False
+        self._adopt(manifest, peer)
+        return True
+
+    def _adopt(self, manifest: Manifest, peer: str) -> None:
+        self._current = manifest
+        self._document = pack_manifest(manifest)
+        self._events.write(
+            EventKind.MANIFEST_IN_FORCE,
+            version=manifest.version,
+            digest=manifest.digest,
+            peer=peer,
+        )
+        _log.info("version %d from %s is in force", manifest.version, peer)
+        self._adopted.set()
+        for listener in self._listeners:
+            listener(manifest)
--- /dev/null
+++ b/libs/process/src/bulrushbend/process/watch.py
@@ -0,0 +1,244 @@
+"""Watch of control: manifest, members and calls, from routers and agents."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import NoQuorum
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.logs import part_logger
+from bulrushbend.core.settings import PeerAddress, ProcessSettings, split_address
+from bulrushbend.process.inforce import ManifestInForce
+from bulrushbend.wire.fleet_grpc import FleetStub
+from bulrushbend.wire.fleet_pb2 import FleetState, Member, MemberReport, StatusDetail
+
+_log = part_logger("process.watch")
+
+MemberListener = Callable[[dict[str, Member]], None]
+# Errors that mean the connection to a control replica is gone or unusable.
+CONNECTION_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+
+
+class FleetWatch:
+    """Reports this process to every control replica and follows their state.
+
+    One task for each replica. A replica that is cut off cannot hide a manifest or a
+    member, because the others are watched too.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        Addresses and timeouts.
+    member : Member
+        Identity of this process.
+    in_force : ManifestInForce
+        Receives the manifests.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Receives joins and losses of members.
+    detail : callable
+        Returns the `StatusDetail` of this process for its reports.
+    """
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        member: Member,
+        in_force: ManifestInForce,
+        clock: Clock,
+        events: EventLog,
+        detail: Callable[[], StatusDetail],
+    ):
+        self._settings = settings
+        self._member = member
+        self._in_force = in_force
+        self._clock = clock
+        self._events = events
+        self._detail = detail
+        self._leaving = False
+        self._views: dict[str, dict[str, Member]] = {}
+        self._connected: set[str] = set()
+        self._members: dict[str, Member] = {}
+        self._listeners: list[MemberListener] = []
+        self._channels: dict[str, Channel] = {}
+        self._control_bytes = 0
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """Known routers and agents by name."""
+        return self._members
+
+    @property
+    def connected(self) -> int:
+        """Number of control replicas that are watched without trouble."""
+        return len(self._connected)
+
+    @property
+    def control_bytes(self) -> int:
+        """Bytes of messages sent to and received from control."""
+        return self._control_bytes
+
+    def listen(self, listener: MemberListener) -> None:
+        """Call `listener` with all members after each change."""
+        self._listeners.append(listener)
+        listener(self._members)
+
+    def set_leaving(self) -> None:
+        """Report from now on that this process is about to stop."""
+        self._leaving = True
+
+    async def run(self) -> None:
+        """Watch all control replicas until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                for replica in self._settings.control:
+                    group.create_task(self._watch_replica(replica))
+        finally:
+            for channel in self._channels.values():
+                channel.close()
+
+    async def call(self, method: str, request: Any, timeout_ms: float) -> Any:
+        """Call a unary method of the `Fleet` service on any replica that answers.
+
+        Parameters
+        ----------
+        method : str
+            Method name such as ``"RecordKey"``; it must be idempotent, since a
+            replica that fails may have carried it out.
+        request : message
+            Request message.
+        timeout_ms : float
+            Deadline over all tries in milliseconds.
+
+        Raises
+        ------
+        NoQuorum
+            No replica answered in time; the outcome of a write is unknown.
+        """
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        last_error = "no control replica is connected"
+        while True:
+            replicas = sorted(
+                self._settings.control,
+                key=lambda r: (r.name not in self._connected, random.random()),
+            )
+            for replica in replicas:
+                remaining_ms = deadline_ms - self._clock.now_ms()
+                if remaining_ms <= 0:
+                    raise NoQuorum(last_error, step=method, peer="control")
+                try:
+                    async with asyncio.timeout(remaining_ms / 1000.0 / 2 + 0.05):
+                        stub = FleetStub(self._channel(replica))
+                        return await getattr(stub, method)(request)
+                except CONNECTION_ERRORS as error:
+                    last_error = f"{type(error).__name__} from {replica.name}"
+                    self._drop_channel(replica)
+            await self._clock.sleep_ms(50)
+
+    def _channel(self, replica: PeerAddress) -> Channel:
+        channel = self._channels.get(replica.name)
+        if channel is None:
+            host, port = split_address(replica.address)
+            channel = Channel(host, port)
+            self._channels[replica.name] = channel
+        return channel
+
+    def _drop_channel(self, replica: PeerAddress) -> None:
+        channel = self._channels.pop(replica.name, None)
+        if channel is not None:
+            channel.close()
+
+    async def _watch_replica(self, replica: PeerAddress) -> None:
+        while True:
+            host, port = split_address(replica.address)
+            channel = Channel(host, port)
+            try:
+                await self._follow(replica, channel)
+            except CONNECTION_ERRORS as error:
+                if replica.name in self._connected:
+                    reason = type(error).__name__
+                    _log.warning("lost control replica %s: %s", replica.name, reason)
+                    self._events.write(
+                        EventKind.LINK_DOWN, peer=replica.name, reason=reason
+                    )
+            finally:
+                channel.close()
+                self._connected.discard(replica.name)
+                self._merge_views()
+            await self._clock.sleep_ms(random.uniform(0.5, 1.0) * 1000)
+
+    async def _follow(self, replica: PeerAddress, channel: Channel) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            async with asyncio.timeout(self._settings.connect_timeout_ms / 1000.0):
+                stream = await stack.enter_async_context(
+                    FleetStub(channel).Watch.open()
+                )
+                await stream.send_request()
+            sender = asyncio.create_task(self._report(stream))
+            stack.callback(sender.cancel)
+            silence_s = self._settings.silence_between_regions_ms / 1000.0
+            while not sender.done():
+                async with asyncio.timeout(silence_s):
+                    state = await stream.recv_message()
+                if state is None:
+                    raise ConnectionError("stream ended")
+                self._take_state(replica.name, state)
+        raise ConnectionError("stream ended")
+
+    async def _report(self, stream: Any) -> None:
+        while True:
+            report = MemberReport(
+                member=self._member,
+                manifest_version=self._in_force.version,
+                confirm=self._in_force.current is None,
+                leaving=self._leaving,
+                detail=self._detail(),
+            )
+            self._control_bytes += report.ByteSize()
+            await stream.send_message(report)
+            await self._clock.sleep_ms(self._settings.heartbeat_ms)
+
+    def _take_state(self, replica_name: str, state: FleetState) -> None:
+        self._control_bytes += state.ByteSize()
+        if replica_name not in self._connected:
+            self._connected.add(replica_name)
+            self._events.write(EventKind.LINK_UP, peer=replica_name)
+        if state.HasField("manifest"):
+            self._in_force.offer(
+                state.manifest, peer=replica_name, confirmed=state.confirmed
+            )
+        if state.members_are_complete:
+            self._views[replica_name] = {}
+        view = self._views.setdefault(replica_name, {})
+        for member in state.changed:
+            view[member.name] = member
+        for name in state.removed:
+            view.pop(name, None)
+        if state.members_are_complete or state.changed or state.removed:
+            self._merge_views()
+
+    def _merge_views(self) -> None:
+        """Unite the views; a lost replica's view counts only while all are lost."""
+        names = [name for name in self._views if name in self._connected]
+        merged: dict[str, Member] = {}
+        for name in names or list(self._views):
+            for member in self._views[name].values():
+                known = merged.get(member.name)
+                if known is None or member.incarnation > known.incarnation:
+                    merged[member.name] = member
+        if merged == self._members:
+            return
+        for name in merged.keys() - self._members.keys():
+            self._events.write(EventKind.MEMBER_JOINED, peer=name)
+        for name in self._members.keys() - merged.keys():
+            self._events.write(EventKind.MEMBER_LOST, peer=name)
+        self._members = merged
+        for listener in self._listeners:
+            listener(merged)
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/__init__.py
@@ -0,0 +1,1 @@
+"""Router daemon."""
--- /dev/null
+++ b/libs/share/src/bulrushbend/share/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide accounting and fair choice of teams."""
--- /dev/null
+++ b/libs/standins/src/bulrushbend/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in endpoints and load tool."""
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/__init__.py
@@ -0,0 +1,1 @@
+"""Durable log, snapshots and consensus replica."""
--- /dev/null
+++ b/libs/wire/src/bulrushbend/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and HTTP exchanges between processes."""
--- /dev/null
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -0,0 +1,261 @@
+"""One HTTP request and its answer over a connection of its own.
+
+A connection carries a single exchange, so an answer can never reach another request,
+and closing the connection abandons exactly one request. Built on Tornado's client
+side of `tornado.http1connection`.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from bulrushbend.core.errors import (
+    ConnectFailed,
+    PeerSilent,
+    ProtocolFault,
+    TruncatedAnswer,
+)
+from bulrushbend.core.settings import split_address
+
+_MAX_BODY_BYTES = 1 << 40
+_MAX_HEADER_BYTES = 1 << 16
+_READ_CHUNK_BYTES = 1 << 16
+# Chunks held between the socket and a slow reader; reading stops when it is full.
+_BUFFERED_CHUNKS = 16
+
+
+@dataclass(frozen=True)
+class ExchangeRequest:
+    """Request line, headers and body of an exchange."""
+
+    method: str
+    path: str
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
+    body: bytes = b""
+
+
+@dataclass(frozen=True)
+class ExchangeTimeouts:
+    """Deadlines of an exchange in milliseconds.
+
+    Attributes
+    ----------
+    connect_ms : float
+        For making the connection.
+    first_byte_ms : float
+        From the request sent to the answer's headers.
+    idle_ms : float
+        Between two pieces of the body.
+    """
+
+    connect_ms: float = 1000.0
+    first_byte_ms: float = 60_000.0
+    idle_ms: float = 60_000.0
+
+
+class _Collector(HTTPMessageDelegate):
+    """Hands the parts of an answer to the reading task."""
+
+    def __init__(self) -> None:
+        self.start: asyncio.Future[tuple[ResponseStartLine, HTTPHeaders]] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.pieces: asyncio.Queue[bytes | None] = asyncio.Queue(_BUFFERED_CHUNKS)
+        self.complete = False
+
+    def headers_received(self, start_line, headers):
+        if start_line.code >= 200 and not self.start.done():
+            self.start.set_result((start_line, headers))
+
+    async def data_received(self, chunk: bytes) -> None:
+        await self.pieces.put(chunk)
+
+    def finish(self) -> None:
+        self.complete = True
+
+
+class Exchange:
+    """An HTTP exchange in progress; create it with `Exchange.open`."""
+
+    def __init__(self, stream: IOStream, peer: str, timeouts: ExchangeTimeouts):
+        self._stream = stream
+        self._peer = peer
+        self._timeouts = timeouts
+        self._collector = _Collector()
+        self._reader: asyncio.Task[None] | None = None
+        self._status = 0
+        self._headers = HTTPHeaders()
+
+    @property
+    def peer(self) -> str:
+        """Address of the peer."""
+        return self._peer
+
+    @property
+    def status(self) -> int:
+        """Status code of the answer."""
+        return self._status
+
+    @property
+    def headers(self) -> HTTPHeaders:
+        """Headers of the answer."""
+        return self._headers
+
+    @classmethod
+    async def open(
+        cls, address: str, request: ExchangeRequest, timeouts: ExchangeTimeouts
+    ) -> "Exchange":
+        """Connect, send `request` and wait for the headers of the answer.
+
+        Parameters
+        ----------
+        address : str
+            ``"host:port"`` of the peer.
+        request : ExchangeRequest
+            What to send.
+        timeouts : ExchangeTimeouts
+            Deadlines in milliseconds.
+
+        Raises
+        ------
+        ConnectFailed
+            No connection was made; nothing was sent.
+        PeerSilent
+            No headers arrived in time.
+        TruncatedAnswer
+            The connection ended before the headers.
+        ProtocolFault
+            The answer is not HTTP.
+        """
+        stream = await _connect(address, timeouts.connect_ms)
+        exchange = cls(stream, address, timeouts)
+        try:
+            await exchange._send(request)
+            await exchange._receive_headers()
+        except BaseException:
+            exchange.close()
+            raise
+        return exchange
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the pieces of the body; returning means that it is complete.
+
+        Raises
+        ------
+        PeerSilent
+            Nothing arrived for `ExchangeTimeouts.idle_ms`.
+        TruncatedAnswer
+            The connection ended before the body was complete.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(self._timeouts.idle_ms / 1000.0):
+                    piece = await self._collector.pieces.get()
+            except TimeoutError:
+                self.close()
+                raise PeerSilent(
+                    "no data within the idle timeout", step="body", peer=self._peer
+                ) from None
+            if piece is None:
+                break
+            yield piece
+        if not self._collector.complete:
+            raise TruncatedAnswer(
+                "connection ended before the body was complete",
+                step="body",
+                peer=self._peer,
+            )
+
+    async def body(self) -> bytes:
+        """Return the whole body; raises the errors of `chunks`."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
+    def close(self) -> None:
+        """Close the connection; an unfinished exchange is abandoned."""
+        if self._reader is not None:
+            self._reader.cancel()
+        self._stream.close()
+
+    async def _send(self, request: ExchangeRequest) -> None:
+        parameters = HTTP1ConnectionParameters(
+            no_keep_alive=True,
+            chunk_size=_READ_CHUNK_BYTES,
+            max_header_size=_MAX_HEADER_BYTES,
+            max_body_size=_MAX_BODY_BYTES,
+        )
+        connection = HTTP1Connection(self._stream, True, parameters)
+        self._reader = asyncio.create_task(self._read(connection))
+        headers = request.headers.copy()
+        headers["Host"] = self._peer
+        headers["Connection"] = "close"
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = str(len(request.body))
+        start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
+        with contextlib.suppress(StreamClosedError):
+            # A peer that refuses early may close before the body is sent; its
+            # answer, if any, is still read.
+            await connection.write_headers(start_line, headers, request.body or None)
+        connection.finish()
+
+    async def _read(self, connection: HTTP1Connection) -> None:
+        collector = self._collector
+        try:
+            await connection.read_response(collector)
+        except (StreamClosedError, HTTPInputError, OSError):
+            pass
+        finally:
+            if not collector.start.done():
+                collector.start.set_exception(
+                    TruncatedAnswer(
+                        "connection ended before the headers",
+                        step="headers",
+                        peer=self._peer,
+                    )
+                )
+                collector.start.exception()
+        await collector.pieces.put(None)
+
+    async def _receive_headers(self) -> None:
+        try:
+            async with asyncio.timeout(self._timeouts.first_byte_ms / 1000.0):
+                start_line, headers = await asyncio.shield(self._collector.start)
+        except TimeoutError:
+            raise PeerSilent(
+                "no answer within the first-byte timeout",
+                step="headers",
+                peer=self._peer,
+            ) from None
+        if not 200 <= start_line.code <= 599:
+            raise ProtocolFault(
+                f"status {start_line.code} is not valid",
+                step="headers",
+                peer=self._peer,
+            )
+        self._status = start_line.code
+        self._headers = headers
+
+
+async def _connect(address: str, timeout_ms: float) -> IOStream:
+    host, port = split_address(address)
+    try:
+        async with asyncio.timeout(timeout_ms / 1000.0):
+            return await TCPClient().connect(host, port)
+    except TimeoutError:
+        raise ConnectFailed(
+            "no connection within the connect timeout", step="connect", peer=address
+        ) from None
+    except OSError as error:
+        reason = error.strerror or str(error) or type(error).__name__
+        raise ConnectFailed(reason, step="connect", peer=address) from None
