Add the control daemon over a replica in memory

Routers and agents need a control service to develop against. The daemon serves Watch, Publish, the key calls and Status over the interface BaseReplica, with a replica in memory behind it for now.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,8 @@
 	cd libs/wire/src && ../../../$(BIN)/python -m grpc_tools.protoc -I . \
 	  --plugin=protoc-gen-grpclib_python=../../../$(BIN)/protoc-gen-grpclib_python \
 	  --python_out=. --grpclib_python_out=. bulrushbend/wire/fleet.proto
+	cd libs/wire/src && ../../../$(BIN)/python -m grpc_tools.protoc -I . \
+	  --python_out=. bulrushbend/wire/control.proto
 
 build: setup
 	./tools/build.sh
--- /dev/null
+++ b/libs/control/src/bulrushbend/control/membership.py
@@ -0,0 +1,102 @@
+"""Soft membership: the routers and agents that report to this replica."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.wire.fleet_pb2 import Member, MemberReport, MemberStatus
+
+
+@dataclass
+class _Entry:
+    report: MemberReport
+    received_ms: float
+
+
+MemberChange = Callable[[str], None]
+
+
+class Membership:
+    """Members by name; the newest incarnation wins, then the newest report.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    timeout_ms : float
+        A member is dropped when it has not reported for so long.
+    """
+
+    def __init__(self, clock: Clock, timeout_ms: float):
+        self._clock = clock
+        self._timeout_ms = timeout_ms
+        self._entries: dict[str, _Entry] = {}
+        self._listeners: set[MemberChange] = set()
+        self._started_ms = clock.now_ms()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether every live member has had the time to report since the start."""
+        return self._clock.now_ms() - self._started_ms >= self._timeout_ms
+
+    def listen(self, listener: MemberChange) -> Callable[[], None]:
+        """Call `listener` with each name that joined, changed or was dropped.
+
+        Returns
+        -------
+        callable
+            Ends the listening.
+        """
+        self._listeners.add(listener)
+        return lambda: self._listeners.discard(listener)
+
+    def members(self) -> list[Member]:
+        """Return all members."""
+        return [entry.report.member for entry in self._entries.values()]
+
+    def get(self, name: str) -> Member | None:
+        """Return the member called `name`."""
+        entry = self._entries.get(name)
+        return entry.report.member if entry is not None else None
+
+    def is_alive(self, name: str, incarnation: int) -> bool:
+        """Return whether this incarnation of the member reports."""
+        member = self.get(name)
+        return member is not None and member.incarnation == incarnation
+
+    def statuses(self) -> list[MemberStatus]:
+        """Return the latest report of each member with its age."""
+        now_ms = self._clock.now_ms()
+        return [
+            MemberStatus(
+                member=entry.report.member,
+                manifest_version=entry.report.manifest_version,
+                report_age_ms=int(now_ms - entry.received_ms),
+                leaving=entry.report.leaving,
+                detail=entry.report.detail,
+            )
+            for _, entry in sorted(self._entries.items())
+        ]
+
+    def take(self, report: MemberReport) -> None:
+        """Store a report unless a newer incarnation has reported."""
+        name = report.member.name
+        known = self._entries.get(name)
+        if known and known.report.member.incarnation > report.member.incarnation:
+            return
+        self._entries[name] = _Entry(report, self._clock.now_ms())
+        if known is None or known.report.member != report.member:
+            self._tell(name)
+
+    def drop_silent(self) -> list[str]:
+        """Drop the members that have not reported in time and return their names."""
+        limit_ms = self._clock.now_ms() - self._timeout_ms
+        silent = [n for n, e in self._entries.items() if e.received_ms < limit_ms]
+        for name in silent:
+            del self._entries[name]
+            self._tell(name)
+        return silent
+
+    def _tell(self, name: str) -> None:
+        for listener in list(self._listeners):
+            listener(name)
--- /dev/null
+++ b/libs/control/src/bulrushbend/control/service.py
@@ -0,0 +1,165 @@
+"""The `Fleet` service of a control replica."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bulrushbend.control.membership import Membership
+from bulrushbend.control.watcher import Watcher
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import ManifestError, NoQuorum
+from bulrushbend.store.base import Applied, BaseReplica
+from bulrushbend.store.state import cap_answer
+from bulrushbend.wire.control_pb2 import Command
+from bulrushbend.wire.documents import unpack_manifest
+from bulrushbend.wire.fleet_grpc import FleetBase
+from bulrushbend.wire.fleet_pb2 import (
+    KeyReply,
+    KeyRequest,
+    PublishReply,
+    PublishRequest,
+    StatusReply,
+)
+
+WRITE_TIMEOUT_MS = 2000
+
+
+class FleetService(FleetBase):
+    """Answers routers, agents and operators.
+
+    Parameters
+    ----------
+    replica : BaseReplica
+        Replica of the state.
+    membership : Membership
+        Members that report to this replica.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, replica: BaseReplica, membership: Membership, clock: Clock):
+        self._replica = replica
+        self._membership = membership
+        self._clock = clock
+        self._watchers: set[Watcher] = set()
+        self._known_version = 0
+        replica.listen(self._after_apply)
+
+    @property
+    def watcher_count(self) -> int:
+        """Number of open watch streams."""
+        return len(self._watchers)
+
+    async def Watch(self, stream: Any) -> None:  # noqa: N802
+        """Serve one watch stream."""
+        watcher = Watcher(stream, self._replica, self._membership, self._clock)
+        self._watchers.add(watcher)
+        try:
+            await watcher.run()
+        finally:
+            self._watchers.discard(watcher)
+
+    async def Publish(self, stream: Any) -> None:  # noqa: N802
+        """Publish a manifest."""
+        request = await stream.recv_message()
+        await stream.send_message(await self.publish(request))
+
+    async def RecordKey(self, stream: Any) -> None:  # noqa: N802
+        """Record an idempotency key for its owner."""
+        request = await stream.recv_message()
+        reply = await self.write_key(request, _record_command)
+        await stream.send_message(self._judge_owner(request, reply))
+
+    async def CompleteKey(self, stream: Any) -> None:  # noqa: N802
+        """Keep the answer of the request that holds the key."""
+        request = await stream.recv_message()
+        await stream.send_message(await self.write_key(request, _complete_command))
+
+    async def ReleaseKey(self, stream: Any) -> None:  # noqa: N802
+        """Remove a key whose request provably did not run."""
+        request = await stream.recv_message()
+        await stream.send_message(await self.write_key(request, _release_command))
+
+    async def Status(self, stream: Any) -> None:  # noqa: N802
+        """Answer with manifest, consensus and members as this replica sees them."""
+        await stream.recv_message()
+        await stream.send_message(self.status())
+
+    async def ChangeVoters(self, stream: Any) -> None:  # noqa: N802
+        """Change the voter list by one replica."""
+        request = await stream.recv_message()
+        await stream.send_message(await self._replica.change_voters(request))
+
+    async def publish(self, request: PublishRequest) -> PublishReply:
+        """Check and propose a manifest; see `Publish`."""
+        try:
+            unpack_manifest(request.manifest, "publish")
+        except ManifestError as error:
+            return PublishReply(result=PublishReply.INVALID, message=str(error))
+        command = Command(time_ms=self._clock.wall_ms(), put_manifest=request.manifest)
+        try:
+            result = await self._replica.propose(command, WRITE_TIMEOUT_MS)
+        except NoQuorum as error:
+            return PublishReply(result=PublishReply.UNAVAILABLE, message=str(error))
+        return PublishReply.FromString(result)
+
+    async def write_key(
+        self, request: KeyRequest, build: Callable[[KeyRequest, int], Command]
+    ) -> KeyReply:
+        """Propose a key command; `build` makes it from the request and the time."""
+        command = build(request, self._clock.wall_ms())
+        try:
+            result = await self._replica.propose(command, WRITE_TIMEOUT_MS)
+        except NoQuorum:
+            return KeyReply(result=KeyReply.UNAVAILABLE)
+        return KeyReply.FromString(result)
+
+    def status(self) -> StatusReply:
+        """Return the status message of this replica."""
+        consensus = self._replica.status()
+        manifest = self._replica.state.manifest
+        return StatusReply(
+            manifest_version=self._replica.state.manifest_version,
+            manifest_digest=manifest.digest if manifest is not None else "",
+            leader=consensus.leader,
+            term=consensus.term,
+            commit_index=consensus.commit_index,
+            members=self._membership.statuses(),
+            voters=consensus.voters,
+            learners=consensus.learners,
+        )
+
+    def _judge_owner(self, request: KeyRequest, reply: KeyReply) -> KeyReply:
+        """Turn RUNNING into OUTCOME_UNKNOWN when the recording router is gone.
+
+        The state does not know who is alive, since membership is not replicated. A
+        replica that has just started cannot tell either and answers RUNNING.
+        """
+        if reply.result != KeyReply.RUNNING or not self._membership.is_settled:
+            return reply
+        record = self._replica.state.key_record(request)
+        if record is None or record.request_id != reply.request_id:
+            return reply
+        if not self._membership.is_alive(record.owner, record.owner_incarnation):
+            reply.result = KeyReply.OUTCOME_UNKNOWN
+        return reply
+
+    def _after_apply(self, applied: Applied) -> None:
+        if self._replica.state.manifest_version > self._known_version:
+            self._known_version = self._replica.state.manifest_version
+            for watcher in self._watchers:
+                watcher.wake()
+
+
+def _record_command(request: KeyRequest, time_ms: int) -> Command:
+    return Command(time_ms=time_ms, record_key=request)
+
+
+def _complete_command(request: KeyRequest, time_ms: int) -> Command:
+    capped = KeyRequest()
+    capped.CopyFrom(request)
+    capped.answer.CopyFrom(cap_answer(request.answer))
+    return Command(time_ms=time_ms, complete_key=capped)
+
+
+def _release_command(request: KeyRequest, time_ms: int) -> Command:
+    return Command(time_ms=time_ms, release_key=request)
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/base.py
@@ -0,0 +1,147 @@
+"""What the control service needs from a replica of the state."""
+
+import abc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bulrushbend.store.state import State
+from bulrushbend.wire.control_pb2 import Command
+from bulrushbend.wire.fleet_pb2 import VotersReply, VotersRequest
+
+
+@dataclass(frozen=True)
+class Applied:
+    """A command that was applied to the state.
+
+    Attributes
+    ----------
+    index : int
+        Place in the log.
+    command : Command
+        The command.
+    result : bytes
+        Serialised result, see `State.apply`.
+    leading : bool
+        Whether this replica led when it applied the command.
+    """
+
+    index: int
+    command: Command
+    result: bytes
+    leading: bool
+
+
+AppliedListener = Callable[[Applied], None]
+
+
+@dataclass(frozen=True)
+class ReplicaStatus:
+    """Consensus status of a replica."""
+
+    leader: str
+    term: int
+    commit_index: int
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+
+
+class BaseReplica(abc.ABC):
+    """One replica of the replicated state."""
+
+    def __init__(self) -> None:
+        self._state = State()
+        self._listeners: list[AppliedListener] = []
+
+    @property
+    def state(self) -> State:
+        """State as far as this replica has applied it; it may lag behind."""
+        return self._state
+
+    def listen(self, listener: AppliedListener) -> None:
+        """Call `listener` after each applied command, and after an installed snapshot.
+
+        A snapshot is announced as a `NoOperation` at its index.
+        """
+        self._listeners.append(listener)
+
+    @abc.abstractmethod
+    def status(self) -> ReplicaStatus:
+        """Return the consensus status."""
+
+    @abc.abstractmethod
+    async def propose(self, command: Command, timeout_ms: float) -> bytes:
+        """Have `command` committed and applied, by the leader wherever it is.
+
+        Parameters
+        ----------
+        command : Command
+            Command; it must be idempotent, since the outcome may stay unknown.
+        timeout_ms : float
+            Deadline in milliseconds.
+
+        Returns
+        -------
+        bytes
+            Result of `State.apply` at the leader.
+
+        Raises
+        ------
+        NoQuorum
+            Not committed in time; it may still be committed later.
+        """
+
+    @abc.abstractmethod
+    async def read_index(self, timeout_ms: float) -> int:
+        """Wait until `state` holds everything that was committed before the call.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            Deadline in milliseconds.
+
+        Returns
+        -------
+        int
+            Index up to which the leader has confirmed the log.
+
+        Raises
+        ------
+        NoQuorum
+            The leader did not confirm in time.
+        """
+
+    @abc.abstractmethod
+    async def change_voters(self, request: VotersRequest) -> VotersReply:
+        """Add a learner, promote it to a voter or remove a replica."""
+
+    def _announce(self, applied: Applied) -> None:
+        for listener in self._listeners:
+            listener(applied)
+
+
+class SoloReplica(BaseReplica):
+    """Replica in memory that is its own majority, for tests of the layers above."""
+
+    def __init__(self, name: str = "solo"):
+        super().__init__()
+        self._name = name
+        self._index = 0
+
+    def status(self) -> ReplicaStatus:
+        """Return a status that names this replica as leader."""
+        return ReplicaStatus(self._name, 1, self._index, (self._name,), ())
+
+    async def propose(self, command: Command, timeout_ms: float) -> bytes:
+        """Apply `command` at once; see `BaseReplica.propose`."""
+        self._index += 1
+        result = self._state.apply(command)
+        self._announce(Applied(self._index, command, result, leading=True))
+        return result
+
+    async def read_index(self, timeout_ms: float) -> int:
+        """Return the last index."""
+        return self._index
+
+    async def change_voters(self, request: VotersRequest) -> VotersReply:
+        """Refuse, since there is nothing to change."""
+        return VotersReply(accepted=False, message="a solo replica has no peers")
