--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import contextlib
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
 
 from grpclib.server import Server
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
+from bulrushbend.control import metrics
+from bulrushbend.control.journal import Journal
 from bulrushbend.control.membership import Membership
 from bulrushbend.control.service import FleetService
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import SettingsError
-from bulrushbend.core.events import EventKind
+from bulrushbend.core.errors import NoQuorum, SettingsError
+from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.identity import new_identity
 from bulrushbend.core.logs import part_logger
 from bulrushbend.core.settings import ControlSettings, split_address
@@ -21,10 +26,19 @@
     operational_routes,
     run_until_signal,
 )
-from bulrushbend.store.base import BaseReplica, SoloReplica
+from bulrushbend.store.configuration import Configuration, Node
+from bulrushbend.store.files import Files
+from bulrushbend.store.options import ReplicaOptions
+from bulrushbend.store.replica import Replica
+from bulrushbend.store.service import ConsensusService
+from bulrushbend.store.stores import Stores, open_stores
+from bulrushbend.store.transport import GrpcTransport
+from bulrushbend.store.vote import FOUNDING_DISK
+from bulrushbend.wire.control_pb2 import Command, ExpireKeys
 
 _log = part_logger("control.daemon")
 SWEEP_MS = 250
+EXPIRE_TIMEOUT_MS = 2000
 
 
 class ControlDaemon:
@@ -38,6 +52,10 @@
         Accept an empty data folder as that of a founding voter.
     clock : Clock, optional
         Source of time.
+    files : Files, optional
+        File system of the store.
+    events : EventLog, optional
+        Event log in place of the one that the settings name.
     """
 
     def __init__(
@@ -46,17 +64,18 @@
         *,
         bootstrap: bool = False,
         clock: Clock | None = None,
+        files: Files | None = None,
+        events: EventLog | None = None,
     ):
         self._settings = settings
         self._bootstrap = bootstrap
         self._clock = clock or Clock()
+        self._files = files
+        self._events = events
         self._stack = contextlib.AsyncExitStack()
-        self._replica: BaseReplica = SoloReplica(settings.name)
-        self._membership = Membership(self._clock, settings.member_timeout_ms)
-        self._service = FleetService(self._replica, self._membership, self._clock)
 
     @property
-    def replica(self) -> BaseReplica:
+    def replica(self) -> Replica:
         """Replica of the state."""
         return self._replica
 
@@ -65,36 +84,74 @@
         """The `Fleet` service."""
         return self._service
 
+    @property
+    def membership(self) -> Membership:
+        """Members that report to this replica."""
+        return self._membership
+
     @property
     def is_ready(self) -> bool:
         """Whether a leader is known, so that writes can succeed."""
         return bool(self._replica.status().leader)
 
     async def start(self) -> None:
-        """Open the event log and start the servers.
+        """Open the stores and start replica and servers.
 
         Raises
         ------
         SettingsError
-            If a file or an address cannot be opened.
+            The event log or an address cannot be opened.
+        StoreError
+            The data folder is damaged or cannot be used.
         """
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+
+    async def stop(self) -> None:
+        """Stop the servers and the replica and close the stores."""
+        await self._stack.aclose()
+
+    async def _start(self) -> None:
         settings = self._settings
+        closing = self._stack.enter_context(contextlib.ExitStack())
         identity = new_identity(settings.name, self._clock)
-        files = self._stack.enter_context(contextlib.ExitStack())
-        self._events = open_event_log(files, settings, identity, self._clock)
+        if self._events is None:
+            self._events = open_event_log(closing, settings, identity, self._clock)
         self._events.write(EventKind.PROCESS_STARTED, role="control")
+        closing.callback(self._events.write, EventKind.PROCESS_STOPPED)
+        stores = open_stores(Path(settings.data_folder), closing, self._files)
+        if stores.repaired_bytes:
+            self._report_repair(stores.repaired_bytes)
+        self._build(stores)
         await self._start_grpc()
+        self._replica.start()
+        self._stack.push_async_callback(self._replica.stop)
         self._start_http()
         self._start_task(self._sweep())
         _log.info("replica %s serves on %s", settings.name, settings.link_address)
 
-    async def stop(self) -> None:
-        """Stop the servers and close everything."""
-        self._events.write(EventKind.PROCESS_STOPPED)
-        await self._stack.aclose()
+    def _report_repair(self, length: int) -> None:
+        _log.warning("cut %d bytes of an incomplete append off the log", length)
+        self._events.write(EventKind.STORE_REPAIRED, bytes=length)
+
+    def _build(self, stores: Stores) -> None:
+        settings = self._settings
+        self._replica = Replica(
+            _replica_options(settings, self._bootstrap),
+            stores,
+            GrpcTransport(),
+            self._clock,
+            self._events,
+        )
+        self._replica.listen(Journal(self._events).write)
+        self._membership = Membership(self._clock, settings.member_timeout_ms)
+        self._service = FleetService(self._replica, self._membership, self._clock)
 
     async def _start_grpc(self) -> None:
-        server = Server([self._service])
+        server = Server([self._service, ConsensusService(self._replica)])
         host, port = split_address(self._settings.link_address)
         try:
             await server.start(host, port)
@@ -114,16 +171,57 @@
         self._stack.push_async_callback(server.close_all_connections)
         self._stack.callback(server.stop)
 
-    def _start_task(self, coroutine) -> None:
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._stack.callback(task.cancel)
 
     async def _sweep(self) -> None:
-        """Drop silent members."""
+        """Drop silent members, expire keys and set the metrics."""
         while True:
             await self._clock.sleep_ms(SWEEP_MS)
             for name in self._membership.drop_silent():
                 self._events.write(EventKind.MEMBER_LOST, peer=name)
+            self._set_metrics()
+            await self._expire_keys()
+
+    async def _expire_keys(self) -> None:
+        now_ms = self._clock.wall_ms()
+        if not self._replica.is_leader:
+            return
+        if not self._replica.state.has_expired_keys(now_ms):
+            return
+        command = Command(time_ms=now_ms, expire_keys=ExpireKeys())
+        with contextlib.suppress(NoQuorum):
+            await self._replica.propose(command, EXPIRE_TIMEOUT_MS)
+
+    def _set_metrics(self) -> None:
+        name = self._settings.name
+        replica = self._replica
+        status = replica.status()
+        metrics.TERM.labels(name).set(status.term)
+        metrics.COMMIT_INDEX.labels(name).set(status.commit_index)
+        metrics.LEADS.labels(name).set(replica.is_leader)
+        metrics.MAY_VOTE.labels(name).set(replica.may_vote)
+        metrics.STORE_FAILED.labels(name).set(replica.has_failed)
+        metrics.MANIFEST_VERSION.labels(name).set(replica.state.manifest_version)
+        metrics.MEMBERS.labels(name).set(len(self._membership.members()))
+        metrics.WATCHERS.labels(name).set(self._service.watcher_count)
+        metrics.KEYS.labels(name).set(replica.state.key_count)
+
+
+def _replica_options(settings: ControlSettings, bootstrap: bool) -> ReplicaOptions:
+    nodes = sorted(
+        (Node(peer.name, peer.address, FOUNDING_DISK) for peer in settings.control),
+        key=lambda node: node.name,
+    )
+    return ReplicaOptions(
+        name=settings.name,
+        founding=Configuration(tuple(nodes)),
+        bootstrap=bootstrap,
+        election_timeout_ms=settings.election_timeout_ms,
+        append_interval_ms=settings.append_interval_ms,
+        snapshot_entries=settings.snapshot_entries,
+    )
 
 
 async def run_control(settings: ControlSettings, *, bootstrap: bool = False) -> None:
@@ -136,6 +234,13 @@
     bootstrap : bool, default=False
         Accept an empty data folder as that of a founding voter; needed once, at the
         first start of a fleet.
+
+    Raises
+    ------
+    SettingsError
+        The event log or an address cannot be opened.
+    StoreError
+        The data folder is damaged or cannot be used.
     """
     daemon = ControlDaemon(settings, bootstrap=bootstrap)
     await daemon.start()
--- a/libs/control/tests/test_daemon.py
+++ b/libs/control/tests/test_daemon.py
@@ -1,7 +1,7 @@
 import asyncio
 import contextlib
 
-from builders import (
+from control_builders import (
     control_settings,
     key_request,
     publish_request,
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/configuration.py
@@ -0,0 +1,149 @@
+"""Which replicas vote and which only learn."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from bulrushbend.store.records import Entry
+from bulrushbend.wire.control_pb2 import Command, SetVoters, VoterEntry
+
+
+@dataclass(frozen=True)
+class Node:
+    """A control replica as the voter list names it.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    address : str
+        ``"host:port"`` of its gRPC server.
+    disk_id : str
+        Data folder on which the replica may vote, empty for a learner.
+    """
+
+    name: str
+    address: str
+    disk_id: str = ""
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """Voters and learners, sorted by name."""
+
+    voters: tuple[Node, ...] = ()
+    learners: tuple[Node, ...] = ()
+
+    @property
+    def nodes(self) -> tuple[Node, ...]:
+        """Voters and learners."""
+        return self.voters + self.learners
+
+    @property
+    def majority(self) -> int:
+        """Smallest number of voters that is a majority."""
+        return len(self.voters) // 2 + 1
+
+    def node(self, name: str) -> Node | None:
+        """Return the voter or learner called `name`."""
+        return next((node for node in self.nodes if node.name == name), None)
+
+    def voter(self, name: str) -> Node | None:
+        """Return the voter called `name`."""
+        return next((node for node in self.voters if node.name == name), None)
+
+    def may_vote(self, name: str, disk_id: str) -> bool:
+        """Return whether the replica votes on the data folder `disk_id`."""
+        node = self.voter(name)
+        return node is not None and bool(disk_id) and node.disk_id == disk_id
+
+    def has_majority(self, names: Collection[str]) -> bool:
+        """Return whether a majority of the voters is among `names`."""
+        count = sum(node.name in names for node in self.voters)
+        return bool(self.voters) and count >= self.majority
+
+    def without(self, name: str) -> "Configuration":
+        """Return the configuration without the replica called `name`."""
+        return Configuration(
+            tuple(node for node in self.voters if node.name != name),
+            tuple(node for node in self.learners if node.name != name),
+        )
+
+    def with_learner(self, node: Node) -> "Configuration":
+        """Return the configuration with `node` as a learner."""
+        rest = self.without(node.name)
+        return Configuration(rest.voters, _sorted([*rest.learners, node]))
+
+    def with_voter(self, node: Node) -> "Configuration":
+        """Return the configuration with `node` as a voter."""
+        rest = self.without(node.name)
+        return Configuration(_sorted([*rest.voters, node]), rest.learners)
+
+    def message(self) -> SetVoters:
+        """Return the command that carries this configuration."""
+        return SetVoters(
+            voters=[_pack(node) for node in self.voters],
+            learners=[_pack(node) for node in self.learners],
+        )
+
+
+def read_configuration(message: SetVoters) -> Configuration:
+    """Return the configuration that a command carries."""
+    return Configuration(
+        _sorted(_unpack(entry) for entry in message.voters),
+        _sorted(_unpack(entry) for entry in message.learners),
+    )
+
+
+class ConfigurationHistory:
+    """Configurations of the log: the newest one counts, committed or not.
+
+    Parameters
+    ----------
+    base : Configuration
+        Configuration at `index`.
+    index : int
+        Index up to which the log is applied in `base`.
+    """
+
+    def __init__(self, base: Configuration, index: int):
+        self._steps = [(index, base)]
+
+    @property
+    def current(self) -> Configuration:
+        """Newest configuration."""
+        return self._steps[-1][1]
+
+    @property
+    def current_index(self) -> int:
+        """Index of the entry that set the newest configuration."""
+        return self._steps[-1][0]
+
+    def append(self, entries: Iterable[Entry]) -> None:
+        """Take over the configurations that appended entries set."""
+        for entry in entries:
+            command = Command.FromString(entry.command)
+            if command.WhichOneof("kind") == "set_voters":
+                found = read_configuration(command.set_voters)
+                self._steps.append((entry.index, found))
+
+    def truncate_after(self, index: int) -> None:
+        """Forget the configurations of entries behind `index`."""
+        while len(self._steps) > 1 and self._steps[-1][0] > index:
+            self._steps.pop()
+
+    def forget_before(self, index: int) -> None:
+        """Forget the configurations that `index` makes unreachable."""
+        while len(self._steps) > 1 and self._steps[1][0] <= index:
+            del self._steps[0]
+
+
+def _sorted(nodes: Iterable[Node]) -> tuple[Node, ...]:
+    return tuple(sorted(nodes, key=lambda node: node.name))
+
+
+def _pack(node: Node) -> VoterEntry:
+    return VoterEntry(name=node.name, address=node.address, disk_id=node.disk_id)
+
+
+def _unpack(entry: VoterEntry) -> Node:
+    return Node(entry.name, entry.address, entry.disk_id)
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/core.py
@@ -0,0 +1,355 @@
+"""What all roles of a replica share: term, log, commit index and applied state."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import TypeVar
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import NoQuorum, StoreFailed
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.logs import part_logger
+from bulrushbend.store.base import Applied
+from bulrushbend.store.configuration import (
+    Configuration,
+    ConfigurationHistory,
+    read_configuration,
+)
+from bulrushbend.store.options import ReplicaOptions, Role
+from bulrushbend.store.records import Entry, Position
+from bulrushbend.store.snapshots import Snapshot
+from bulrushbend.store.state import State
+from bulrushbend.store.stores import Stores
+from bulrushbend.store.vote import FOUNDING_DISK
+from bulrushbend.wire.control_pb2 import Command, NoOperation
+
+_log = part_logger("store.replica")
+Value = TypeVar("Value")
+
+
+class ReplicaCore:
+    """State of one replica; the roles act on it.
+
+    Parameters
+    ----------
+    options : ReplicaOptions
+        Settings.
+    stores : Stores
+        Log, vote and snapshot.
+    state : State
+        State machine, still empty.
+    announce : callable
+        Called with each `Applied` command.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Receives the events of the replica.
+    """
+
+    def __init__(
+        self,
+        options: ReplicaOptions,
+        stores: Stores,
+        state: State,
+        announce: Callable[[Applied], None],
+        clock: Clock,
+        events: EventLog,
+    ):
+        self.options = options
+        self.stores = stores
+        self.state = state
+        self.clock = clock
+        self.events = events
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.heard_ms = clock.now_ms()
+        self.role_changed = asyncio.Event()
+        self._announce = announce
+        self._lock = asyncio.Lock()
+        self._results: dict[int, asyncio.Future[bytes]] = {}
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._snapshot_task: asyncio.Task[None] | None = None
+        self._restore()
+
+    @property
+    def name(self) -> str:
+        """Name of the replica."""
+        return self.options.name
+
+    @property
+    def term(self) -> int:
+        """Latest term that the replica has seen."""
+        return self.stores.votes.vote.term
+
+    @property
+    def disk_id(self) -> str:
+        """Identity of the data folder, empty while it is not decided."""
+        return self.stores.votes.vote.disk_id
+
+    @property
+    def configuration(self) -> Configuration:
+        """Newest configuration in the log."""
+        return self.history.current
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the last entry that is known to be committed."""
+        return self._commit_index
+
+    @property
+    def may_vote(self) -> bool:
+        """Whether this replica is a voter on this data folder."""
+        if self.role is Role.FAILED:
+            return False
+        return self.configuration.may_vote(self.name, self.disk_id)
+
+    def _restore(self) -> None:
+        snapshot = self.stores.snapshots.latest
+        last = self.stores.snapshot_position
+        if snapshot is not None:
+            self.state.restore(snapshot.data)
+        self._commit_index = last.index
+        self._applied_index = last.index
+        self.reset_history()
+        self.history.append(self.stores.log.entries(last.index + 1))
+
+    def reset_history(self) -> None:
+        """Start the history of configurations from the applied state."""
+        base = read_configuration(self.state.voters)
+        if not base.nodes and self.disk_id == FOUNDING_DISK:
+            base = self.options.founding
+        self.history = ConfigurationHistory(base, self._applied_index)
+
+    async def exclusive(self, action: Callable[[], Awaitable[Value]]) -> Value:
+        """Run `action` while nothing else changes the log.
+
+        The action finishes even if the caller is cancelled: a write that runs in a
+        thread cannot be stopped, and the next one must not start beside it.
+        """
+
+        async def run() -> Value:
+            async with self._lock:
+                return await action()
+
+        return await asyncio.shield(asyncio.create_task(run()))
+
+    async def store(self, operation: Callable[..., None], *arguments) -> None:
+        """Run a store operation in a thread; a failure stops the replica.
+
+        Raises
+        ------
+        StoreFailed
+            The operation failed, now or earlier.
+        """
+        self.refuse_after_failure()
+        try:
+            await asyncio.to_thread(operation, *arguments)
+        except StoreFailed as error:
+            self.fail(error)
+            raise
+
+    def save_vote(self, **changes) -> None:
+        """Durably change fields of the `Vote`; a failure stops the replica.
+
+        Raises
+        ------
+        StoreFailed
+            The vote could not be made durable.
+        """
+        self.refuse_after_failure()
+        try:
+            self.stores.votes.save(replace(self.stores.votes.vote, **changes))
+        except StoreFailed as error:
+            self.fail(error)
+            raise
+
+    def refuse_after_failure(self) -> None:
+        """Raise `StoreFailed` if the store has failed or was closed."""
+        if self.role is Role.FAILED:
+            raise StoreFailed("the store has failed", step="store", peer=self.name)
+
+    def fail(self, error: StoreFailed) -> None:
+        """Stop voting, leading and answering after a store failure."""
+        if self.role is Role.FAILED:
+            return
+        _log.error("the store failed, replica %s stops voting: %s", self.name, error)
+        self.step_down("store failed")
+        self._become(Role.FAILED, "")
+        self.events.write(EventKind.STORE_FAILED, reason=str(error))
+
+    def step_down(self, reason: str) -> None:
+        """Become a follower without a known leader, unless the store has failed."""
+        if self.role is Role.LEADER:
+            _log.info("%s no longer leads term %d: %s", self.name, self.term, reason)
+            self.events.write(
+                EventKind.LEADER_STEPPED_DOWN, term=self.term, reason=reason
+            )
+        if self.role is not Role.FAILED:
+            self._become(Role.FOLLOWER, "")
+        self._fail_results(reason)
+
+    def adopt_term(self, term: int, reason: str) -> None:
+        """Enter a higher term as a follower.
+
+        Raises
+        ------
+        StoreFailed
+            The term could not be made durable.
+        """
+        if term > self.term:
+            self.step_down(reason)
+            self.save_vote(term=term, candidate="")
+
+    def follow(self, leader: str) -> None:
+        """Note that `leader` leads the current term."""
+        self.heard_ms = self.clock.now_ms()
+        if self.leader != leader or self.role is not Role.FOLLOWER:
+            self._become(Role.FOLLOWER, leader)
+
+    def lead(self) -> None:
+        """Become the leader of the current term."""
+        self._become(Role.LEADER, self.name)
+        self.events.write(EventKind.LEADER_ELECTED, term=self.term)
+        _log.info("%s leads term %d", self.name, self.term)
+
+    def stand(self) -> None:
+        """Become a candidate."""
+        self._become(Role.CANDIDATE, "")
+
+    def _become(self, role: Role, leader: str) -> None:
+        self.role = role
+        self.leader = leader
+        self.role_changed.set()
+
+    async def append(self, entries: list[Entry]) -> None:
+        """Durably append entries; called inside `exclusive`."""
+        await self.store(self.stores.log.append, entries)
+        self.history.append(entries)
+
+    async def truncate_after(self, index: int) -> None:
+        """Durably remove entries that a leader overrules; called in `exclusive`."""
+        if index < self._commit_index:
+            raise ValueError(f"entry {index + 1} is committed and cannot be removed")
+        await self.store(self.stores.log.truncate_after, index)
+        self.history.truncate_after(index)
+
+    def expect_result(self, index: int, future: asyncio.Future[bytes]) -> None:
+        """Have `future` receive the result of the entry at `index`."""
+        self._results[index] = future
+
+    def _fail_results(self, reason: str) -> None:
+        results, self._results = self._results, {}
+        for future in results.values():
+            if not future.done():
+                future.set_exception(
+                    NoQuorum(
+                        f"{reason} before the command was committed",
+                        step="propose",
+                        peer=self.name,
+                    )
+                )
+                future.exception()
+
+    def commit(self, index: int) -> None:
+        """Note that the entries up to `index` are committed, and apply them."""
+        if index <= self._commit_index:
+            return
+        self._commit_index = index
+        for entry in self.stores.log.entries(self._applied_index + 1):
+            if entry.index > index:
+                break
+            self._apply(entry)
+        self._wake_waiters()
+        self._snapshot_when_due()
+
+    def _apply(self, entry: Entry) -> None:
+        command = Command.FromString(entry.command)
+        result = self.state.apply(command)
+        self._applied_index = entry.index
+        leading = self.role is Role.LEADER
+        self._announce(Applied(entry.index, command, result, leading))
+        future = self._results.pop(entry.index, None)
+        if future is not None and not future.done():
+            future.set_result(result)
+
+    async def wait_applied(self, index: int) -> None:
+        """Wait until the entry at `index` is applied."""
+        if self._applied_index >= index:
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.append((index, future))
+        await future
+
+    def _wake_waiters(self) -> None:
+        waiting = []
+        for index, future in self._waiters:
+            if index > self._applied_index:
+                waiting.append((index, future))
+            elif not future.done():
+                future.set_result(None)
+        self._waiters = [pair for pair in waiting if not pair[1].done()]
+
+    def _snapshot_when_due(self) -> None:
+        """Make a snapshot when the log has grown enough.
+
+        The log must also outgrow the snapshot, so that the cost of writing a large
+        state again is spread over as many bytes of commands.
+        """
+        if self._snapshot_task is not None and not self._snapshot_task.done():
+            return
+        if self.role is Role.FAILED:
+            return
+        latest = self.stores.snapshots.latest
+        since = self._applied_index - self.stores.snapshot_position.index
+        if since < self.options.snapshot_entries:
+            return
+        if latest and self.stores.log.command_bytes < len(latest.data):
+            return
+        term = self.stores.log.term_at(self._applied_index)
+        last = Position(self._applied_index, term)
+        snapshot = Snapshot(last, self.state.snapshot())
+        self._snapshot_task = asyncio.create_task(self._save_snapshot(snapshot))
+
+    async def _save_snapshot(self, snapshot: Snapshot) -> None:
+        async def save() -> None:
+            if snapshot.last.index > self.stores.snapshot_position.index:
+                await self.store(self.stores.snapshots.save, snapshot)
+                await self._compact(snapshot.last.index)
+
+        try:
+            await self.exclusive(save)
+        except StoreFailed as error:
+            _log.error("snapshot failed: %s", error)
+
+    async def _compact(self, index: int) -> None:
+        """Remove applied entries but for a tail, from which slow followers catch up."""
+        log = self.stores.log
+        base_index = index - self.options.snapshot_entries // 2
+        if base_index > log.base.index:
+            base = Position(base_index, log.term_at(base_index))
+            await self.store(log.compact, base)
+            self.history.forget_before(index)
+
+    async def install(self, snapshot: Snapshot) -> None:
+        """Replace state and log by a leader's snapshot; called inside `exclusive`."""
+        await self.store(self.stores.snapshots.save, snapshot)
+        await self.store(self.stores.log.compact, snapshot.last)
+        if snapshot.last.index <= self._applied_index:
+            # Entries were applied while the snapshot was written.
+            return
+        self.state.restore(snapshot.data)
+        self._commit_index = snapshot.last.index
+        self._applied_index = snapshot.last.index
+        self.reset_history()
+        self.history.append(self.stores.log.entries(snapshot.last.index + 1))
+        command = Command(no_operation=NoOperation())
+        self._announce(Applied(snapshot.last.index, command, b"", leading=False))
+        self._wake_waiters()
+
+    async def close(self) -> None:
+        """Wait for the running store operation and refuse further ones."""
+        if self._snapshot_task is not None:
+            self._snapshot_task.cancel()
+        async with self._lock:
+            self.step_down("stopped")
+            self._become(Role.FAILED, "")
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/disklog.py
@@ -0,0 +1,159 @@
+"""The log of commands on disk."""
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import BinaryIO
+
+from bulrushbend.core.errors import StoreFailed
+from bulrushbend.store.files import (
+    DiskFiles,
+    Files,
+    read_file,
+    replace_file,
+    store_failed,
+)
+from bulrushbend.store.log import BaseLogStore
+from bulrushbend.store.records import (
+    Entry,
+    Position,
+    decode_log,
+    encode_file_header,
+    encode_record,
+    new_salt,
+    record_length,
+)
+
+
+class DiskLogStore(BaseLogStore):
+    """Log in one file; see `records` for its form.
+
+    The entries are also held in memory. Snapshots bound their number.
+
+    Parameters
+    ----------
+    path : Path
+        The file; it is created when missing.
+    files : Files, optional
+        File system.
+
+    Raises
+    ------
+    CorruptLog
+        The file is damaged in front of its last append.
+    StoreFailed
+        The file cannot be created, read or repaired.
+    """
+
+    def __init__(self, path: Path, files: Files | None = None):
+        super().__init__()
+        self._path = path
+        self._files = files or DiskFiles()
+        self._file: BinaryIO | None = None
+        self._failed = False
+        self._repaired_bytes = 0
+        self._open()
+
+    @property
+    def repaired_bytes(self) -> int:
+        """Length of the torn end that was cut off when the file was opened."""
+        return self._repaired_bytes
+
+    @property
+    def file_bytes(self) -> int:
+        """Length of the file in bytes."""
+        return self._length
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+    def _open(self) -> None:
+        data = read_file(self._files, self._path)
+        if data is None:
+            self._rewrite(Position(), ())
+            return
+        decoded = decode_log(data, str(self._path))
+        self._salt = decoded.salt
+        self._base = decoded.base
+        self._entries = decoded.entries
+        self._command_bytes = sum(len(e.command) for e in decoded.entries)
+        self._offsets = decoded.offsets
+        self._length = decoded.length
+        self._reopen()
+        if decoded.torn_bytes:
+            self._repaired_bytes = decoded.torn_bytes
+            self._guard(self._cut_file, decoded.length)
+
+    def _reopen(self) -> None:
+        self.close()
+        try:
+            self._file = self._files.open(self._path)
+            self._file.seek(self._length)
+        except OSError as error:
+            self._failed = True
+            raise store_failed(error, self._path) from error
+
+    def _write(self, entries: Sequence[Entry]) -> None:
+        append_index = entries[0].index
+        records = [encode_record(self._salt, e, append_index) for e in entries]
+        self._guard(self._append_bytes, b"".join(records))
+        for record in records:
+            self._offsets.append(self._length)
+            self._length += len(record)
+
+    def _cut(self, keep: int) -> None:
+        length = self._offsets[keep]
+        self._guard(self._cut_file, length)
+        del self._offsets[keep:]
+        self._length = length
+
+    def _rewrite(self, base: Position, entries: Sequence[Entry]) -> None:
+        self._refuse_after_failure()
+        salt = new_salt()
+        pieces = [encode_file_header(salt, base)]
+        offsets = []
+        length = len(pieces[0])
+        for entry in entries:
+            # Each entry counts as an append of its own: the whole file is synced
+            # before it gets its name, so that no end of it can be torn.
+            pieces.append(encode_record(salt, entry, entry.index))
+            offsets.append(length)
+            length += record_length(entry)
+        try:
+            replace_file(self._files, self._path, b"".join(pieces))
+        except StoreFailed:
+            self._failed = True
+            raise
+        self._salt = salt
+        self._offsets = offsets
+        self._length = length
+        self._reopen()
+
+    def _append_bytes(self, data: bytes) -> None:
+        self._files.write(self._file, data)
+        self._files.sync(self._file)
+
+    def _cut_file(self, length: int) -> None:
+        self._files.truncate(self._file, length)
+        self._files.sync(self._file)
+
+    def _guard(self, operation, *arguments) -> None:
+        """Run a file operation; after a failure the store refuses all others.
+
+        After a failed fsync the kernel may drop the dirty pages and report success
+        the next time, so the content of the file is unknown until it is read again.
+        """
+        self._refuse_after_failure()
+        try:
+            operation(*arguments)
+        except OSError as error:
+            self._failed = True
+            raise store_failed(error, self._path) from error
+
+    def _refuse_after_failure(self) -> None:
+        if self._failed:
+            raise StoreFailed(
+                "an earlier operation failed", step="store", peer=str(self._path)
+            )
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/election.py
@@ -0,0 +1,172 @@
+"""Elections: votes of this replica, its candidacy and the founding of a fleet."""
+
+import asyncio
+import secrets
+from collections.abc import Iterable
+
+from bulrushbend.core.errors import PeerError
+from bulrushbend.core.logs import part_logger
+from bulrushbend.store.configuration import Node
+from bulrushbend.store.core import ReplicaCore
+from bulrushbend.store.options import Role
+from bulrushbend.store.records import Position
+from bulrushbend.store.transport import PeerTransport
+from bulrushbend.store.vote import FOUNDING_DISK
+from bulrushbend.wire.fleet_pb2 import VoteReply, VoteRequest
+
+_log = part_logger("store.election")
+
+
+class Election:
+    """Grants votes and stands for election.
+
+    Parameters
+    ----------
+    core : ReplicaCore
+        State of the replica.
+    transport : PeerTransport
+        Calls to the other replicas.
+    """
+
+    def __init__(self, core: ReplicaCore, transport: PeerTransport):
+        self._core = core
+        self._transport = transport
+
+    def answer(self, request: VoteRequest) -> VoteReply:
+        """Answer a vote request; a pre-vote changes nothing.
+
+        Raises
+        ------
+        StoreFailed
+            The store has failed, or the vote could not be made durable.
+        """
+        self._core.refuse_after_failure()
+        if request.pre_vote:
+            return self._reply(self._would_grant(request))
+        if not self._core.disk_id:
+            return self._reply(False)
+        self._core.adopt_term(request.term, f"{request.candidate} has a higher term")
+        return self._reply(self._grant(request))
+
+    def _reply(self, granted: bool) -> VoteReply:
+        core = self._core
+        return VoteReply(term=core.term, granted=granted, disk_id=core.disk_id)
+
+    def _would_grant(self, request: VoteRequest) -> bool:
+        core = self._core
+        if request.term <= core.term or not core.may_vote or core.role is Role.LEADER:
+            return False
+        silent_ms = core.clock.now_ms() - core.heard_ms
+        if core.leader and silent_ms < core.options.election_timeout_ms:
+            return False
+        return self._is_up_to_date(request)
+
+    def _grant(self, request: VoteRequest) -> bool:
+        core = self._core
+        if request.term < core.term or not core.may_vote:
+            return False
+        if core.stores.votes.vote.candidate not in ("", request.candidate):
+            return False
+        if not self._is_up_to_date(request):
+            return False
+        core.save_vote(candidate=request.candidate)
+        core.heard_ms = core.clock.now_ms()
+        return True
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        last = self._core.stores.log.last
+        theirs = (request.last_term, request.last_index)
+        return theirs >= (last.term, last.index)
+
+    async def found(self) -> None:
+        """Decide the disk id of an empty data folder.
+
+        Only a folder that no fleet has used may vote as a founding one. All founding
+        replicas must answer, because one that cannot be asked may know of votes that
+        were cast from this folder before it was lost.
+        """
+        core = self._core
+        founding = core.options.founding
+        if not core.options.bootstrap or founding.voter(core.name) is None:
+            self.become_stranger("started without --bootstrap")
+        while not core.disk_id:
+            replies = await self._ask(founding.voters, self._request(0, True))
+            if any(reply.term > 0 for _, reply in replies):
+                self.become_stranger("the fleet is founded already")
+            elif len(replies) == len(founding.voters) - 1:
+                core.save_vote(disk_id=FOUNDING_DISK)
+                core.reset_history()
+                _log.info("%s accepts its folder as a founding voter", core.name)
+            else:
+                await core.clock.sleep_ms(core.options.append_interval_ms)
+
+    def become_stranger(self, reason: str) -> None:
+        """Give an empty data folder a new identity, which has no vote."""
+        if not self._core.disk_id:
+            self._core.save_vote(disk_id=secrets.token_hex(8))
+            _log.warning(
+                "%s has an empty folder and no vote: %s", self._core.name, reason
+            )
+
+    async def campaign(self) -> bool:
+        """Stand for election once.
+
+        Returns
+        -------
+        bool
+            True if this replica now leads.
+        """
+        core = self._core
+        core.stand()
+        term = core.term + 1
+        if not await self._gather(term, pre_vote=True):
+            return False
+        core.save_vote(term=term, candidate=core.name)
+        if not await self._gather(term, pre_vote=False):
+            return False
+        core.lead()
+        return True
+
+    async def _gather(self, term: int, pre_vote: bool) -> bool:
+        """Return whether a majority grants, unless anything happens meanwhile."""
+        core = self._core
+        before = core.term
+        configuration = core.configuration
+        replies = await self._ask(configuration.voters, self._request(term, pre_vote))
+        if core.role is not Role.CANDIDATE or core.term != before:
+            return False
+        highest = max((reply.term for _, reply in replies), default=0)
+        if highest > core.term:
+            core.adopt_term(highest, "a voter has a higher term")
+            return False
+        granted = {core.name} | {node.name for node, r in replies if r.granted}
+        if before == 0 and pre_vote:
+            # The first election waits for all founding replicas, so that none of
+            # them finds a term when it decides about its empty folder.
+            return len(granted) == len(configuration.voters)
+        return configuration.has_majority(granted)
+
+    def _request(self, term: int, pre_vote: bool) -> VoteRequest:
+        last: Position = self._core.stores.log.last
+        return VoteRequest(
+            candidate=self._core.name,
+            term=term,
+            last_index=last.index,
+            last_term=last.term,
+            pre_vote=pre_vote,
+        )
+
+    async def _ask(
+        self, nodes: Iterable[Node], request: VoteRequest
+    ) -> list[tuple[Node, VoteReply]]:
+        """Ask all other `nodes` at once and return the answers that came in time."""
+        others = [node for node in nodes if node.name != self._core.name]
+        replies = await asyncio.gather(*(self._ask_one(n, request) for n in others))
+        return [(n, r) for n, r in zip(others, replies, strict=True) if r is not None]
+
+    async def _ask_one(self, node: Node, request: VoteRequest) -> VoteReply | None:
+        timeout_ms = self._core.options.election_timeout_ms / 2
+        try:
+            return await self._transport.call(node, "Vote", request, timeout_ms)
+        except PeerError:
+            return None
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/files.py
@@ -0,0 +1,178 @@
+"""File system operations of the store, behind an interface that tests can fail."""
+
+import contextlib
+import fcntl
+import os
+from pathlib import Path
+from typing import BinaryIO, Protocol
+
+from bulrushbend.core.errors import StoreFailed
+
+
+class Files(Protocol):
+    """The file system operations that durable storage needs. All may raise OSError."""
+
+    def read(self, path: Path) -> bytes | None:
+        """Return the content of a file, None if there is none."""
+        ...
+
+    def open(self, path: Path) -> BinaryIO:
+        """Open an existing file for reading and writing, without buffer."""
+        ...
+
+    def create(self, path: Path) -> BinaryIO:
+        """Create or empty a file and open it for writing, without buffer."""
+        ...
+
+    def write(self, file: BinaryIO, data: bytes) -> None:
+        """Write all of `data` at the position of the file."""
+        ...
+
+    def truncate(self, file: BinaryIO, length: int) -> None:
+        """Cut the file after `length` bytes."""
+        ...
+
+    def sync(self, file: BinaryIO) -> None:
+        """Wait until the content of the file is on the disk."""
+        ...
+
+    def rename(self, source: Path, target: Path) -> None:
+        """Rename a file, replacing `target`."""
+        ...
+
+    def sync_folder(self, path: Path) -> None:
+        """Wait until the names in the folder are on the disk."""
+        ...
+
+
+class DiskFiles:
+    """File system of the machine."""
+
+    def read(self, path: Path) -> bytes | None:
+        """Return the content of a file, None if there is none."""
+        try:
+            return path.read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def open(self, path: Path) -> BinaryIO:
+        """Open an existing file for reading and writing, without buffer."""
+        return path.open("r+b", buffering=0)
+
+    def create(self, path: Path) -> BinaryIO:
+        """Create or empty a file and open it for writing, without buffer."""
+        return path.open("wb", buffering=0)
+
+    def write(self, file: BinaryIO, data: bytes) -> None:
+        """Write all of `data` at the position of the file."""
+        view = memoryview(data)
+        while view:
+            view = view[file.write(view) :]
+
+    def truncate(self, file: BinaryIO, length: int) -> None:
+        """Cut the file after `length` bytes and place the position there."""
+        file.truncate(length)
+        file.seek(length)
+
+    def sync(self, file: BinaryIO) -> None:
+        """Wait until the content of the file is on the disk."""
+        os.fsync(file.fileno())
+
+    def rename(self, source: Path, target: Path) -> None:
+        """Rename a file, replacing `target`."""
+        os.replace(source, target)
+
+    def sync_folder(self, path: Path) -> None:
+        """Wait until the names in the folder are on the disk."""
+        descriptor = os.open(path, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def replace_file(files: Files, path: Path, data: bytes) -> None:
+    """Replace the content of `path` so that a crash leaves the old or the new one.
+
+    Parameters
+    ----------
+    files : Files
+        File system.
+    path : Path
+        File to replace; ``path`` with the suffix ``.tmp`` is overwritten.
+    data : bytes
+        New content.
+
+    Raises
+    ------
+    StoreFailed
+        An operation failed; the file may hold the old or the new content.
+    """
+    temporary = path.with_name(path.name + ".tmp")
+    try:
+        with contextlib.closing(files.create(temporary)) as file:
+            files.write(file, data)
+            files.sync(file)
+        files.rename(temporary, path)
+        files.sync_folder(path.parent)
+    except OSError as error:
+        raise store_failed(error, path) from error
+
+
+def read_file(files: Files, path: Path) -> bytes | None:
+    """Return the content of `path`, None if there is no such file.
+
+    Raises
+    ------
+    StoreFailed
+        The file cannot be read.
+    """
+    try:
+        return files.read(path)
+    except OSError as error:
+        raise store_failed(error, path) from error
+
+
+def store_failed(error: OSError, path: Path) -> StoreFailed:
+    """Return the error that tells of a failed operation on `path`."""
+    reason = error.strerror or str(error)
+    return StoreFailed(reason, step="store", peer=str(path))
+
+
+class DataFolder:
+    """The data folder of one process, created when missing and locked while open.
+
+    Parameters
+    ----------
+    path : Path
+        The folder.
+
+    Raises
+    ------
+    StoreFailed
+        The folder cannot be created, or another process has locked it.
+    """
+
+    def __init__(self, path: Path):
+        self._path = path
+        try:
+            path.mkdir(parents=True, exist_ok=True)
+            self._lock = (path / "lock").open("wb")
+        except OSError as error:
+            raise store_failed(error, path) from error
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            self._lock.close()
+            raise StoreFailed(
+                "another process uses this data folder", step="store", peer=str(path)
+            ) from None
+
+    @property
+    def path(self) -> Path:
+        """The folder."""
+        return self._path
+
+    def close(self) -> None:
+        """Release the lock."""
+        self._lock.close()
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/leadership.py
@@ -0,0 +1,367 @@
+"""What a replica does while it leads: batches, replication and confirmed reads."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bulrushbend.core.errors import NoQuorum, PeerError, StoreFailed
+from bulrushbend.core.logs import part_logger
+from bulrushbend.store.configuration import Node
+from bulrushbend.store.core import ReplicaCore
+from bulrushbend.store.options import Role
+from bulrushbend.store.records import Entry
+from bulrushbend.store.transport import PeerTransport
+from bulrushbend.wire.control_pb2 import Command, NoOperation
+from bulrushbend.wire.fleet_pb2 import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    SnapshotRequest,
+)
+
+_log = part_logger("store.leader")
+# One message carries at most this much, so that a follower far behind does not hold
+# the connection for longer than a heartbeat.
+BATCH_BYTES = 1 << 20
+SNAPSHOT_TIMEOUT_MS = 30_000
+
+
+@dataclass
+class Progress:
+    """What the leader knows of one peer."""
+
+    node: Node
+    next_index: int
+    match_index: int = 0
+    heard_ms: float = 0.0
+    confirmed_round: int = 0
+    sent_commit: int = 0
+    disk_id: str = ""
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(frozen=True)
+class _Pending:
+    command: bytes
+    future: asyncio.Future[bytes]
+
+
+class Leadership:
+    """One term of leading; ends when the replica steps down.
+
+    Parameters
+    ----------
+    core : ReplicaCore
+        State of the replica, which has just won an election.
+    transport : PeerTransport
+        Calls to the other replicas.
+    """
+
+    def __init__(self, core: ReplicaCore, transport: PeerTransport):
+        self._core = core
+        self._transport = transport
+        self._term = core.term
+        self._first_index = core.stores.log.last.index + 1
+        self._pending: list[_Pending] = []
+        self._submitted = asyncio.Event()
+        self._peers: dict[str, Progress] = {}
+        self._peer_tasks: dict[str, asyncio.Task[None]] = {}
+        self._round = 0
+        self._reads: list[tuple[int, asyncio.Future[None]]] = []
+        self._started_ms = core.clock.now_ms()
+        self.change_lock = asyncio.Lock()
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the replica still leads this term."""
+        return self._core.role is Role.LEADER and self._core.term == self._term
+
+    @property
+    def is_established(self) -> bool:
+        """Whether an entry of this term is committed."""
+        return self._core.commit_index >= self._first_index
+
+    def progress(self, name: str) -> Progress | None:
+        """Return what is known of the peer called `name`."""
+        return self._peers.get(name)
+
+    async def run(self) -> None:
+        """Lead until the replica steps down."""
+        writer = asyncio.create_task(self._write_batches())
+        try:
+            self._submit_first()
+            self._follow_configuration()
+            while self.is_active:
+                self._core.role_changed.clear()
+                await self._tick()
+                self._check_quorum()
+        finally:
+            self._end(writer)
+
+    async def submit(self, command: bytes) -> bytes:
+        """Have a command committed and applied, and return its result.
+
+        Raises
+        ------
+        NoQuorum
+            The replica stepped down first; the outcome is unknown.
+        """
+        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self._pending.append(_Pending(command, future))
+        self._submitted.set()
+        return await future
+
+    async def confirm_read(self) -> int:
+        """Return an index that holds all that was committed before the call.
+
+        Raises
+        ------
+        NoQuorum
+            The replica stepped down first.
+        """
+        await self._core.wait_applied(self._first_index)
+        if not self.is_active:
+            raise NoQuorum("stepped down", step="read index", peer=self._core.name)
+        index = self._core.commit_index
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._round += 1
+        self._reads.append((self._round, future))
+        self._settle_reads()
+        self._wake_peers()
+        await future
+        return index
+
+    def _submit_first(self) -> None:
+        """Submit the entry that commits the earlier ones.
+
+        In the first term of a fleet it also writes the founding voters to the log, so
+        that replicas that join later learn them.
+        """
+        command = Command(no_operation=NoOperation())
+        if self._core.history.current_index == 0 and not self._core.state.voters.voters:
+            command = Command(set_voters=self._core.configuration.message())
+        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self._pending.append(_Pending(command.SerializeToString(), future))
+        self._submitted.set()
+
+    async def _tick(self) -> None:
+        try:
+            interval_s = self._core.options.append_interval_ms / 1000.0
+            async with asyncio.timeout(interval_s):
+                await self._core.role_changed.wait()
+        except TimeoutError:
+            pass
+
+    def _check_quorum(self) -> None:
+        """Step down when no majority has answered within the election timeout."""
+        now_ms = self._core.clock.now_ms()
+        limit_ms = now_ms - self._core.options.election_timeout_ms
+        if self._started_ms > limit_ms or not self.is_active:
+            return
+        heard = {
+            name for name, peer in self._counted_peers() if peer.heard_ms >= limit_ms
+        }
+        if not self._core.configuration.has_majority(heard | {self._core.name}):
+            self._core.step_down("no answer from a majority of the voters")
+
+    def _counted_peers(self) -> list[tuple[str, Progress]]:
+        """Return the peers that answer from the data folder that may vote."""
+        configuration = self._core.configuration
+        return [
+            (name, peer)
+            for name, peer in self._peers.items()
+            if configuration.may_vote(name, peer.disk_id)
+        ]
+
+    def _end(self, writer: asyncio.Task[None]) -> None:
+        writer.cancel()
+        for task in self._peer_tasks.values():
+            task.cancel()
+        futures = [pending.future for pending in self._pending]
+        futures += [future for _, future in self._reads]
+        for future in futures:
+            if not future.done():
+                future.set_exception(
+                    NoQuorum("stepped down", step="propose", peer=self._core.name)
+                )
+                future.exception()
+
+    async def _write_batches(self) -> None:
+        """Append all that was submitted meanwhile with one sync."""
+        while self.is_active:
+            await self._submitted.wait()
+            self._submitted.clear()
+            try:
+                await self._core.exclusive(self._write_batch)
+            except StoreFailed as error:
+                _log.error("cannot append: %s", error)
+                return
+
+    async def _write_batch(self) -> None:
+        if not self.is_active:
+            return
+        batch, self._pending = self._pending, []
+        first = self._core.stores.log.last.index + 1
+        entries = []
+        for index, pending in enumerate(batch, first):
+            entries.append(Entry(index, self._term, pending.command))
+            self._core.expect_result(index, pending.future)
+        await self._core.append(entries)
+        if self.is_active:
+            self._follow_configuration()
+            self._advance_commit()
+            self._wake_peers()
+
+    def _follow_configuration(self) -> None:
+        """Run one task for each peer of the newest configuration."""
+        nodes = {
+            node.name: node
+            for node in self._core.configuration.nodes
+            if node.name != self._core.name
+        }
+        for name in list(self._peers):
+            if (
+                name not in nodes
+                or nodes[name].address != self._peers[name].node.address
+            ):
+                self._peer_tasks.pop(name).cancel()
+                del self._peers[name]
+        for name, node in nodes.items():
+            if name not in self._peers:
+                peer = Progress(node, self._core.stores.log.last.index + 1)
+                self._peers[name] = peer
+                self._peer_tasks[name] = asyncio.create_task(self._replicate(peer))
+
+    def _wake_peers(self) -> None:
+        for peer in self._peers.values():
+            peer.wake.set()
+
+    async def _replicate(self, peer: Progress) -> None:
+        """Keep one peer up to date."""
+        while self.is_active:
+            peer.wake.clear()
+            try:
+                await self._send(peer)
+            except PeerError as error:
+                _log.info("%s", error)
+                await self._core.clock.sleep_ms(self._core.options.append_interval_ms)
+                continue
+            if not self._has_news(peer):
+                await self._pause(peer)
+
+    def _has_news(self, peer: Progress) -> bool:
+        return (
+            peer.next_index <= self._core.stores.log.last.index
+            or peer.sent_commit < self._core.commit_index
+            or peer.confirmed_round < self._round
+        )
+
+    async def _pause(self, peer: Progress) -> None:
+        try:
+            async with asyncio.timeout(self._core.options.append_interval_ms / 1000.0):
+                await peer.wake.wait()
+        except TimeoutError:
+            pass
+
+    async def _send(self, peer: Progress) -> None:
+        if peer.next_index <= self._core.stores.log.base.index:
+            await self._send_snapshot(peer)
+        else:
+            await self._send_entries(peer)
+
+    async def _send_entries(self, peer: Progress) -> None:
+        log = self._core.stores.log
+        previous_index = peer.next_index - 1
+        entries = log.entries(peer.next_index, BATCH_BYTES)
+        request = AppendRequest(
+            leader=self._core.name,
+            term=self._term,
+            previous_index=previous_index,
+            previous_term=log.term_at(previous_index),
+            entries=[
+                LogEntry(index=e.index, term=e.term, command=e.command) for e in entries
+            ],
+            commit_index=self._core.commit_index,
+            round=self._round,
+        )
+        sent_ms = self._core.clock.now_ms()
+        timeout_ms = self._core.options.election_timeout_ms
+        reply = await self._transport.call(peer.node, "Append", request, timeout_ms)
+        peer.sent_commit = request.commit_index
+        self._take_reply(peer, reply, sent_ms)
+
+    def _take_reply(self, peer: Progress, reply: AppendReply, sent_ms: float) -> None:
+        if not self.is_active:
+            return
+        if reply.term > self._term:
+            self._core.adopt_term(reply.term, f"{peer.node.name} has a higher term")
+            return
+        if peer.disk_id != reply.disk_id:
+            # The peer runs on another data folder than before.
+            peer.disk_id = reply.disk_id
+            peer.match_index = 0
+        peer.heard_ms = sent_ms
+        if not reply.success:
+            peer.next_index = max(1, min(peer.next_index - 1, reply.match_index + 1))
+            return
+        peer.match_index = reply.match_index
+        peer.next_index = reply.match_index + 1
+        peer.confirmed_round = reply.round
+        self._advance_commit()
+        self._settle_reads()
+
+    async def _send_snapshot(self, peer: Progress) -> None:
+        snapshot = self._core.stores.snapshots.latest
+        request = SnapshotRequest(
+            leader=self._core.name,
+            term=self._term,
+            last_index=snapshot.last.index,
+            last_term=snapshot.last.term,
+            data=snapshot.data,
+        )
+        reply = await self._transport.call(
+            peer.node, "InstallSnapshot", request, SNAPSHOT_TIMEOUT_MS
+        )
+        if reply.term > self._term:
+            self._core.adopt_term(reply.term, f"{peer.node.name} has a higher term")
+            return
+        _log.info("%s has the snapshot up to %d", peer.node.name, snapshot.last.index)
+        peer.next_index = snapshot.last.index + 1
+
+    def _advance_commit(self) -> None:
+        """Commit what a majority of the voters has made durable.
+
+        Only an entry of this term is counted; the earlier ones follow with it.
+        """
+        if not self.is_active:
+            return
+        log, configuration = self._core.stores.log, self._core.configuration
+        matches = [peer.match_index for _, peer in self._counted_peers()]
+        if configuration.may_vote(self._core.name, self._core.disk_id):
+            matches.append(log.last.index)
+        matches.sort(reverse=True)
+        if len(matches) < configuration.majority:
+            return
+        index = matches[configuration.majority - 1]
+        if index <= self._core.commit_index or log.term_at(index) != self._term:
+            return
+        self._core.commit(index)
+        self._wake_peers()
+        self._leave_when_removed()
+
+    def _leave_when_removed(self) -> None:
+        history = self._core.history
+        removed = self._core.configuration.voter(self._core.name) is None
+        if removed and history.current_index <= self._core.commit_index:
+            self._core.step_down("removed from the voters")
+
+    def _settle_reads(self) -> None:
+        """Let the reads go on whose round a majority has answered."""
+        waiting = []
+        for number, future in self._reads:
+            heard = {n for n, p in self._counted_peers() if p.confirmed_round >= number}
+            if self._core.configuration.has_majority(heard | {self._core.name}):
+                if not future.done():
+                    future.set_result(None)
+            else:
+                waiting.append((number, future))
+        self._reads = waiting
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/log.py
@@ -0,0 +1,157 @@
+"""The log of commands."""
+
+import abc
+from collections.abc import Sequence
+
+from bulrushbend.store.records import Entry, Position
+
+
+class BaseLogStore(abc.ABC):
+    """Consecutive entries behind a base position.
+
+    The base is the last entry that a snapshot has replaced.
+    """
+
+    def __init__(self) -> None:
+        self._base = Position()
+        self._entries: list[Entry] = []
+        self._command_bytes = 0
+
+    @property
+    def base(self) -> Position:
+        """Position in front of the first entry."""
+        return self._base
+
+    @property
+    def last(self) -> Position:
+        """Position of the last entry, or the base if there is none."""
+        if not self._entries:
+            return self._base
+        entry = self._entries[-1]
+        return Position(entry.index, entry.term)
+
+    @property
+    def command_bytes(self) -> int:
+        """Sum of the lengths of the commands in bytes."""
+        return self._command_bytes
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at `index`, None if it is not in the log."""
+        if index == self._base.index:
+            return self._base.term
+        offset = index - self._base.index - 1
+        if 0 <= offset < len(self._entries):
+            return self._entries[offset].term
+        return None
+
+    def entries(self, first: int, limit_bytes: int | None = None) -> list[Entry]:
+        """Return the entries from index `first` on.
+
+        Parameters
+        ----------
+        first : int
+            Index of the first entry; it must lie behind the base.
+        limit_bytes : int, optional
+            Stop when the commands exceed this size; at least one entry is returned.
+        """
+        found: list[Entry] = []
+        size = 0
+        start = first - self._base.index - 1
+        for position in range(start, len(self._entries)):
+            entry = self._entries[position]
+            size += len(entry.command)
+            if found and limit_bytes is not None and size > limit_bytes:
+                break
+            found.append(entry)
+        return found
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Append entries; they are durable when this returns.
+
+        Raises
+        ------
+        StoreFailed
+            The entries could not be made durable; the store cannot be used any more.
+        """
+        self._check_order(entries)
+        if entries:
+            self._write(entries)
+            self._entries.extend(entries)
+            self._command_bytes += _size(entries)
+
+    def truncate_after(self, index: int) -> None:
+        """Remove the entries behind `index`.
+
+        Raises
+        ------
+        StoreFailed
+            The removal could not be made durable.
+        """
+        keep = max(0, index - self._base.index)
+        if keep < len(self._entries):
+            self._cut(keep)
+            self._command_bytes -= _size(self._entries[keep:])
+            del self._entries[keep:]
+
+    def compact(self, base: Position) -> None:
+        """Remove the entries up to and including `base`.
+
+        If the log does not hold `base`, or holds another entry at its index, all
+        entries are removed, since a snapshot of another history has replaced them.
+
+        Raises
+        ------
+        StoreFailed
+            The removal could not be made durable.
+        """
+        if self.term_at(base.index) == base.term:
+            rest = self._entries[base.index - self._base.index :]
+        else:
+            rest = []
+        self._rewrite(base, rest)
+        self._entries = rest
+        self._command_bytes = _size(rest)
+        self._base = base
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Release what the store holds."""
+
+    def _check_order(self, entries: Sequence[Entry]) -> None:
+        expected = self.last.index + 1
+        for entry in entries:
+            if entry.index != expected:
+                raise ValueError(f"entry {entry.index} in the place of {expected}")
+            expected += 1
+
+    @abc.abstractmethod
+    def _write(self, entries: Sequence[Entry]) -> None:
+        """Make entries durable behind the present ones."""
+
+    @abc.abstractmethod
+    def _cut(self, keep: int) -> None:
+        """Durably keep only the first `keep` entries."""
+
+    @abc.abstractmethod
+    def _rewrite(self, base: Position, entries: Sequence[Entry]) -> None:
+        """Durably replace base and entries."""
+
+
+def _size(entries: Sequence[Entry]) -> int:
+    return sum(len(entry.command) for entry in entries)
+
+
+class MemoryLogStore(BaseLogStore):
+    """Log in memory, for tests."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    def _write(self, entries: Sequence[Entry]) -> None:
+        pass
+
+    def _cut(self, keep: int) -> None:
+        pass
+
+    def _rewrite(self, base: Position, entries: Sequence[Entry]) -> None:
+        pass
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/replica.py
@@ -0,0 +1,284 @@
+"""A replica of the state, kept in step with its peers by consensus."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import (
+    NoQuorum,
+    NotLeader,
+    PeerError,
+    StoreFailed,
+)
+from bulrushbend.core.events import EventLog
+from bulrushbend.core.logs import part_logger
+from bulrushbend.store.base import BaseReplica, ReplicaStatus
+from bulrushbend.store.configuration import Node
+from bulrushbend.store.core import ReplicaCore
+from bulrushbend.store.election import Election
+from bulrushbend.store.following import Following
+from bulrushbend.store.leadership import Leadership
+from bulrushbend.store.options import ReplicaOptions, Role
+from bulrushbend.store.stores import Stores
+from bulrushbend.store.transport import PeerTransport
+from bulrushbend.store.voters import VoterChange
+from bulrushbend.wire.control_pb2 import Command
+from bulrushbend.wire.fleet_pb2 import (
+    AppendReply,
+    AppendRequest,
+    ForwardRequest,
+    ReadIndexRequest,
+    SnapshotReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+    VotersReply,
+    VotersRequest,
+)
+
+_log = part_logger("store.replica")
+Value = TypeVar("Value")
+RETRY_MS = 20
+CHANGE_TIMEOUT_MS = 10_000
+
+
+class Replica(BaseReplica):
+    """Consensus replica: elections, replication, proposals and confirmed reads.
+
+    Parameters
+    ----------
+    options : ReplicaOptions
+        Settings.
+    stores : Stores
+        Log, vote and snapshot; the caller closes them after `stop`.
+    transport : PeerTransport
+        Calls to the other replicas; `stop` closes it.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Receives the events of the replica.
+    """
+
+    def __init__(
+        self,
+        options: ReplicaOptions,
+        stores: Stores,
+        transport: PeerTransport,
+        clock: Clock,
+        events: EventLog,
+    ):
+        super().__init__()
+        self._transport = transport
+        self._clock = clock
+        self._core = ReplicaCore(
+            options, stores, self._state, self._announce, clock, events
+        )
+        self._election = Election(self._core, transport)
+        self._following = Following(self._core, self._election)
+        self._leadership: Leadership | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def role(self) -> Role:
+        """Current role."""
+        return self._core.role
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads."""
+        return self._leadership is not None and self._leadership.is_active
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether the store has failed, so that the replica takes no part."""
+        return self._core.role is Role.FAILED
+
+    @property
+    def may_vote(self) -> bool:
+        """Whether this replica is a voter on its data folder."""
+        return self._core.may_vote
+
+    def status(self) -> ReplicaStatus:
+        """Return the consensus status as this replica sees it."""
+        configuration = self._core.configuration
+        return ReplicaStatus(
+            leader=self._core.leader,
+            term=self._core.term,
+            commit_index=self._core.commit_index,
+            voters=tuple(node.name for node in configuration.voters),
+            learners=tuple(node.name for node in configuration.learners),
+        )
+
+    def start(self) -> None:
+        """Start to take part; calls of peers may arrive from now on."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop, after the running store operation has ended."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait({self._task})
+        await self._core.close()
+        self._transport.close()
+
+    async def propose(self, command: Command, timeout_ms: float) -> bytes:
+        """Have `command` committed and applied; see `BaseReplica.propose`."""
+        data = command.SerializeToString()
+
+        async def attempt(remaining_ms: float) -> bytes:
+            if self.is_leader:
+                return await self.lead_proposal(data)
+            return await self._forward(data, remaining_ms)
+
+        return await self._until_done(attempt, timeout_ms, "propose")
+
+    async def read_index(self, timeout_ms: float) -> int:
+        """Wait for a confirmed state; see `BaseReplica.read_index`."""
+
+        async def attempt(remaining_ms: float) -> int:
+            if self.is_leader:
+                index = await self.lead_read()
+            else:
+                index = await self._ask_read_index(remaining_ms)
+            await self._core.wait_applied(index)
+            return index
+
+        return await self._until_done(attempt, timeout_ms, "read index")
+
+    async def change_voters(self, request: VotersRequest) -> VotersReply:
+        """Change the voter list by one replica, at the leader."""
+
+        async def attempt(remaining_ms: float) -> VotersReply:
+            if self.is_leader:
+                return await VoterChange(self._core, self._leadership).run(request)
+            return await self._transport.call(
+                self._leader_node(), "ChangeVoters", request, remaining_ms
+            )
+
+        try:
+            return await self._until_done(attempt, CHANGE_TIMEOUT_MS, "voters")
+        except NoQuorum as error:
+            return VotersReply(accepted=False, message=str(error))
+
+    async def lead_proposal(self, command: bytes) -> bytes:
+        """Have a command committed if this replica leads.
+
+        Raises
+        ------
+        NotLeader
+            This replica does not lead.
+        NoQuorum
+            It stepped down first; the outcome is unknown.
+        """
+        if not self.is_leader:
+            raise NotLeader("not the leader", step="propose", peer=self._core.leader)
+        return await self._leadership.submit(command)
+
+    async def lead_read(self) -> int:
+        """Return a confirmed index if this replica leads.
+
+        Raises
+        ------
+        NotLeader
+            This replica does not lead.
+        NoQuorum
+            It stepped down first.
+        """
+        if not self.is_leader:
+            raise NotLeader("not the leader", step="read index", peer=self._core.leader)
+        return await self._leadership.confirm_read()
+
+    def answer_vote(self, request: VoteRequest) -> VoteReply:
+        """Answer the vote request of a peer."""
+        return self._election.answer(request)
+
+    async def answer_append(self, request: AppendRequest) -> AppendReply:
+        """Take entries from a leader."""
+        return await self._following.append(request)
+
+    async def answer_snapshot(self, request: SnapshotRequest) -> SnapshotReply:
+        """Take a snapshot from a leader."""
+        return await self._following.install(request)
+
+    async def _run(self) -> None:
+        try:
+            await self._election.found()
+            while not self.has_failed:
+                await self._wait_for_silence()
+                self._core.step_down("no leader is heard")
+                if self._core.may_vote and await self._election.campaign():
+                    await self._lead()
+        except StoreFailed as error:
+            _log.error("replica %s has stopped: %s", self._core.name, error)
+
+    async def _wait_for_silence(self) -> None:
+        """Return when no leader has been heard for a random election timeout."""
+        timeout_ms = self._core.options.election_timeout_ms
+        limit_ms = random.uniform(timeout_ms, 2 * timeout_ms)
+        started_ms = self._clock.now_ms()
+        while not self.has_failed:
+            quiet_since_ms = max(self._core.heard_ms, started_ms)
+            rest_ms = quiet_since_ms + limit_ms - self._clock.now_ms()
+            if rest_ms <= 0:
+                return
+            await self._clock.sleep_ms(rest_ms)
+
+    async def _lead(self) -> None:
+        self._leadership = Leadership(self._core, self._transport)
+        try:
+            await self._leadership.run()
+        finally:
+            self._leadership = None
+
+    async def _until_done(
+        self,
+        attempt: Callable[[float], Awaitable[Value]],
+        timeout_ms: float,
+        step: str,
+    ) -> Value:
+        """Try until an attempt succeeds or the deadline passes.
+
+        An attempt gets half of the remaining time, so that a leader that has gone
+        silent leaves time to reach its successor.
+        """
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        reason = "no leader is known"
+        while (remaining_ms := deadline_ms - self._clock.now_ms()) > 0:
+            share_ms = remaining_ms / 2 + RETRY_MS
+            try:
+                async with asyncio.timeout(share_ms / 1000.0):
+                    return await attempt(share_ms)
+            except TimeoutError:
+                reason = "no majority answered in time"
+            except (NotLeader, NoQuorum, PeerError) as error:
+                reason = str(error)
+            await self._clock.sleep_ms(RETRY_MS)
+        raise NoQuorum(reason, step=step, peer=self._core.leader)
+
+    def _leader_node(self) -> Node:
+        leader = self._core.leader
+        node = self._core.configuration.node(leader)
+        if node is None:
+            node = self._core.options.founding.node(leader)
+        if node is None or leader == self._core.name:
+            raise NotLeader("no leader is known", step="forward")
+        return node
+
+    async def _forward(self, command: bytes, timeout_ms: float) -> bytes:
+        request = ForwardRequest(command=command)
+        node = self._leader_node()
+        reply = await self._transport.call(node, "Forward", request, timeout_ms)
+        if not reply.accepted:
+            raise NotLeader(reply.message, step="forward", peer=node.name)
+        return reply.result
+
+    async def _ask_read_index(self, timeout_ms: float) -> int:
+        node = self._leader_node()
+        reply = await self._transport.call(
+            node, "ReadIndex", ReadIndexRequest(), timeout_ms
+        )
+        if not reply.confirmed:
+            raise NotLeader("did not confirm", step="read index", peer=node.name)
+        return reply.index
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/service.py
@@ -0,0 +1,75 @@
+"""The `Consensus` service between control replicas."""
+
+from typing import Any
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from bulrushbend.core.errors import NoQuorum, NotLeader, StoreFailed
+from bulrushbend.store.replica import Replica
+from bulrushbend.wire.fleet_grpc import ConsensusBase
+from bulrushbend.wire.fleet_pb2 import ForwardReply, ReadIndexReply
+
+
+class ConsensusService(ConsensusBase):
+    """Hands the calls of peers to a replica.
+
+    Parameters
+    ----------
+    replica : Replica
+        Replica that answers.
+    """
+
+    def __init__(self, replica: Replica):
+        self._replica = replica
+
+    async def Vote(self, stream: Any) -> None:  # noqa: N802
+        """Answer a vote request."""
+        request = await stream.recv_message()
+        try:
+            reply = self._replica.answer_vote(request)
+        except StoreFailed as error:
+            raise _unavailable(error) from None
+        await stream.send_message(reply)
+
+    async def Append(self, stream: Any) -> None:  # noqa: N802
+        """Take entries from a leader."""
+        request = await stream.recv_message()
+        try:
+            reply = await self._replica.answer_append(request)
+        except StoreFailed as error:
+            raise _unavailable(error) from None
+        await stream.send_message(reply)
+
+    async def InstallSnapshot(self, stream: Any) -> None:  # noqa: N802
+        """Take a snapshot from a leader."""
+        request = await stream.recv_message()
+        try:
+            reply = await self._replica.answer_snapshot(request)
+        except StoreFailed as error:
+            raise _unavailable(error) from None
+        await stream.send_message(reply)
+
+    async def Forward(self, stream: Any) -> None:  # noqa: N802
+        """Propose a command that a follower has received."""
+        request = await stream.recv_message()
+        try:
+            result = await self._replica.lead_proposal(request.command)
+            reply = ForwardReply(accepted=True, result=result)
+        except (NotLeader, NoQuorum) as error:
+            reply = ForwardReply(accepted=False, message=str(error))
+        await stream.send_message(reply)
+
+    async def ReadIndex(self, stream: Any) -> None:  # noqa: N802
+        """Confirm a read for a follower."""
+        await stream.recv_message()
+        try:
+            index = await self._replica.lead_read()
+            reply = ReadIndexReply(confirmed=True, index=index)
+        except (NotLeader, NoQuorum):
+            reply = ReadIndexReply(confirmed=False)
+        await stream.send_message(reply)
+
+
+def _unavailable(error: StoreFailed) -> GRPCError:
+    return GRPCError(Status.UNAVAILABLE, str(error))
--- a/libs/store/src/bulrushbend/store/state.py
+++ b/libs/store/src/bulrushbend/store/state.py
@@ -6,6 +6,7 @@
 
 import heapq
 
+from bulrushbend.core.errors import ManifestError
 from bulrushbend.core.manifest import Limits, parse_manifest
 from bulrushbend.wire.control_pb2 import (
     Command,
@@ -132,8 +133,12 @@
             same = document.digest == self._manifest.digest
             result = PublishReply.ACCEPTED if same else PublishReply.CONFLICT
             return self._publish_reply(result)
+        try:
+            manifest = parse_manifest(document.content)
+        except ManifestError as error:
+            return PublishReply(result=PublishReply.INVALID, message=str(error))
         self._manifest = document
-        self._key_ttl_ms = parse_manifest(document.content).limits.key_ttl_ms
+        self._key_ttl_ms = manifest.limits.key_ttl_ms
         return self._publish_reply(PublishReply.ACCEPTED)
 
     def _publish_reply(self, result: "PublishReply.Result") -> PublishReply:
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/stores.py
@@ -0,0 +1,92 @@
+"""The three stores of a replica, opened together and checked against each other."""
+
+import contextlib
+from dataclasses import dataclass
+from pathlib import Path
+
+from bulrushbend.core.errors import CorruptLog
+from bulrushbend.store.disklog import DiskLogStore
+from bulrushbend.store.files import DataFolder, Files
+from bulrushbend.store.log import BaseLogStore, MemoryLogStore
+from bulrushbend.store.records import Position
+from bulrushbend.store.snapshots import (
+    BaseSnapshotStore,
+    DiskSnapshotStore,
+    MemorySnapshotStore,
+)
+from bulrushbend.store.vote import BaseVoteStore, DiskVoteStore, MemoryVoteStore
+
+
+@dataclass(frozen=True)
+class Stores:
+    """Log, vote and snapshot of one replica."""
+
+    log: BaseLogStore
+    votes: BaseVoteStore
+    snapshots: BaseSnapshotStore
+    repaired_bytes: int = 0
+
+    @property
+    def snapshot_position(self) -> Position:
+        """Last entry that the snapshot holds."""
+        latest = self.snapshots.latest
+        return latest.last if latest is not None else Position()
+
+
+def memory_stores() -> Stores:
+    """Return empty stores in memory, for tests."""
+    return Stores(MemoryLogStore(), MemoryVoteStore(), MemorySnapshotStore())
+
+
+def open_stores(
+    folder: Path, stack: contextlib.ExitStack, files: Files | None = None
+) -> Stores:
+    """Open or create the stores in a data folder; `stack` closes them.
+
+    Parameters
+    ----------
+    folder : Path
+        Data folder of the replica.
+    stack : contextlib.ExitStack
+        Owns the lock of the folder and the log file.
+    files : Files, optional
+        File system.
+
+    Raises
+    ------
+    CorruptLog
+        A file is damaged, or the files do not belong together.
+    StoreFailed
+        A file cannot be created, read or repaired, or the folder is in use.
+    """
+    stack.callback(DataFolder(folder).close)
+    votes = DiskVoteStore(folder / "vote", files)
+    snapshots = DiskSnapshotStore(folder / "snapshot", files)
+    log_path = folder / "log"
+    if votes.vote.disk_id and not log_path.exists():
+        raise CorruptLog(
+            "the log file is missing", step="open stores", peer=str(log_path)
+        )
+    log = DiskLogStore(log_path, files)
+    stack.callback(log.close)
+    stores = Stores(log, votes, snapshots, log.repaired_bytes)
+    _check_together(stores, folder)
+    return stores
+
+
+def _check_together(stores: Stores, folder: Path) -> None:
+    log, last = stores.log, stores.snapshot_position
+    if not stores.votes.vote.disk_id and log.last.index > 0:
+        raise CorruptLog(
+            "the vote file is missing", step="open stores", peer=str(folder)
+        )
+    if log.base.index > last.index:
+        raise CorruptLog(
+            f"the log starts after entry {log.base.index} but the snapshot ends "
+            f"at entry {last.index}",
+            step="open stores",
+            peer=str(folder),
+        )
+    if log.term_at(last.index) != last.term:
+        # The process ended between saving an installed snapshot and compacting.
+        log.compact(last)
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/transport.py
@@ -0,0 +1,100 @@
+"""Calls between control replicas."""
+
+import asyncio
+import contextlib
+from typing import Any, Protocol
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from bulrushbend.core.errors import PeerError, PeerSilent
+from bulrushbend.core.settings import split_address
+from bulrushbend.store.configuration import Node
+from bulrushbend.wire.fleet_grpc import ConsensusStub, FleetStub
+
+
+class PeerTransport(Protocol):
+    """Carries calls to other replicas."""
+
+    async def call(
+        self, peer: Node, method: str, request: Any, timeout_ms: float
+    ) -> Any:
+        """Call a unary method of the `Consensus` service.
+
+        Parameters
+        ----------
+        peer : Node
+            Replica to call.
+        method : str
+            Method of `Consensus`, or ``"ChangeVoters"`` of `Fleet`.
+        request : message
+            Request message.
+        timeout_ms : float
+            Deadline in milliseconds.
+
+        Raises
+        ------
+        PeerError
+            The call failed; the peer may have carried it out.
+        """
+        ...
+
+    def close(self) -> None:
+        """Close all connections."""
+        ...
+
+
+# Forwarded writes wait for a majority. They have a connection of their own, so that
+# their timeouts do not close the one that carries heartbeats.
+_FORWARDED = frozenset({"Forward", "ReadIndex", "ChangeVoters"})
+
+
+class GrpcTransport:
+    """Transport over grpclib with two connections to each peer.
+
+    A call that fails or times out closes its connection, and the next one makes a new
+    TCP connection: a device on the way may have lost the state of the old one while
+    new connections work.
+    """
+
+    def __init__(self) -> None:
+        self._channels: dict[tuple[str, bool], Channel] = {}
+
+    async def call(
+        self, peer: Node, method: str, request: Any, timeout_ms: float
+    ) -> Any:
+        """Call a method of a peer; see `PeerTransport.call`."""
+        place = (peer.address, method in _FORWARDED)
+        channel = self._channels.get(place)
+        if channel is None:
+            channel = self._channels[place] = Channel(*split_address(peer.address))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                return await _stub_method(channel, method)(request)
+        except TimeoutError:
+            self._drop(place, channel)
+            raise PeerSilent(
+                f"no answer within {timeout_ms:.0f} ms", step=method, peer=peer.name
+            ) from None
+        except (GRPCError, StreamTerminatedError, OSError) as error:
+            if not isinstance(error, GRPCError):
+                self._drop(place, channel)
+            reason = str(error) or type(error).__name__
+            raise PeerError(reason, step=method, peer=peer.name) from None
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def _drop(self, place: tuple[str, bool], channel: Channel) -> None:
+        if self._channels.get(place) is channel:
+            del self._channels[place]
+        with contextlib.suppress(OSError):
+            channel.close()
+
+
+def _stub_method(channel: Channel, method: str) -> Any:
+    stub = FleetStub if method == "ChangeVoters" else ConsensusStub
+    return getattr(stub(channel), method)
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/vote.py
@@ -0,0 +1,121 @@
+"""Term, vote and disk id of a replica, durable before any answer depends on them."""
+
+import abc
+import json
+import zlib
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from bulrushbend.core.errors import CorruptLog
+from bulrushbend.store.files import DiskFiles, Files, read_file, replace_file
+
+# Disk id of the data folders with which a fleet was founded.
+FOUNDING_DISK = "founding"
+
+
+@dataclass(frozen=True)
+class Vote:
+    """What a replica must not forget.
+
+    Attributes
+    ----------
+    term : int
+        Latest term that the replica has seen.
+    candidate : str
+        Replica that got the vote in this term, empty if none did.
+    disk_id : str
+        Identity of the data folder: `FOUNDING_DISK`, a random id, or empty while it
+        is not decided.
+    """
+
+    term: int = 0
+    candidate: str = ""
+    disk_id: str = ""
+
+
+class BaseVoteStore(abc.ABC):
+    """Keeps the `Vote` of a replica."""
+
+    def __init__(self) -> None:
+        self._vote = Vote()
+
+    @property
+    def vote(self) -> Vote:
+        """Vote as it was saved last."""
+        return self._vote
+
+    def save(self, vote: Vote) -> None:
+        """Replace the vote; the new one is durable when this returns.
+
+        Raises
+        ------
+        StoreFailed
+            The vote could not be made durable; the replica must not answer.
+        """
+        if vote != self._vote:
+            self._write(vote)
+            self._vote = vote
+
+    @abc.abstractmethod
+    def _write(self, vote: Vote) -> None:
+        """Make `vote` durable."""
+
+
+class MemoryVoteStore(BaseVoteStore):
+    """Vote in memory, for tests."""
+
+    def _write(self, vote: Vote) -> None:
+        pass
+
+
+class DiskVoteStore(BaseVoteStore):
+    """Vote in one small file that is replaced as a whole.
+
+    Parameters
+    ----------
+    path : Path
+        The file; it is created by the first `save`.
+    files : Files, optional
+        File system.
+
+    Raises
+    ------
+    CorruptLog
+        The file is damaged.
+    StoreFailed
+        The file cannot be read.
+    """
+
+    def __init__(self, path: Path, files: Files | None = None):
+        super().__init__()
+        self._path = path
+        self._files = files or DiskFiles()
+        data = read_file(self._files, path)
+        if data is not None:
+            self._vote = decode_vote(data, str(path))
+
+    def _write(self, vote: Vote) -> None:
+        replace_file(self._files, self._path, encode_vote(vote))
+
+
+def encode_vote(vote: Vote) -> bytes:
+    """Return the content of the vote file: a JSON line and its CRC-32."""
+    line = json.dumps(asdict(vote), separators=(",", ":")).encode()
+    return line + b"\n%08x\n" % zlib.crc32(line)
+
+
+def decode_vote(data: bytes, source: str = "vote") -> Vote:
+    """Decode the content of the vote file.
+
+    Raises
+    ------
+    CorruptLog
+        The content is damaged.
+    """
+    line, _, checksum = data.partition(b"\n")
+    try:
+        if int(checksum, 16) == zlib.crc32(line):
+            return Vote(**json.loads(line))
+    except (ValueError, TypeError):
+        pass
+    raise CorruptLog("the vote file is damaged", step="open vote", peer=source)
--- /dev/null
+++ b/libs/store/src/bulrushbend/store/voters.py
@@ -0,0 +1,123 @@
+"""Changes of the voter list, one replica at a time."""
+
+import asyncio
+
+from bulrushbend.core.errors import NoQuorum
+from bulrushbend.store.configuration import Configuration, Node
+from bulrushbend.store.core import ReplicaCore
+from bulrushbend.store.leadership import Leadership
+from bulrushbend.wire.control_pb2 import Command
+from bulrushbend.wire.fleet_pb2 import VotersReply, VotersRequest
+
+CATCH_UP_TIMEOUT_MS = 3000
+_POLL_MS = 20
+
+
+class _Refused(Exception):
+    """The change is not possible; the text says why."""
+
+
+class VoterChange:
+    """One change of the voter list at the leader.
+
+    Changing one replica at a time keeps a replica in common between every majority of
+    the old list and every majority of the new one.
+
+    Parameters
+    ----------
+    core : ReplicaCore
+        State of the leading replica.
+    leadership : Leadership
+        Its current term.
+    """
+
+    def __init__(self, core: ReplicaCore, leadership: Leadership):
+        self._core = core
+        self._leadership = leadership
+
+    async def run(self, request: VotersRequest) -> VotersReply:
+        """Check and commit the change; a change already made is accepted again."""
+        try:
+            async with self._leadership.change_lock:
+                await self._run_alone(request)
+            return self._reply(True, "")
+        except (_Refused, NoQuorum) as error:
+            return self._reply(False, str(error))
+
+    async def _run_alone(self, request: VotersRequest) -> None:
+        await self._wait_until_quiet()
+        changed = await self._change(request)
+        if changed != self._core.configuration:
+            command = Command(set_voters=changed.message())
+            await self._leadership.submit(command.SerializeToString())
+
+    async def _change(self, request: VotersRequest) -> Configuration:
+        match request.change:
+            case VotersRequest.ADD_LEARNER:
+                return self._add_learner(request)
+            case VotersRequest.PROMOTE:
+                return await self._promote(request.name)
+            case VotersRequest.REMOVE:
+                return self._remove(request.name)
+        raise _Refused("the change must be ADD_LEARNER, PROMOTE or REMOVE")
+
+    async def _wait_until_quiet(self) -> None:
+        """Wait until a former change and an entry of this term are committed."""
+        await self._poll(
+            self._is_quiet, "another change of the voters is not committed yet"
+        )
+
+    def _is_quiet(self) -> bool:
+        committed = self._core.history.current_index <= self._core.commit_index
+        return committed and self._leadership.is_established
+
+    def _add_learner(self, request: VotersRequest) -> Configuration:
+        configuration = self._core.configuration
+        if configuration.voter(request.name) is not None:
+            raise _Refused(f"{request.name} is a voter; remove it first")
+        if not request.name or ":" not in request.address:
+            raise _Refused("a learner needs a name and an address host:port")
+        return configuration.with_learner(Node(request.name, request.address))
+
+    async def _promote(self, name: str) -> Configuration:
+        configuration = self._core.configuration
+        node = configuration.node(name)
+        if node is None:
+            raise _Refused(f"{name} is not a learner; add it first")
+        if configuration.voter(name) is not None:
+            return configuration
+        await self._poll(
+            lambda: self._has_caught_up(name), f"{name} does not hold the state yet"
+        )
+        disk_id = self._leadership.progress(name).disk_id
+        return configuration.with_voter(Node(name, node.address, disk_id))
+
+    def _has_caught_up(self, name: str) -> bool:
+        progress = self._leadership.progress(name)
+        if progress is None or not progress.disk_id:
+            return False
+        return progress.match_index >= self._core.commit_index
+
+    def _remove(self, name: str) -> Configuration:
+        configuration = self._core.configuration
+        changed = configuration.without(name)
+        if not changed.voters:
+            raise _Refused(f"{name} is the last voter")
+        return changed
+
+    async def _poll(self, condition, message: str) -> None:
+        try:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_MS / 1000.0):
+                while not condition():
+                    await self._core.clock.sleep_ms(_POLL_MS)
+        except TimeoutError:
+            raise _Refused(message) from None
+
+    def _reply(self, accepted: bool, message: str) -> VotersReply:
+        configuration = self._core.configuration
+        return VotersReply(
+            accepted=accepted,
+            message=message,
+            voters=[node.name for node in configuration.voters],
+            learners=[node.name for node in configuration.learners],
+        )
