--- /dev/null
+++ b/libs/share/src/bulrushbend/share/account.py
@@ -0,0 +1,104 @@
+"""Account of one team at this agent: its charges and the row it is sent as."""
+
+from bulrushbend.share.estimator import Estimator
+
+
+class OpenCharge:
+    """One claim or running request; times are slot milliseconds."""
+
+    __slots__ = ("mark_ms", "start_ms")
+
+    def __init__(self):
+        self.start_ms: float | None = None
+        self.mark_ms = 0.0
+
+    def elapsed_ms(self, now_ms: float) -> float:
+        """Return the slot time accrued so far, 0 for a claim."""
+        return 0.0 if self.start_ms is None else now_ms - self.start_ms
+
+
+class TeamAccount:
+    """What this agent has served to one team; times are slot milliseconds.
+
+    Parameters
+    ----------
+    team : str
+        Name of the team.
+    share : float
+        Weight of the team, greater than 0.
+    """
+
+    def __init__(self, team: str, share: float):
+        self._team = team
+        self._share = share
+        self._served_ms = 0.0
+        self._weighted_ms = 0.0
+        self._charges: set[OpenCharge] = set()
+        self.waiting = False
+        self.start_level = 0.0
+
+    @property
+    def running(self) -> int:
+        """Claims and running requests."""
+        return len(self._charges)
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the team waits, claims or runs here."""
+        return self.waiting or bool(self._charges)
+
+    def open(self) -> OpenCharge:
+        """Add a claim."""
+        charge = OpenCharge()
+        self._charges.add(charge)
+        return charge
+
+    def start(self, charge: OpenCharge, now_ms: float) -> None:
+        """Let slot time accrue for `charge` from now."""
+        if charge.start_ms is None:
+            charge.start_ms = charge.mark_ms = now_ms
+
+    def close(self, charge: OpenCharge, now_ms: float) -> float:
+        """Remove `charge` and return its cost."""
+        self._settle(charge, now_ms)
+        self._charges.discard(charge)
+        cost_ms = charge.elapsed_ms(now_ms)
+        return cost_ms
+
+    def set_share(self, share: float, now_ms: float) -> None:
+        """Weigh service from now on by `share`."""
+        if share == self._share:
+            return
+        for charge in self._charges:
+            self._settle(charge, now_ms)
+        self._share = share
+
+    def served_ms(self, now_ms: float) -> float:
+        """Return the slot time served, including that of running requests."""
+        return self._served_ms + self._unsettled_ms(now_ms)
+
+    def weighted_ms(self, now_ms: float) -> float:
+        """Return the slot time served over the share in force at its time."""
+        return self._weighted_ms + self._unsettled_ms(now_ms) / self._share
+
+    def reserve_ms(self, estimator: Estimator, now_ms: float) -> float:
+        """Return the slot time held for claims and running requests."""
+        return sum(
+            estimator.reserve_ms(self._team, charge.elapsed_ms(now_ms))
+            for charge in self._charges
+        )
+
+    def _settle(self, charge: OpenCharge, now_ms: float) -> None:
+        if charge.start_ms is None:
+            return
+        passed_ms = now_ms - charge.mark_ms
+        charge.mark_ms = now_ms
+        self._served_ms += passed_ms
+        self._weighted_ms += passed_ms / self._share
+
+    def _unsettled_ms(self, now_ms: float) -> float:
+        return sum(
+            now_ms - charge.mark_ms
+            for charge in self._charges
+            if charge.start_ms is not None
+        )
--- /dev/null
+++ b/libs/share/src/bulrushbend/share/ledger.py
@@ -0,0 +1,268 @@
+"""Fleet-wide account of the slot time that the teams of one service were served.
+
+All times are slot milliseconds: the time for which a request holds a slot. A level is
+slot milliseconds per unit of share.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.identity import Identity
+from bulrushbend.share.account import OpenCharge, TeamAccount
+from bulrushbend.share.estimator import Estimator
+from bulrushbend.share.peers import PeerRows
+from bulrushbend.share.row import Row
+
+__all__ = ["Charge", "Ledger", "Row"]
+
+_DEFAULT_SHARE = 1.0
+# Active rows are renewed at this interval even if nothing changed, so that readers
+# can tell an agent that is silent from a team that only waits.
+RENEW_MS = 1000.0
+
+
+class Charge:
+    """One claim or running request. Ends exactly once, by `end` or `release`."""
+
+    def __init__(self, ledger: "Ledger", team: str, charge: OpenCharge):
+        self._ledger = ledger
+        self._team = team
+        self._charge = charge
+        self._cost_ms: float | None = None
+
+    @property
+    def team(self) -> str:
+        """Team that is charged."""
+        return self._team
+
+    def start(self) -> None:
+        """Let slot time accrue from now."""
+        self._ledger._start(self._team, self._charge)
+
+    def end(self) -> float:
+        """Stop accruing, feed the estimator and return the cost in slot ms.
+
+        A second call returns the same cost and changes nothing.
+        """
+        if self._cost_ms is None:
+            self._cost_ms = self._ledger._close(self._team, self._charge)
+        return self._cost_ms
+
+    def release(self) -> None:
+        """Give up a claim that was missed or expired: nothing is charged."""
+        if self._cost_ms is None:
+            self._cost_ms = self._ledger._close(self._team, self._charge)
+
+
+class Ledger:
+    """Account of one service as this agent knows it.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service; rows of other services are ignored.
+    identity : Identity
+        Name and incarnation of this agent.
+    clock : Clock
+        Gives the time in milliseconds.
+    estimator : Estimator
+        Says how much to hold for requests that have not ended.
+    peers : PeerRows, optional
+        Keeps the learnt rows.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        identity: Identity,
+        clock: Clock,
+        estimator: Estimator,
+        peers: PeerRows | None = None,
+    ):
+        self._service = service
+        self._identity = identity
+        self._clock = clock
+        self._estimator = estimator
+        self._peers = peers or PeerRows()
+        self._shares: Mapping[str, float] = {}
+        self._accounts: dict[str, TeamAccount] = {}
+        self._sent: dict[str, tuple[Row, float]] = {}
+        self._cursor = 0
+        self._changes: dict[tuple[str, int, str], int] = {}
+
+    def set_shares(self, shares: Mapping[str, float]) -> None:
+        """Set the weights of the teams; service of the past keeps its weight.
+
+        Parameters
+        ----------
+        shares : mapping of str to float
+            Weight of each team, greater than 0; teams not named weigh 1.
+        """
+        self._shares = dict(shares)
+        now_ms = self._clock.now_ms()
+        for team, account in self._accounts.items():
+            account.set_share(self._share(team), now_ms)
+
+    def set_waiting(self, team: str, waiting: bool) -> None:
+        """Note whether linked routers hold waiting requests of `team`."""
+        account = self._account(team)
+        if waiting == account.waiting:
+            return
+        if waiting:
+            self._raise(team, account)
+        account.waiting = waiting
+
+    def hold(self, team: str) -> Charge:
+        """Hold the reserve for a claim of `team`."""
+        return Charge(self, team, self._account(team).open())
+
+    def merge(self, rows: Iterable[Row]) -> list[Row]:
+        """Take in rows and return those that changed something.
+
+        Own rows, rows of other services, rows with unsound numbers and versions that
+        are not newer than the known ones are ignored.
+        """
+        now_ms = self._clock.now_ms()
+        return [row for row in rows if self._merge(row, now_ms)]
+
+    def rows(self, changed_after: int = 0) -> tuple[int, list[Row]]:
+        """Return own and learnt rows that changed after a cursor.
+
+        Parameters
+        ----------
+        changed_after : int, default=0
+            Cursor of an earlier call; 0 asks for all rows.
+
+        Returns
+        -------
+        cursor : int
+            Cursor for the next call.
+        rows : list of Row
+            Changed rows, the latest change first. Time of running requests is
+            counted up to now.
+        """
+        self._stamp_own_rows()
+        changed = []
+        for key, cursor in reversed(self._changes.items()):
+            if cursor <= changed_after:
+                break
+            row = self._row(key)
+            if row is not None:
+                changed.append(row)
+        return self._cursor, changed
+
+    def level(self, team: str) -> float:
+        """Return the fleet-wide level of `team` in slot ms per unit of share."""
+        now_ms = self._clock.now_ms()
+        self._peers.expire(now_ms)
+        return self._level(team, now_ms)
+
+    def served_ms(self, team: str) -> float:
+        """Return the slot time served to `team` fleet-wide, as known here."""
+        totals = self._peers.totals.get(team)
+        account = self._accounts.get(team)
+        served_ms = totals.served_ms if totals else 0.0
+        return served_ms + (account.served_ms(self._clock.now_ms()) if account else 0.0)
+
+    def _share(self, team: str) -> float:
+        return self._shares.get(team, _DEFAULT_SHARE)
+
+    def _account(self, team: str) -> TeamAccount:
+        account = self._accounts.get(team)
+        if account is None:
+            account = self._accounts[team] = TeamAccount(team, self._share(team))
+        return account
+
+    def _level(self, team: str, now_ms: float) -> float:
+        totals = self._peers.totals.get(team)
+        account = self._accounts.get(team)
+        start = weighted_ms = reserve_ms = 0.0
+        if totals is not None:
+            start = totals.start_level
+            weighted_ms = totals.weighted_ms
+            reserve_ms = totals.reserve_ms
+        if account is not None:
+            start = max(start, account.start_level)
+            weighted_ms += account.weighted_ms(now_ms)
+            reserve_ms += account.reserve_ms(self._estimator, now_ms)
+        return start + weighted_ms + reserve_ms / self._share(team)
+
+    def _raise(self, team: str, account: TeamAccount) -> None:
+        """Raise the level of a team that becomes backlogged."""
+        now_ms = self._clock.now_ms()
+        self._peers.expire(now_ms)
+        if team in self._peers.waiting:
+            return  # backlogged elsewhere: it is raised there
+        missing = self._floor(team, now_ms) - self._level(team, now_ms)
+        if missing <= 0.0:
+            return
+        totals = self._peers.totals.get(team)
+        known_start = totals.start_level if totals else 0.0
+        account.start_level = max(known_start, account.start_level) + missing
+
+    def _floor(self, team: str, now_ms: float) -> float:
+        waiting = [name for name, own in self._accounts.items() if own.waiting]
+        waiting.extend(self._peers.waiting)
+        if waiting:
+            return min(self._level(name, now_ms) for name in waiting)
+        known = self._accounts.keys() | self._peers.totals.keys()
+        return max(self._level(name, now_ms) for name in known)
+
+    def _start(self, team: str, charge: OpenCharge) -> None:
+        self._account(team).start(charge, self._clock.now_ms())
+
+    def _close(self, team: str, charge: OpenCharge) -> float:
+        cost_ms = self._account(team).close(charge, self._clock.now_ms())
+        if charge.start_ms is not None:
+            self._estimator.observe(team, cost_ms)
+        return cost_ms
+
+    def _merge(self, row: Row, now_ms: float) -> bool:
+        own = (self._identity.name, self._identity.incarnation)
+        if row.service != self._service or (row.agent, row.incarnation) == own:
+            return False
+        if not row.is_sound or not self._peers.merge(row, now_ms):
+            return False
+        self._note_change(row)
+        return True
+
+    def _note_change(self, row: Row) -> None:
+        key = (row.agent, row.incarnation, row.team)
+        self._cursor += 1
+        self._changes.pop(key, None)
+        self._changes[key] = self._cursor
+
+    def _row(self, key: tuple[str, int, str]) -> Row | None:
+        agent, incarnation, team = key
+        if (agent, incarnation) == (self._identity.name, self._identity.incarnation):
+            return self._sent[team][0]
+        return self._peers.get(agent, incarnation, team)
+
+    def _stamp_own_rows(self) -> None:
+        now_ms = self._clock.now_ms()
+        for team, account in self._accounts.items():
+            sent, sent_ms = self._sent.get(team, (None, 0.0))
+            row = self._own_row(team, account, sent.sequence if sent else 0, now_ms)
+            due = account.is_active and now_ms - sent_ms >= RENEW_MS
+            if row == sent and not due:
+                continue
+            row = self._own_row(team, account, row.sequence + 1, now_ms)
+            self._sent[team] = (row, now_ms)
+            self._note_change(row)
+
+    def _own_row(
+        self, team: str, account: TeamAccount, sequence: int, now_ms: float
+    ) -> Row:
+        return Row(
+            service=self._service,
+            agent=self._identity.name,
+            incarnation=self._identity.incarnation,
+            team=team,
+            sequence=sequence,
+            served_ms=account.served_ms(now_ms),
+            reserve_ms=account.reserve_ms(self._estimator, now_ms),
+            running=account.running,
+            waiting=account.waiting,
+            start_level=account.start_level,
+            weighted_ms=account.weighted_ms(now_ms),
+        )
