--- /dev/null
+++ b/libs/standins/src/bulrushbend/standins/application.py
@@ -0,0 +1,147 @@
+"""Stand-in for a plain service whose calls must not be repeated."""
+
+import asyncio
+import json
+
+from tornado.web import RequestHandler
+
+from bulrushbend.core.identity import new_id
+from bulrushbend.standins.faults import AnswerCut, AnswerWriter, FaultKind, FaultPlan
+from bulrushbend.standins.server import (
+    RunCounts,
+    RunsHandler,
+    Slots,
+    StandInServer,
+    read_json_object,
+)
+from bulrushbend.standins.settings import ApplicationSettings
+
+
+class BookingApplication:
+    """Service that counts its runs by idempotency key.
+
+    Parameters
+    ----------
+    settings : ApplicationSettings
+        Capacity, default cost and faults.
+    """
+
+    def __init__(self, settings: ApplicationSettings):
+        self._settings = settings
+        self._slots = Slots(settings.slots)
+        self._runs = RunCounts()
+        self._server = StandInServer(
+            settings.name, settings.http_address, FaultPlan(settings.faults)
+        )
+
+    @property
+    def settings(self) -> ApplicationSettings:
+        """Settings of this application."""
+        return self._settings
+
+    @property
+    def server(self) -> StandInServer:
+        """Server with its address and faults."""
+        return self._server
+
+    @property
+    def runs(self) -> RunCounts:
+        """How often requests ran."""
+        return self._runs
+
+    @property
+    def slots(self) -> Slots:
+        """Requests at work."""
+        return self._slots
+
+    def start(self) -> None:
+        """Listen and serve; raises SettingsError if the address is taken."""
+        runs = {"runs": self._runs, "slots": self._slots}
+        own = {"service": self}
+        self._server.start(
+            [(r"/runs", RunsHandler, runs), (r"/.*", CallHandler, own)],
+        )
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+
+class CallHandler(RequestHandler):
+    """Any method on any other path: one run."""
+
+    def initialize(self, service: BookingApplication) -> None:
+        """Keep the application."""
+        self._service = service
+        self._writer = AnswerWriter(self, None)
+
+    def on_connection_close(self) -> None:
+        """Tell the writer that the caller is gone; the run goes on."""
+        self._writer.set_closed()
+
+    async def _run(self) -> None:
+        fault = self._service.server.faults.take()
+        self._writer = AnswerWriter(self, fault)
+        if self._writer.kind is FaultKind.REJECT:
+            self.set_status(503)
+            self.write({"error": {"message": "rejected by a fault"}})
+            return
+        try:
+            nonce, cost_ms = self._read_call()
+        except (ValueError, TypeError) as error:
+            self.set_status(400)
+            self.write({"error": {"message": str(error)}})
+            return
+        key = self.request.headers.get("Idempotency-Key", "")
+        async with self._service.slots:
+            run = self._service.runs.record(key, nonce)
+            await asyncio.sleep(cost_ms / 1000.0)
+        try:
+            await self._send(nonce, key, run)
+        except AnswerCut:
+            return
+
+    def _read_call(self) -> tuple[str, float]:
+        document = {}
+        if self.request.body:
+            document = read_json_object(self.request.body)
+        nonce = self.get_query_argument("x_nonce", "")
+        default_ms = self._service.settings.default_cost_ms
+        cost = self.get_query_argument("x_cost_ms", str(default_ms))
+        cost_ms = float(document.get("x_cost_ms", cost))
+        if not 0 <= cost_ms <= 3_600_000:
+            raise ValueError("x_cost_ms is not between 0 and 3600000")
+        return str(document.get("x_nonce", nonce)), cost_ms
+
+    async def _send(self, nonce: str, key: str, run: int) -> None:
+        crossed = self._writer.kind is FaultKind.CROSSED
+        echo = "of-another-request" if crossed else nonce
+        document = {
+            "begin": echo,
+            "method": self.request.method,
+            "path": self.request.path,
+            "key": key,
+            "run": run,
+            "booking": new_id("booking"),
+            "end": echo,
+        }
+        body = json.dumps(document).encode()
+        named = self.request.headers.get("X-Request-Id", "")
+        await self._writer.start()
+        if named:
+            self.set_header("X-Request-Id", echo if crossed else named)
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", str(len(body)))
+        await self._writer.write(body)
+
+    get = post = put = patch = delete = _run
+
+
+async def run_application(settings: ApplicationSettings) -> None:
+    """Serve the stand-in application until SIGTERM or SIGINT."""
+    application = BookingApplication(settings)
+    application.start()
+    try:
+        await application.server.run()
+    finally:
+        application.stop()
--- /dev/null
+++ b/libs/standins/src/bulrushbend/standins/engine.py
@@ -0,0 +1,318 @@
+"""Stand-in for a model engine with continuous batching."""
+
+import asyncio
+import hashlib
+import json
+from collections import OrderedDict, deque
+
+from tornado.web import RequestHandler
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.identity import new_id
+from bulrushbend.standins.faults import AnswerCut, AnswerWriter, FaultKind, FaultPlan
+from bulrushbend.standins.generation import (
+    Generation,
+    GenerationRequest,
+    generate,
+    parse_request,
+)
+from bulrushbend.standins.server import RunCounts, RunsHandler, Slots, StandInServer
+from bulrushbend.standins.settings import EngineSettings
+
+_CROSSED_NONCE = "of-another-request"
+
+
+class Engine:
+    """Model engine that serves completions, its load and its streams.
+
+    Parameters
+    ----------
+    settings : EngineSettings
+        Capacity, pace and faults.
+    clock : Clock, optional
+        Source of time.
+    """
+
+    def __init__(self, settings: EngineSettings, clock: Clock | None = None):
+        self._settings = settings
+        self._clock = clock or Clock()
+        self._slots = Slots(settings.slots)
+        self._runs = RunCounts()
+        self._server = StandInServer(
+            settings.name, settings.http_address, FaultPlan(settings.faults)
+        )
+        self._generations: dict[str, Generation] = {}
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._prefix_queries = 0
+        self._prefix_hits = 0
+        self._tokens_in_batch = 0
+        self._loads: deque[tuple[float, int, int, float]] = deque([(0.0, 0, 0, 0.0)])
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def settings(self) -> EngineSettings:
+        """Settings of this engine."""
+        return self._settings
+
+    @property
+    def server(self) -> StandInServer:
+        """Server with its address and faults."""
+        return self._server
+
+    @property
+    def runs(self) -> RunCounts:
+        """How often requests ran."""
+        return self._runs
+
+    @property
+    def slots(self) -> Slots:
+        """Batch slots."""
+        return self._slots
+
+    def start(self) -> None:
+        """Listen and serve; raises SettingsError if the address is taken."""
+        runs = {"runs": self._runs, "slots": self._slots}
+        own = {"engine": self}
+        self._server.start(
+            [
+                (r"/v1/chat/completions", CompletionsHandler, own),
+                (r"/v1/streams/([^/]+)", StreamHandler, own),
+                (r"/metrics", LoadHandler, own),
+                (r"/runs", RunsHandler, runs),
+            ]
+        )
+
+    def stop(self) -> None:
+        """Stop listening and end all generations."""
+        self._server.stop()
+        for task in self._tasks:
+            task.cancel()
+
+    def find(self, request_id: str) -> Generation | None:
+        """Return the stream named `request_id`, if it is still held."""
+        return self._generations.get(request_id)
+
+    def submit(
+        self, request_id: str, key: str, request: GenerationRequest, crossed: bool
+    ) -> Generation:
+        """Queue a generation and return it at once."""
+        older = self._generations.get(request_id)
+        if older is not None:
+            older.cancel()
+        echo = _CROSSED_NONCE if crossed else request.nonce
+        generation = Generation(request_id, request, echo)
+        self._generations[request_id] = generation
+        task = asyncio.create_task(self._generate(request_id, key, request, generation))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return generation
+
+    def watch_orphan(self, generation: Generation) -> None:
+        """Cancel `generation` unless a reader comes back within `orphan_ms`."""
+        task = asyncio.create_task(self._cancel_orphan(generation))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def load_report(self) -> str:
+        """Return the load of `load_lag_ms` ago as Prometheus text."""
+        cutoff_ms = self._clock.now_ms() - self._settings.load_lag_ms
+        while len(self._loads) > 1 and self._loads[1][0] <= cutoff_ms:
+            self._loads.popleft()
+        _, running, waiting, usage = self._loads[0]
+        label = f'{{model_name="{self._settings.name}"}}'
+        lines = [
+            "# TYPE vllm:num_requests_running gauge",
+            f"vllm:num_requests_running{label} {running}",
+            "# TYPE vllm:num_requests_waiting gauge",
+            f"vllm:num_requests_waiting{label} {waiting}",
+            "# TYPE vllm:kv_cache_usage_perc gauge",
+            f"vllm:kv_cache_usage_perc{label} {usage:.6f}",
+            "# TYPE vllm:prefix_cache_queries_total counter",
+            f"vllm:prefix_cache_queries_total{label} {self._prefix_queries}",
+            "# TYPE vllm:prefix_cache_hits_total counter",
+            f"vllm:prefix_cache_hits_total{label} {self._prefix_hits}",
+        ]
+        return "\n".join(lines) + "\n"
+
+    async def _generate(
+        self,
+        request_id: str,
+        key: str,
+        request: GenerationRequest,
+        generation: Generation,
+    ) -> None:
+        self._note_load(waiting=1)
+        async with self._slots:
+            if generation.cancelled:
+                return
+            self._runs.record(key, request.nonce)
+            self._tokens_in_batch += request.tokens
+            self._note_load()
+            prefill_ms = self._prefill_ms(request.prefix)
+            await generate(
+                generation,
+                request,
+                self._slots,
+                self._settings,
+                self._clock,
+                prefill_ms,
+            )
+            self._tokens_in_batch -= request.tokens
+        self._note_load()
+        await self._clock.sleep_ms(self._settings.keep_ms)
+        if self._generations.get(request_id) is generation:
+            del self._generations[request_id]
+
+    async def _cancel_orphan(self, generation: Generation) -> None:
+        await self._clock.sleep_ms(self._settings.orphan_ms)
+        if generation.readers == 0:
+            generation.cancel()
+
+    def _prefill_ms(self, prefix: str) -> float:
+        name = hashlib.sha256(prefix.encode()).hexdigest()
+        self._prefix_queries += 1
+        hit = name in self._prefixes
+        self._prefix_hits += hit
+        self._prefixes[name] = None
+        self._prefixes.move_to_end(name)
+        while len(self._prefixes) > self._settings.prefix_entries:
+            self._prefixes.popitem(last=False)
+        return 0.0 if hit else self._settings.prefill_ms
+
+    def _note_load(self, waiting: int = 0) -> None:
+        usage = min(1.0, self._tokens_in_batch / self._settings.kv_tokens)
+        queued = self._slots.waiting
+        if waiting and self._slots.running >= self._settings.slots:
+            queued += waiting
+        entry = (self._clock.now_ms(), self._slots.running, queued, usage)
+        self._loads.append(entry)
+
+
+class _EngineHandler(RequestHandler):
+    def initialize(self, engine: Engine) -> None:
+        """Keep the engine."""
+        self._engine = engine
+        self._writer = AnswerWriter(self, None)
+
+    def on_connection_close(self) -> None:
+        """Tell the writer that the caller is gone."""
+        self._writer.set_closed()
+
+    async def _send_frames(self, generation: Generation, after: int = -1) -> None:
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-cache")
+        await self._writer.start()
+        await self.flush()
+        async for frames in generation.frames(after):
+            await self._writer.write(frames)
+        if generation.cancelled:
+            self.request.connection.stream.close()
+
+
+class CompletionsHandler(_EngineHandler):
+    """``/v1/chat/completions``."""
+
+    async def post(self) -> None:
+        """Generate an answer, as JSON or as server-sent events."""
+        fault = self._engine.server.faults.take()
+        self._writer = AnswerWriter(self, fault)
+        if self._writer.kind is FaultKind.REJECT:
+            self._fail(503, "rejected by a fault")
+            return
+        try:
+            request = parse_request(self.request.body, self._engine.settings)
+        except (ValueError, TypeError) as error:
+            self._fail(400, str(error))
+            return
+        named = self.request.headers.get("X-Request-Id", "")
+        request_id = named or new_id("cmpl")
+        key = self.request.headers.get("Idempotency-Key", "")
+        crossed = self._writer.kind is FaultKind.CROSSED
+        self.set_header("X-Request-Id", _CROSSED_NONCE if crossed else request_id)
+        generation = self._engine.submit(request_id, key, request, crossed)
+        try:
+            if request.stream:
+                await self._send_frames(generation)
+            else:
+                await self._send_answer(generation)
+        except AnswerCut:
+            self._abandon(generation, resumable=bool(named) and request.stream)
+
+    def _fail(self, status: int, message: str) -> None:
+        self.set_status(status)
+        self.write({"error": {"message": message}})
+
+    async def _send_answer(self, generation: Generation) -> None:
+        closed = asyncio.ensure_future(self._writer.wait_closed())
+        done = asyncio.ensure_future(generation.wait())
+        await asyncio.wait({closed, done}, return_when=asyncio.FIRST_COMPLETED)
+        closed.cancel()
+        done.cancel()
+        if not generation.finished:
+            self.request.connection.stream.close()
+            raise AnswerCut("the generation was cancelled")
+        body = json.dumps(generation.answer()).encode()
+        await self._writer.start()
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", str(len(body)))
+        await self._writer.write(body)
+
+    def _abandon(self, generation: Generation, resumable: bool) -> None:
+        if resumable:
+            self._engine.watch_orphan(generation)
+        else:
+            generation.cancel()
+
+
+class StreamHandler(_EngineHandler):
+    """``/v1/streams/{request}``: resumes or cancels a stream."""
+
+    async def get(self, request_id: str) -> None:
+        """Send the events after ``Last-Event-ID``."""
+        generation = self._engine.find(request_id)
+        if generation is None or generation.cancelled:
+            self.set_status(404)
+            return
+        try:
+            after = int(self.request.headers.get("Last-Event-ID", "-1"))
+        except ValueError:
+            self.set_status(400)
+            return
+        self.set_header("X-Request-Id", request_id)
+        try:
+            await self._send_frames(generation, after)
+        except AnswerCut:
+            self._engine.watch_orphan(generation)
+
+    def delete(self, request_id: str) -> None:
+        """Cancel the stream and tell its state."""
+        generation = self._engine.find(request_id)
+        if generation is None:
+            self.set_status(404)
+            return
+        generation.cancel()
+        state = "finished" if generation.finished else "cancelled"
+        self.write({"state": state})
+
+
+class LoadHandler(RequestHandler):
+    """``/metrics``: the load report."""
+
+    def initialize(self, engine: Engine) -> None:
+        """Keep the engine."""
+        self._engine = engine
+
+    def get(self) -> None:
+        """Answer with the delayed load."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.write(self._engine.load_report())
+
+
+async def run_engine(settings: EngineSettings) -> None:
+    """Serve the stand-in engine until SIGTERM or SIGINT."""
+    engine = Engine(settings)
+    engine.start()
+    try:
+        await engine.server.run()
+    finally:
+        engine.stop()
--- /dev/null
+++ b/libs/standins/src/bulrushbend/standins/faults.py
@@ -0,0 +1,189 @@
+"""Faults that a stand-in shows on request."""
+
+import asyncio
+import enum
+import os
+import signal
+from collections.abc import Iterable
+
+from pydantic import BaseModel, ConfigDict, Field
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+
+class FaultKind(enum.StrEnum):
+    """What goes wrong with an answer."""
+
+    TRUNCATE = "truncate"
+    SILENCE = "silence"
+    LATE = "late"
+    REFUSE = "refuse"
+    REJECT = "reject"
+    CROSSED = "crossed"
+    CUT = "cut"
+    KILL = "kill"
+
+
+class Fault(BaseModel):
+    """A fault and the requests that it hits.
+
+    Attributes
+    ----------
+    kind : FaultKind
+        ``truncate``, ``silence`` and ``kill`` act after `after_bytes` body bytes.
+        ``late`` delays the headers by `delay_ms`. ``refuse`` closes the listening
+        socket for `delay_ms`. ``reject`` answers 503 without running. ``crossed``
+        answers with the nonce and id of another request. ``cut`` closes the
+        connection after the run without sending headers.
+    after_bytes : int
+        Body bytes sent before the fault.
+    delay_ms : float
+        Duration in milliseconds.
+    skip : int
+        Requests that pass unharmed first.
+    times : int
+        Requests that are hit; 0 means all.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    kind: FaultKind
+    after_bytes: int = Field(0, ge=0)
+    delay_ms: float = Field(0.0, ge=0, le=86_400_000)
+    skip: int = Field(0, ge=0)
+    times: int = Field(1, ge=0)
+
+
+class FaultPlan:
+    """Faults in the order in which they are used.
+
+    Parameters
+    ----------
+    faults : iterable of Fault
+        Faults from the settings; more can be added while running.
+    """
+
+    def __init__(self, faults: Iterable[Fault] = ()):
+        self._entries = [_Entry(fault) for fault in faults]
+
+    @property
+    def faults(self) -> list[Fault]:
+        """Faults that are still to come."""
+        return [entry.fault for entry in self._entries]
+
+    def add(self, fault: Fault) -> None:
+        """Append `fault`."""
+        self._entries.append(_Entry(fault))
+
+    def clear(self) -> None:
+        """Drop all faults."""
+        self._entries.clear()
+
+    def take(self) -> Fault | None:
+        """Return the fault that hits the next request, if any."""
+        if not self._entries:
+            return None
+        entry = self._entries[0]
+        if entry.skip > 0:
+            entry.skip -= 1
+            return None
+        if entry.fault.times > 0:
+            entry.left -= 1
+            if entry.left == 0:
+                self._entries.pop(0)
+        return entry.fault
+
+
+class _Entry:
+    def __init__(self, fault: Fault):
+        self.fault = fault
+        self.skip = fault.skip
+        self.left = fault.times
+
+
+class AnswerCut(Exception):
+    """A fault ended the answer, or the caller closed the connection."""
+
+
+class AnswerWriter:
+    """Writes one answer and applies a fault to it.
+
+    Parameters
+    ----------
+    handler : RequestHandler
+        Handler whose answer is written.
+    fault : Fault or None
+        Fault that hits this answer.
+    """
+
+    def __init__(self, handler: RequestHandler, fault: Fault | None):
+        self._handler = handler
+        self._fault = fault
+        self._sent_bytes = 0
+        self._closed = asyncio.Event()
+
+    @property
+    def kind(self) -> FaultKind | None:
+        """Kind of the fault."""
+        return self._fault.kind if self._fault else None
+
+    def set_closed(self) -> None:
+        """Note that the caller closed the connection."""
+        self._closed.set()
+
+    async def wait_closed(self) -> None:
+        """Wait until the caller has closed the connection."""
+        await self._closed.wait()
+
+    async def start(self) -> None:
+        """Act on faults that come before the headers.
+
+        Raises
+        ------
+        AnswerCut
+            The connection is closed and nothing was sent.
+        """
+        if self._fault is None:
+            return
+        if self._fault.kind is FaultKind.CUT:
+            self._cut()
+        if self._fault.kind is FaultKind.LATE:
+            await asyncio.sleep(self._fault.delay_ms / 1000.0)
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body.
+
+        Raises
+        ------
+        AnswerCut
+            The connection is closed.
+        """
+        if self._ends_within(data):
+            left = self._fault.after_bytes - self._sent_bytes
+            await self._flush(data[:left])
+            await self._end_early()
+        await self._flush(data)
+
+    def _ends_within(self, data: bytes) -> bool:
+        if self.kind not in (FaultKind.TRUNCATE, FaultKind.SILENCE, FaultKind.KILL):
+            return False
+        return self._sent_bytes + len(data) > self._fault.after_bytes
+
+    async def _flush(self, data: bytes) -> None:
+        self._handler.write(data)
+        self._sent_bytes += len(data)
+        try:
+            await self._handler.flush()
+        except StreamClosedError:
+            raise AnswerCut("the caller closed the connection") from None
+
+    async def _end_early(self) -> None:
+        if self.kind is FaultKind.KILL:
+            os.kill(os.getpid(), signal.SIGKILL)
+        if self.kind is FaultKind.SILENCE:
+            await self._closed.wait()
+        self._cut()
+
+    def _cut(self) -> None:
+        self._handler.request.connection.stream.close()
+        raise AnswerCut("a fault cut the answer")
