Add the router daemon: queues, links, claims and attempts

Routers take callers' requests over HTTP, queue them for each service and team, advertise the backlog over one link per agent and answer a claim with POST /attempts/{id}. The exchange is split into connect and send and can be interrupted, because another task must be able to give up an exchange that waits for the headers of its answer.

Ruled out: one timer for each chunk. A watch over all running attempts compares the agent's report with the bytes received.

--- /dev/null
+++ b/libs/router/src/bulrushbend/router/answers.py
@@ -0,0 +1,104 @@
+"""Final answers that the router gives by itself, without an endpoint's answer."""
+
+import json
+import math
+
+from tornado.httputil import HTTPHeaders
+
+from bulrushbend.core.errors import BulrushbendError
+from bulrushbend.wire.names import HEADER_OUTCOME, HEADER_REQUEST, Outcome
+
+
+class CallEnded(BulrushbendError):
+    """A request ended without an endpoint's answer; says what the caller is told.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the answer.
+    outcome : Outcome
+        What became of the request.
+    code : str
+        Short machine-readable reason.
+    message : str
+        Reason as a sentence.
+    retry_after_ms : float or None, default=None
+        When the caller should come back, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        outcome: Outcome,
+        code: str,
+        message: str,
+        *,
+        retry_after_ms: float | None = None,
+    ):
+        super().__init__(message, step=code)
+        self._status = status
+        self._outcome = outcome
+        self._code = code
+        self._retry_after_ms = retry_after_ms
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the answer."""
+        return self._status
+
+    @property
+    def outcome(self) -> Outcome:
+        """What became of the request."""
+        return self._outcome
+
+    @property
+    def code(self) -> str:
+        """Short machine-readable reason."""
+        return self._code
+
+    @property
+    def retry_after_s(self) -> int | None:
+        """Value of ``Retry-After`` in whole seconds, None without the header."""
+        if self._retry_after_ms is None:
+            return None
+        return max(1, math.ceil(self._retry_after_ms / 1000.0))
+
+    def headers(self, request_id: str) -> HTTPHeaders:
+        """Return the headers of the answer to the request `request_id`."""
+        headers = HTTPHeaders({"Content-Type": "application/json"})
+        headers[HEADER_OUTCOME] = str(self._outcome)
+        headers[HEADER_REQUEST] = request_id
+        if self.retry_after_s is not None:
+            headers["Retry-After"] = str(self.retry_after_s)
+        if self._status == 401:
+            headers["WWW-Authenticate"] = "Bearer"
+        return headers
+
+    def body(self, request_id: str) -> bytes:
+        """Return the JSON body of the answer to the request `request_id`."""
+        error = {"code": self._code, "message": self._message, "request_id": request_id}
+        return json.dumps({"error": error}).encode() + b"\n"
+
+
+def refused(status: int, code: str, message: str) -> CallEnded:
+    """Return the answer to a bad request."""
+    return CallEnded(status, Outcome.REFUSED, code, message)
+
+
+def not_run(
+    status: int, code: str, message: str, retry_after_ms: float | None = None
+) -> CallEnded:
+    """Return the answer to a request that did not run and will not run."""
+    return CallEnded(
+        status, Outcome.NOT_RUN, code, message, retry_after_ms=retry_after_ms
+    )
+
+
+def unknown(code: str, message: str, status: int = 502) -> CallEnded:
+    """Return the answer to a request that may have run."""
+    return CallEnded(status, Outcome.UNKNOWN, code, message)
+
+
+def failed(code: str, message: str) -> CallEnded:
+    """Return the answer to a request that ran and failed."""
+    return CallEnded(502, Outcome.FAILED, code, message)
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/attempt.py
@@ -0,0 +1,359 @@
+"""One attempt to run a request at an agent, over as many connections as it takes."""
+
+import contextlib
+import json
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import (
+    AttemptError,
+    ConnectFailed,
+    NotRun,
+    OutcomeUnknown,
+    PeerError,
+    PeerSilent,
+    RunFailed,
+)
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.settings import RouterSettings
+from bulrushbend.router import metrics
+from bulrushbend.router.request import CallerRequest, Grant
+from bulrushbend.router.sinks import AnswerSink
+from bulrushbend.wire.exchange import Exchange, ExchangeRequest, ExchangeTimeouts
+from bulrushbend.wire.names import (
+    HEADER_DEADLINE,
+    HEADER_FAILURE,
+    HEADER_IDEMPOTENT,
+    HEADER_METHOD,
+    HEADER_PATH,
+    HEADER_REFUSED,
+    HEADER_REQUEST,
+    HEADER_STATUS,
+    HEADER_TEAM,
+    HOP_BY_HOP,
+    AttemptState,
+    Outcome,
+)
+
+# The stall watch ends silent exchanges; the exchange's own timeouts are a last resort.
+_LAST_RESORT_MS = 3_600_000.0
+_RESUME_PAUSE_MS = 100.0
+# New connections without a single new byte before an attempt counts as lost.
+_FRUITLESS_RESUMES = 5
+_PROOF_TIMEOUT_MS = 2_000.0
+
+
+@dataclass(frozen=True)
+class AttemptContext:
+    """What all attempts of a router share."""
+
+    settings: RouterSettings
+    clock: Clock
+    events: EventLog
+
+
+class Attempt:
+    """Runs one request at one agent and passes its answer on.
+
+    Parameters
+    ----------
+    context : AttemptContext
+        What all attempts share.
+    request : CallerRequest
+        What to run.
+    grant : Grant
+        The agent's claim.
+    """
+
+    def __init__(self, context: AttemptContext, request: CallerRequest, grant: Grant):
+        self._settings = context.settings
+        self._clock = context.clock
+        self._events = context.events
+        self._request = request
+        self._grant = grant
+        self._path = f"/attempts/{grant.attempt_id}"
+        self._exchange: Exchange | None = None
+        self._received_bytes = 0
+        self._fruitless = 0
+        self._reading = False
+        self._progress_ms = self._clock.now_ms()
+        self._suspect_since_ms: float | None = None
+
+    @property
+    def request(self) -> CallerRequest:
+        """The request that runs."""
+        return self._request
+
+    async def run(self, sink: AnswerSink) -> None:
+        """Send the request and pass the whole answer to `sink`.
+
+        Raises
+        ------
+        NotRun
+            The request provably did not start.
+        OutcomeUnknown
+            It may have run; the answer is lost or incomplete.
+        RunFailed
+            It ran and failed.
+        """
+        self._write(EventKind.ATTEMPT_SENT)
+        try:
+            await self._send()
+            await self._deliver(sink)
+        finally:
+            if self._exchange is not None:
+                self._exchange.close()
+
+    async def cancel(self) -> None:
+        """Cancel the attempt at the agent, as far as the agent answers."""
+        with contextlib.suppress(PeerError):
+            await self._delete(cancel=True)
+        self._write(EventKind.ATTEMPT_CANCELLED)
+
+    async def settle(self, *, cancel: bool) -> AttemptState | None:
+        """Stop an attempt that has not started; return its state.
+
+        Parameters
+        ----------
+        cancel : bool
+            Whether to cancel it as well if it runs.
+
+        Returns
+        -------
+        AttemptState or None
+            State at the agent, None if the agent does not answer.
+        """
+        try:
+            return await self._delete(cancel=cancel)
+        except PeerError:
+            return None
+
+    def check(self, now_ms: float) -> None:
+        """Interrupt the exchange if it has been silent against the agent's reports.
+
+        Called by the stall watch. Time during which a slow caller holds the reading
+        back does not count.
+
+        Parameters
+        ----------
+        now_ms : float
+            Monotonic time in milliseconds.
+        """
+        if not self._reading or not self._is_suspect(now_ms):
+            self._suspect_since_ms = None
+            return
+        if self._suspect_since_ms is None:
+            self._suspect_since_ms = now_ms
+        if now_ms - self._suspect_since_ms < self._settings.stall_ms:
+            return
+        self._suspect_since_ms = None
+        if self._exchange is not None:
+            error = PeerSilent("exchange stalled", step="attempt", peer=self._peer)
+            self._exchange.interrupt(error)
+
+    @property
+    def _peer(self) -> str:
+        return self._grant.link.agent
+
+    def _is_suspect(self, now_ms: float) -> bool:
+        link = self._grant.link
+        if not link.is_up:
+            quiet_ms = now_ms - self._progress_ms
+            return link.down_ms() >= link.silence_ms <= quiet_ms
+        report = link.progress(self._grant.attempt_id)
+        if report is None:
+            # Not known to the agent, or no longer: the look-up tells.
+            return True
+        if report.finished or report.produced_bytes > self._received_bytes:
+            return True
+        return now_ms - self._progress_ms >= self._settings.first_byte_ms
+
+    async def _send(self) -> None:
+        request = ExchangeRequest(
+            "POST", self._path, self._attempt_headers(), self._request.body
+        )
+        try:
+            await self._open(request)
+        except ConnectFailed as error:
+            self._grant.link.pause()
+            self._grant.link.send_miss(self._grant.attempt_id)
+            raise NotRun(error.message, step="send", peer=self._peer) from None
+        except PeerError as error:
+            await self._resume(error)
+            return
+        await self._accept_head()
+
+    async def _open(self, request: ExchangeRequest) -> None:
+        remaining_ms = self._request.deadline_ms - self._clock.now_ms()
+        timeouts = ExchangeTimeouts(
+            connect_ms=self._settings.connect_timeout_ms,
+            first_byte_ms=_LAST_RESORT_MS
+            if self._received_bytes
+            else max(1.0, remaining_ms),
+            idle_ms=_LAST_RESORT_MS,
+        )
+        if self._exchange is not None:
+            self._exchange.close()
+            self._exchange = None
+        exchange = await Exchange.connect(self._grant.link.http_address, timeouts)
+        self._exchange = exchange
+        self._progress_ms = self._clock.now_ms()
+        self._reading = True
+        try:
+            await exchange.send(request)
+        finally:
+            self._reading = False
+        self._progress_ms = self._clock.now_ms()
+
+    async def _accept_head(self) -> None:
+        """Check that the headers start the answer to this attempt."""
+        exchange = self._exchange
+        assert exchange is not None
+        headers = exchange.headers
+        named = headers.get(HEADER_REQUEST)
+        if named is not None and named != self._request.request_id:
+            raise OutcomeUnknown(
+                "answer to another request", step="headers", peer=self._peer
+            )
+        if exchange.status == 200 and headers.get(HEADER_STATUS, "").isdigit():
+            return
+        if exchange.status == 409 and HEADER_REFUSED in headers:
+            self._write(EventKind.ATTEMPT_REFUSED)
+            raise NotRun("refused before start", step="claim", peer=self._peer)
+        if exchange.status in (404, 410):
+            await self._prove_not_started("the agent does not hold the answer")
+        raise _failure_of(headers, self._peer)
+
+    async def _deliver(self, sink: AnswerSink) -> None:
+        exchange = self._exchange
+        assert exchange is not None
+        headers = _end_to_end(exchange.headers)
+        await sink.start(int(exchange.headers[HEADER_STATUS]), headers)
+        while True:
+            try:
+                await self._pass_on(sink)
+                break
+            except PeerError as error:
+                await self._resume(error)
+        self._write(EventKind.ATTEMPT_FINISHED, bytes=self._received_bytes)
+
+    async def _pass_on(self, sink: AnswerSink) -> None:
+        assert self._exchange is not None
+        self._reading = True
+        try:
+            async for piece in self._exchange.chunks():
+                self._received_bytes += len(piece)
+                self._fruitless = 0
+                self._reading = False
+                await sink.write(piece)
+                self._progress_ms = self._clock.now_ms()
+                self._reading = True
+        finally:
+            self._reading = False
+
+    async def _resume(self, cause: PeerError) -> None:
+        """Open a new connection to the same answer, behind the bytes received."""
+        link = self._grant.link
+        give_up_ms = self._clock.now_ms() + link.silence_ms
+        path = f"{self._path}?offset={self._received_bytes}"
+        while True:
+            self._fruitless += 1
+            if self._fruitless > _FRUITLESS_RESUMES:
+                break
+            self._check_deadline()
+            try:
+                await self._open(ExchangeRequest("GET", path, self._identity_headers()))
+                metrics.RESUMES.inc()
+                self._write(EventKind.ATTEMPT_RESUMED, offset=self._received_bytes)
+                await self._accept_head()
+                return
+            except ConnectFailed:
+                # The agent may be restarting; that costs time but no fruitless look-up.
+                self._fruitless -= 1
+            except PeerError as error:
+                cause = error
+            if self._clock.now_ms() >= give_up_ms:
+                break
+            await self._clock.sleep_ms(_RESUME_PAUSE_MS)
+        await self._prove_not_started(cause.message)
+
+    def _check_deadline(self) -> None:
+        if (
+            self._received_bytes == 0
+            and self._clock.now_ms() >= self._request.deadline_ms
+        ):
+            raise DeadlinePassed("the deadline passed", step="attempt", peer=self._peer)
+
+    async def _prove_not_started(self, reason: str) -> None:
+        """Raise `NotRun` if the agent proves it, else `OutcomeUnknown`."""
+        if not self._received_bytes:
+            state = await self.settle(cancel=False)
+            if state is AttemptState.NOT_STARTED:
+                raise NotRun("not started", step="proof", peer=self._peer)
+        raise OutcomeUnknown(reason, step="attempt", peer=self._peer)
+
+    async def _delete(self, *, cancel: bool) -> AttemptState:
+        path = f"{self._path}?cancel=1" if cancel else self._path
+        timeouts = ExchangeTimeouts(
+            self._settings.connect_timeout_ms, _PROOF_TIMEOUT_MS, _PROOF_TIMEOUT_MS
+        )
+        exchange = await Exchange.open(
+            self._grant.link.http_address, ExchangeRequest("DELETE", path), timeouts
+        )
+        try:
+            body = await exchange.body()
+        finally:
+            exchange.close()
+        try:
+            return AttemptState(json.loads(body)["state"])
+        except (ValueError, KeyError, TypeError):
+            raise PeerError("unreadable state", step="proof", peer=self._peer) from None
+
+    def _identity_headers(self) -> HTTPHeaders:
+        return HTTPHeaders({HEADER_REQUEST: self._request.request_id})
+
+    def _attempt_headers(self) -> HTTPHeaders:
+        request = self._request
+        remaining_ms = max(1, int(request.deadline_ms - self._clock.now_ms()))
+        headers = request.headers.copy()
+        headers[HEADER_METHOD] = request.method
+        headers[HEADER_PATH] = request.path
+        headers[HEADER_DEADLINE] = str(remaining_ms)
+        headers[HEADER_TEAM] = request.team
+        headers[HEADER_REQUEST] = request.request_id
+        headers[HEADER_IDEMPOTENT] = "true" if request.idempotent else "false"
+        return headers
+
+    def _write(self, kind: EventKind, **fields: object) -> None:
+        self._events.write(
+            kind,
+            request_id=self._request.request_id,
+            attempt_id=self._grant.attempt_id,
+            team=self._request.team,
+            peer=self._peer,
+            **fields,
+        )
+
+
+class DeadlinePassed(OutcomeUnknown):
+    """The deadline passed before the answer's first byte; the request may run."""
+
+
+def _failure_of(headers: HTTPHeaders, peer: str) -> AttemptError:
+    failure = headers.get(HEADER_FAILURE)
+    if failure == Outcome.NOT_RUN:
+        return NotRun("the endpoint refused the connection", step="run", peer=peer)
+    if failure == Outcome.FAILED:
+        return RunFailed("the endpoint failed", step="run", peer=peer)
+    return OutcomeUnknown("the endpoint's answer was lost", step="run", peer=peer)
+
+
+def _end_to_end(headers: HTTPHeaders) -> HTTPHeaders:
+    kept = HTTPHeaders()
+    for name, value in headers.get_all():
+        lowered = name.lower()
+        if lowered not in HOP_BY_HOP and not lowered.startswith("bulrushbend-"):
+            kept.add(name, value)
+    return kept
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -0,0 +1,306 @@
+"""Router daemon: takes callers' requests and answers them through agents."""
+
+import asyncio
+import contextlib
+from collections.abc import Sequence
+
+from tornado.httpserver import HTTPServer
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.identity import Identity, new_identity
+from bulrushbend.core.logs import part_logger, set_verbosity
+from bulrushbend.core.manifest import Manifest
+from bulrushbend.core.settings import RouterSettings
+from bulrushbend.process.daemon import (
+    cpu_ms,
+    describe_member,
+    listen_http,
+    open_event_log,
+    operational_routes,
+    run_until_signal,
+)
+from bulrushbend.process.inforce import ManifestInForce
+from bulrushbend.process.watch import FleetWatch
+from bulrushbend.router import metrics
+from bulrushbend.router.answers import CallEnded, not_run
+from bulrushbend.router.attempt import AttemptContext
+from bulrushbend.router.dispatch import Dispatcher
+from bulrushbend.router.drain import Drain
+from bulrushbend.router.http import caller_application
+from bulrushbend.router.intake import Intake
+from bulrushbend.router.link import AgentLink, LinkContext
+from bulrushbend.router.links import AgentLinks
+from bulrushbend.router.queue import Place, WaitingQueues
+from bulrushbend.router.request import CallerRequest
+from bulrushbend.router.sinks import AnswerSink
+from bulrushbend.wire.fleet_pb2 import AccountRow, StatusDetail
+from bulrushbend.wire.names import Outcome
+
+_log = part_logger("router.daemon")
+
+_STARTING_RETRY_MS = 1_000.0
+_SWEEP_MS = 500.0
+# Tornado closes a connection whose headers exceed its own limit without an answer, so
+# that limit is higher than the one that is answered with status 431.
+_HEADER_LIMIT_FACTOR = 4
+_LARGEST_BODY_BYTES = 1 << 30
+_BODY_TIMEOUT_S = 30.0
+_IDLE_CONNECTION_S = 120.0
+
+_EVENT_OF_OUTCOME = {
+    Outcome.NOT_RUN: EventKind.REQUEST_NOT_RUN,
+    Outcome.UNKNOWN: EventKind.REQUEST_UNKNOWN,
+    Outcome.FAILED: EventKind.REQUEST_FAILED,
+}
+
+
+class Router:
+    """The parts of one router and what its HTTP interface needs of them.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Settings of the process.
+    identity : Identity
+        Name and incarnation.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Time line of the process.
+    """
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        identity: Identity,
+        clock: Clock,
+        events: EventLog,
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        member = describe_member(settings, identity, "router")
+        self._in_force = ManifestInForce(events)
+        self._watch = FleetWatch(
+            settings, member, self._in_force, clock, events, self._detail
+        )
+        self._queues = WaitingQueues(clock)
+        context = AttemptContext(settings, clock, events)
+        self._dispatcher = Dispatcher(context, self._queues)
+        self._links = AgentLinks(
+            LinkContext(
+                settings,
+                member,
+                self._in_force,
+                self._queues,
+                clock,
+                events,
+                self._dispatcher.on_claim,
+                self._take_rows,
+            )
+        )
+        self._drain = Drain(settings, clock, events, self._queues)
+        self._in_force.listen(self._adopt)
+        self._watch.listen(self._links.update)
+
+    @property
+    def clock(self) -> Clock:
+        """Source of time."""
+        return self._clock
+
+    @property
+    def header_bytes(self) -> int:
+        """Largest size of a request's headers."""
+        return self._settings.header_bytes
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the router takes requests."""
+        return self._in_force.current is not None and not self._drain.started
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait or whose bodies are being read."""
+        return self._queues.waiting
+
+    def open_manifest(self) -> Manifest:
+        """Return the manifest in force.
+
+        Raises
+        ------
+        CallEnded
+            The router drains or has no manifest yet.
+        """
+        if self._drain.started:
+            raise self._drain.refusal()
+        if self._in_force.current is None:
+            message = "the router has no manifest yet"
+            raise not_run(503, "starting", message, _STARTING_RETRY_MS)
+        return self._in_force.current
+
+    def reserve(self, team: str) -> Place:
+        """Take a place in the queues.
+
+        Raises
+        ------
+        CallEnded
+            The team or the router has no place left.
+        """
+        return self._queues.reserve(team)
+
+    async def serve(
+        self, request: CallerRequest, place: Place, sink: AnswerSink
+    ) -> None:
+        """Run `request` and pass its answer to `sink`.
+
+        Raises
+        ------
+        CallEnded
+            The request ended without an endpoint's complete answer.
+        """
+        error = self._lack_of_endpoints(request.service)
+        if error is not None:
+            raise error
+        self._write(EventKind.REQUEST_QUEUED, request)
+        with self._drain.track():
+            await self._dispatcher.serve(request, place, sink)
+
+    def abandon(self, request: CallerRequest) -> bool:
+        """End the waiting of a request whose caller is gone; False if it runs."""
+        self._write(EventKind.REQUEST_ABANDONED, request)
+        gone = not_run(499, "caller-gone", "the caller closed the connection")
+        return self._queues.withdraw(request, gone)
+
+    def note_end(
+        self,
+        request_id: str,
+        intake: Intake | None,
+        request: CallerRequest | None,
+        error: CallEnded | None,
+    ) -> None:
+        """Count and record the end of a request."""
+        outcome = error.outcome if error else Outcome.ANSWERED
+        service = request.service if request else ""
+        metrics.REQUESTS.labels(service, str(outcome)).inc()
+        kind = EventKind.REQUEST_ANSWERED
+        if error is not None:
+            kind = _EVENT_OF_OUTCOME.get(error.outcome, EventKind.REQUEST_REFUSED)
+        self._events.write(
+            kind,
+            request_id=request_id,
+            team=intake.team.name if intake else "",
+            service=service,
+            reason=error.code if error else "",
+        )
+
+    async def run(self) -> None:
+        """Run all tasks until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._watch.run())
+                group.create_task(self._dispatcher.watch_stalls())
+                group.create_task(self._sweep())
+                group.create_task(self._note_ready())
+        finally:
+            self._links.close()
+
+    async def drain(self) -> None:
+        """Finish what is in progress; see `Drain.run`."""
+        self._watch.set_leaving()
+        await self._drain.run()
+
+    async def _note_ready(self) -> None:
+        await self._in_force.wait()
+        self._events.write(EventKind.PROCESS_READY)
+
+    async def _sweep(self) -> None:
+        """End links of lost agents and requests whose service has no agent."""
+        while True:
+            await self._clock.sleep_ms(_SWEEP_MS)
+            self._links.drop_lost()
+            for service in self._queues.services():
+                error = self._lack_of_endpoints(service)
+                if error is not None:
+                    self._queues.withdraw_all(error, service)
+
+    def _lack_of_endpoints(self, service: str) -> CallEnded | None:
+        """Return the answer if no endpoint of `service` can be expected to claim.
+
+        Links take a moment after the start and after a loss, hence the grace period.
+        """
+        manifest = self._in_force.current
+        named = manifest is not None and any(
+            endpoint.service == service for endpoint in manifest.endpoints
+        )
+        grace_ms = self._settings.silence_between_regions_ms
+        if named and self._links.unusable_ms(service) <= grace_ms:
+            return None
+        message = "the service has no endpoint now"
+        return not_run(503, "no-endpoint", message, grace_ms)
+
+    def _adopt(self, manifest: Manifest) -> None:
+        self._queues.set_limits(manifest.limits)
+        self._dispatcher.budget.set_share(manifest.limits.retry_share)
+
+    def _take_rows(self, link: AgentLink, rows: Sequence[AccountRow]) -> None:
+        self._links.relay_rows(link, rows)
+
+    def _detail(self) -> StatusDetail:
+        waiting, running = self._queues.waiting, self._dispatcher.running
+        metrics.WAITING.set(waiting)
+        metrics.RUNNING.set(running)
+        return StatusDetail(
+            waiting=waiting,
+            running=running,
+            cpu_ms=cpu_ms(),
+            control_bytes=self._watch.control_bytes + self._links.control_bytes,
+        )
+
+    def _write(self, kind: EventKind, request: CallerRequest) -> None:
+        self._events.write(
+            kind,
+            request_id=request.request_id,
+            team=request.team,
+            service=request.service,
+        )
+
+
+async def run_router(settings: RouterSettings) -> None:
+    """Run the router daemon until SIGTERM or SIGINT, then drain it.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Settings of the process.
+
+    Raises
+    ------
+    SettingsError
+        If the address or the event log cannot be opened.
+    """
+    set_verbosity(settings.log_level)
+    clock = Clock()
+    identity = new_identity(settings.name, clock)
+    async with contextlib.AsyncExitStack() as stack:
+        events = open_event_log(stack, settings, identity, clock)
+        router = Router(settings, identity, clock, events)
+        server = HTTPServer(
+            caller_application(router, operational_routes(lambda: router.is_ready)),
+            max_header_size=settings.header_bytes * _HEADER_LIMIT_FACTOR,
+            max_body_size=_LARGEST_BODY_BYTES,
+            body_timeout=_BODY_TIMEOUT_S,
+            idle_connection_timeout=_IDLE_CONNECTION_S,
+        )
+        listen_http(server, settings.http_address)
+        stack.callback(server.stop)
+        events.write(EventKind.PROCESS_STARTED)
+        running = asyncio.create_task(router.run())
+        try:
+            await run_until_signal(router.drain)
+        finally:
+            running.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await running
+        await server.close_all_connections()
+        events.write(EventKind.PROCESS_STOPPED)
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/dispatch.py
@@ -0,0 +1,175 @@
+"""Claims, attempts and retries: the way of a request from its queue to its answer."""
+
+import asyncio
+from collections import OrderedDict
+
+from bulrushbend.core.errors import NotRun, OutcomeUnknown, RunFailed
+from bulrushbend.core.events import EventKind
+from bulrushbend.core.logs import part_logger
+from bulrushbend.router import metrics
+from bulrushbend.router.answers import CallEnded, failed, not_run, unknown
+from bulrushbend.router.attempt import Attempt, AttemptContext, DeadlinePassed
+from bulrushbend.router.budget import RetryBudget
+from bulrushbend.router.link import AgentLink
+from bulrushbend.router.queue import Place, WaitingQueues
+from bulrushbend.router.request import CallerRequest, Grant
+from bulrushbend.router.sinks import AnswerSink
+from bulrushbend.wire.names import AttemptState
+
+_log = part_logger("router.dispatch")
+
+# Claims that are remembered so that a repeated one is not taken for a new one.
+_REMEMBERED_CLAIMS = 10_000
+# One request that breaks endpoints must not break them one after the other.
+_MOST_RETRIES = 2
+# Checks of each running attempt within one stall deadline.
+_CHECKS_PER_STALL = 4
+
+
+class Dispatcher:
+    """Matches claims with waiting requests and runs the attempts.
+
+    Parameters
+    ----------
+    context : AttemptContext
+        What all attempts share.
+    queues : WaitingQueues
+        Requests that wait.
+    """
+
+    def __init__(self, context: AttemptContext, queues: WaitingQueues):
+        self._context = context
+        self._queues = queues
+        self._budget = RetryBudget()
+        self._claims: OrderedDict[str, None] = OrderedDict()
+        self._running: set[Attempt] = set()
+        self._clean_ups: set[asyncio.Task[None]] = set()
+
+    @property
+    def running(self) -> int:
+        """Number of attempts in progress."""
+        return len(self._running)
+
+    @property
+    def budget(self) -> RetryBudget:
+        """Budget of retries."""
+        return self._budget
+
+    def on_claim(self, link: AgentLink, attempt_id: str, team: str) -> None:
+        """Hand the claim to the oldest waiting request, or report a miss."""
+        if attempt_id in self._claims:
+            return
+        self._claims[attempt_id] = None
+        if len(self._claims) > _REMEMBERED_CLAIMS:
+            self._claims.popitem(last=False)
+        grant = Grant(attempt_id, link)
+        request = self._queues.take(link.service, team, grant, link.recent)
+        if request is None:
+            link.backlog_changed(team, False)
+            link.send_miss(attempt_id)
+        metrics.CLAIMS.labels("taken" if request else "missed").inc()
+
+    async def serve(
+        self, request: CallerRequest, place: Place, sink: AnswerSink
+    ) -> None:
+        """Queue `request`, run it and pass its answer to `sink`.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            Admitted request.
+        place : Place
+            Its place in the queues.
+        sink : AnswerSink
+            Receives the answer.
+
+        Raises
+        ------
+        CallEnded
+            The request ended without an endpoint's complete answer.
+        """
+        self._budget.earn()
+        retries = 0
+        at_head = False
+        while True:
+            grant = await self._queues.wait(request, place, at_head=at_head)
+            waited_ms = self._context.clock.now_ms() - request.queued_ms
+            metrics.WAIT_SECONDS.observe(waited_ms / 1000.0)
+            at_head = True
+            try:
+                await self._run(request, grant, sink)
+                return
+            except NotRun as error:
+                self._note_requeue(request, grant, error)
+            except (OutcomeUnknown, RunFailed) as error:
+                if sink.started or not self._may_retry(request, retries, error):
+                    raise _final(error) from None
+                retries += 1
+                metrics.RETRIES.labels(type(error).__name__).inc()
+
+    async def watch_stalls(self) -> None:
+        """Check the running attempts for stalls until cancelled."""
+        clock = self._context.clock
+        while True:
+            await clock.sleep_ms(self._context.settings.stall_ms / _CHECKS_PER_STALL)
+            for attempt in list(self._running):
+                attempt.check(clock.now_ms())
+
+    async def _run(
+        self, request: CallerRequest, grant: Grant, sink: AnswerSink
+    ) -> None:
+        attempt = Attempt(self._context, request, grant)
+        self._running.add(attempt)
+        try:
+            await attempt.run(sink)
+        except DeadlinePassed:
+            await self._end_late(attempt)
+            raise
+        except OutcomeUnknown:
+            if request.idempotent:
+                self._clean_up(attempt)
+            raise
+        except asyncio.CancelledError:
+            if request.idempotent:
+                self._clean_up(attempt)
+            raise
+        finally:
+            self._running.discard(attempt)
+
+    async def _end_late(self, attempt: Attempt) -> None:
+        state = await attempt.settle(cancel=attempt.request.idempotent)
+        if state is AttemptState.NOT_STARTED:
+            raise not_run(504, "deadline", "the deadline passed before the start")
+
+    def _clean_up(self, attempt: Attempt) -> None:
+        """Cancel an abandoned attempt at its agent without holding the caller back."""
+        task = asyncio.create_task(attempt.cancel())
+        self._clean_ups.add(task)
+        task.add_done_callback(self._clean_ups.discard)
+
+    def _may_retry(
+        self, request: CallerRequest, retries: int, error: Exception
+    ) -> bool:
+        if not request.idempotent or isinstance(error, DeadlinePassed):
+            return False
+        return retries < _MOST_RETRIES and self._budget.take()
+
+    def _note_requeue(
+        self, request: CallerRequest, grant: Grant, error: NotRun
+    ) -> None:
+        self._context.events.write(
+            EventKind.REQUEST_REQUEUED,
+            request_id=request.request_id,
+            attempt_id=grant.attempt_id,
+            team=request.team,
+            peer=grant.link.agent,
+            reason=error.message,
+        )
+
+
+def _final(error: OutcomeUnknown | RunFailed) -> CallEnded:
+    if isinstance(error, DeadlinePassed):
+        return unknown("deadline", "the deadline passed while the request ran")
+    if isinstance(error, RunFailed):
+        return failed("endpoint-failed", error.message)
+    return unknown("answer-lost", error.message)
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/drain.py
@@ -0,0 +1,89 @@
+"""Graceful shutdown of the router."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.logs import part_logger
+from bulrushbend.core.settings import RouterSettings
+from bulrushbend.router.answers import CallEnded, not_run
+from bulrushbend.router.queue import WaitingQueues
+
+_log = part_logger("router.drain")
+
+# Other routers are ready at once; the load balancer needs a moment to notice.
+_RETRY_MS = 1_000.0
+
+
+class Drain:
+    """Serves what was accepted, then ends the process.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Gives ``drain_ms``.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Receives ``process-draining``.
+    queues : WaitingQueues
+        Requests that wait.
+    """
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        clock: Clock,
+        events: EventLog,
+        queues: WaitingQueues,
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._queues = queues
+        self._started = False
+        self._in_progress = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def started(self) -> bool:
+        """Whether the router takes no new requests."""
+        return self._started
+
+    @contextlib.contextmanager
+    def track(self) -> Iterator[None]:
+        """Count a request as in progress while the context is open."""
+        self._in_progress += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
+    def refusal(self) -> CallEnded:
+        """Return the answer to a request that cannot be served any more."""
+        return not_run(503, "draining", "the router is shutting down", _RETRY_MS)
+
+    async def run(self) -> None:
+        """Refuse new requests and wait until those in progress have ended.
+
+        Requests that still wait after ``drain_ms`` are answered ``not-run``; running
+        ones are waited for without a limit.
+        """
+        self._started = True
+        self._events.write(EventKind.PROCESS_DRAINING)
+        _log.info("draining with %d requests in progress", self._in_progress)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.drain_ms / 1000.0):
+                await self._idle.wait()
+        while not self._idle.is_set():
+            # Requests may come back to the queues after a refused attempt.
+            self._queues.withdraw_all(self.refusal())
+            await self._clock.sleep_ms(20)
+        # The last answers leave with the handlers that are about to finish.
+        await self._clock.sleep_ms(50)
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/links.py
@@ -0,0 +1,115 @@
+"""The links to all agents, from the members that control reports."""
+
+import asyncio
+from collections.abc import Iterable
+
+from bulrushbend.core.logs import part_logger
+from bulrushbend.router.link import AgentLink, LinkContext
+from bulrushbend.router.relay import RowRelay
+from bulrushbend.wire.fleet_pb2 import AccountRow, Member
+
+_log = part_logger("router.links")
+
+
+class AgentLinks:
+    """One link task for each agent.
+
+    A member that control no longer reports keeps its link while the link is up: the
+    loss of control must not cut off agents that answer.
+
+    Parameters
+    ----------
+    context : LinkContext
+        What all links share.
+    """
+
+    def __init__(self, context: LinkContext):
+        self._context = context
+        self._links: dict[str, AgentLink] = {}
+        self._by_service: dict[str, dict[str, AgentLink]] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._relays: dict[str, RowRelay] = {}
+        self._last_usable_ms: dict[str, float] = {}
+        self._members: dict[str, Member] = {}
+        self._started_ms = context.clock.now_ms()
+        context.queues.listen(self._backlog_changed)
+
+    @property
+    def control_bytes(self) -> int:
+        """Bytes of messages sent and received on the present links."""
+        return sum(link.control_bytes for link in self._links.values())
+
+    def of_service(self, service: str) -> Iterable[AgentLink]:
+        """Return the links to the agents of `service`."""
+        return self._by_service.get(service, {}).values()
+
+    def unusable_ms(self, service: str) -> float:
+        """Return for how long no agent of `service` was usable, in milliseconds."""
+        now_ms = self._context.clock.now_ms()
+        if any(link.is_usable for link in self.of_service(service)):
+            self._last_usable_ms[service] = now_ms
+        return now_ms - self._last_usable_ms.get(service, self._started_ms)
+
+    def update(self, members: dict[str, Member]) -> None:
+        """Start and end links so that they match the agents in `members`."""
+        self._members = {
+            name: member
+            for name, member in members.items()
+            if member.role == "agent" and member.link_address
+        }
+        for member in self._members.values():
+            link = self._links.get(member.name)
+            if link is not None and _same_place(link.member, member):
+                continue
+            if link is not None:
+                self._end(member.name)
+            self._start(member)
+        self.drop_lost()
+
+    def drop_lost(self) -> None:
+        """End the links that are down and whose agents are no members any more."""
+        lost = self._links.keys() - self._members.keys()
+        for name in lost:
+            if not self._links[name].is_up:
+                self._end(name)
+
+    def relay_rows(self, source: AgentLink, rows: Iterable[AccountRow]) -> None:
+        """Keep rows from an agent and announce the changed ones to the others."""
+        if not self._relay(source.service).learn(rows, source.agent):
+            return
+        for link in self.of_service(source.service):
+            if link is not source:
+                link.rows_changed()
+
+    def close(self) -> None:
+        """End all links."""
+        for name in list(self._links):
+            self._end(name)
+
+    def _start(self, member: Member) -> None:
+        link = AgentLink(self._context, member, self._relay(member.service))
+        self._links[member.name] = link
+        self._by_service.setdefault(member.service, {})[member.name] = link
+        task = asyncio.create_task(link.run(), name=f"link-{member.name}")
+        self._tasks[member.name] = task
+
+    def _end(self, name: str) -> None:
+        link = self._links.pop(name)
+        del self._by_service[link.service][name]
+        self._tasks.pop(name).cancel()
+
+    def _relay(self, service: str) -> RowRelay:
+        return self._relays.setdefault(service, RowRelay(service))
+
+    def _backlog_changed(self, service: str, team: str, turned: bool) -> None:
+        for link in self.of_service(service):
+            link.backlog_changed(team, turned)
+
+
+def _same_place(known: Member, member: Member) -> bool:
+    return (
+        known.incarnation == member.incarnation
+        and known.link_address == member.link_address
+        and known.http_address == member.http_address
+        and known.service == member.service
+    )
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/queue.py
@@ -0,0 +1,261 @@
+"""Bounded queues of waiting requests, one for each service and team."""
+
+import asyncio
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.manifest import Limits
+from bulrushbend.router.affinity import RecentPrefixes, choose_request
+from bulrushbend.router.answers import CallEnded, not_run
+from bulrushbend.router.rate import ServiceRate
+from bulrushbend.router.request import CallerRequest, Grant
+
+# Called with service, team and whether the queue has just turned non-empty.
+BacklogListener = Callable[[str, str, bool], None]
+
+
+@dataclass(frozen=True)
+class Backlog:
+    """Waiting requests of one team at one service.
+
+    Attributes
+    ----------
+    waiting : int
+        Number of requests.
+    oldest_ms : float
+        Monotonic time at which the oldest was admitted, in milliseconds.
+    """
+
+    waiting: int
+    oldest_ms: float
+
+
+class Place:
+    """Right to one place in the queues, held from admission until a claim."""
+
+    def __init__(self, queues: "WaitingQueues", team: str):
+        self._queues = queues
+        self._team = team
+        self._held = True
+
+    def release(self) -> None:
+        """Give the place back; further calls do nothing."""
+        if self._held:
+            self._held = False
+            self._queues._free_place(self._team)
+
+    def hold(self) -> None:
+        """Hold the place again, beyond the bounds if need be.
+
+        A request that goes back to its queue was admitted before and is not refused.
+        """
+        if not self._held:
+            self._held = True
+            self._queues._use_place(self._team)
+
+
+class WaitingQueues:
+    """Requests that wait for a claim.
+
+    The bounds count requests from their admission, before the body is read, so the
+    memory of a flood is limited to the bounds times the largest body.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._limits = Limits()
+        self._queues: dict[tuple[str, str], OrderedDict[str, CallerRequest]] = {}
+        self._places: Counter[str] = Counter()
+        self._total_places = 0
+        self._rates: dict[str, ServiceRate] = {}
+        self._listeners: list[BacklogListener] = []
+
+    @property
+    def waiting(self) -> int:
+        """Number of places in use."""
+        return self._total_places
+
+    def set_limits(self, limits: Limits) -> None:
+        """Put new bounds in force; requests already admitted stay."""
+        self._limits = limits
+
+    def listen(self, listener: BacklogListener) -> None:
+        """Call `listener` after each change of a queue."""
+        self._listeners.append(listener)
+
+    def reserve(self, team: str) -> Place:
+        """Take a place for a request of `team`.
+
+        Raises
+        ------
+        CallEnded
+            Status 429 if the team or the router has no place left.
+        """
+        if self._places[team] >= self._limits.waiting_per_team:
+            raise self._full(
+                "team-queue-full", "too many requests of the team wait", team
+            )
+        if self._total_places >= self._limits.waiting_per_router:
+            raise self._full("router-queue-full", "too many requests wait", team)
+        self._use_place(team)
+        return Place(self, team)
+
+    async def wait(
+        self, request: CallerRequest, place: Place, *, at_head: bool
+    ) -> Grant:
+        """Queue `request` until a claim takes it.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            Admitted request.
+        place : Place
+            Its place, released by the claim.
+        at_head : bool
+            Whether the request was queued before and goes back to the head.
+
+        Raises
+        ------
+        CallEnded
+            The deadline passed or the request was withdrawn.
+        """
+        loop = asyncio.get_running_loop()
+        place.hold()
+        request.granted = loop.create_future()
+        self._insert(request, at_head)
+        remaining_ms = request.deadline_ms - self._clock.now_ms()
+        timer = loop.call_later(max(0.0, remaining_ms) / 1000.0, self._expire, request)
+        try:
+            return await request.granted
+        finally:
+            timer.cancel()
+            self._remove(request)
+            place.release()
+
+    def take(
+        self, service: str, team: str, grant: Grant, recent: RecentPrefixes
+    ) -> CallerRequest | None:
+        """Match a claim with a waiting request.
+
+        Parameters
+        ----------
+        service, team : str
+            Queue of the claim.
+        grant : Grant
+            Handed to the request that is taken.
+        recent : RecentPrefixes
+            Prefixes that the claiming agent served recently.
+
+        Returns
+        -------
+        CallerRequest or None
+            The request, None if the queue is empty.
+        """
+        queue = self._queues.get((service, team))
+        if not queue:
+            return None
+        request = choose_request(queue.values(), recent)
+        assert request is not None and request.granted is not None
+        self._remove(request)
+        request.granted.set_result(grant)
+        recent.remember(request.prefix)
+        self.rate(service).count()
+        return request
+
+    def withdraw(self, request: CallerRequest, error: CallEnded) -> bool:
+        """End the waiting of `request` with `error`; False if it does not wait."""
+        if not request.is_waiting:
+            return False
+        assert request.granted is not None
+        self._remove(request)
+        request.granted.set_exception(error)
+        return True
+
+    def withdraw_all(self, error: CallEnded, service: str | None = None) -> int:
+        """Withdraw all waiting requests, or those of one service; return the number."""
+        chosen = [
+            request
+            for (name, _), queue in self._queues.items()
+            if service is None or name == service
+            for request in queue.values()
+        ]
+        return sum(self.withdraw(request, error) for request in chosen)
+
+    def backlog(self, service: str) -> dict[str, Backlog]:
+        """Return the backlogs of a service by team; empty queues are left out."""
+        return {
+            team: self._measure(queue)
+            for (name, team), queue in self._queues.items()
+            if name == service
+        }
+
+    def team_backlog(self, service: str, team: str) -> Backlog:
+        """Return the backlog of one queue."""
+        return self._measure(self._queues.get((service, team), OrderedDict()))
+
+    def services(self) -> set[str]:
+        """Return the services at which requests wait."""
+        return {service for service, _ in self._queues}
+
+    def rate(self, service: str) -> ServiceRate:
+        """Return the rate meter of a service."""
+        return self._rates.setdefault(service, ServiceRate(self._clock))
+
+    def retry_after_ms(self, service: str, team: str) -> float:
+        """Return when a caller should come back, from the backlog and the rate."""
+        waiting = len(self._queues.get((service, team), ()))
+        return self.rate(service).retry_after_ms(waiting)
+
+    def _full(self, code: str, message: str, team: str) -> CallEnded:
+        services = {service for service, name in self._queues if name == team}
+        delays = [self.retry_after_ms(service, team) for service in services]
+        return not_run(429, code, message, max(delays, default=1000.0))
+
+    def _measure(self, queue: OrderedDict[str, CallerRequest]) -> Backlog:
+        if not queue:
+            return Backlog(0, 0.0)
+        return Backlog(len(queue), next(iter(queue.values())).queued_ms)
+
+    def _insert(self, request: CallerRequest, at_head: bool) -> None:
+        name = (request.service, request.team)
+        queue = self._queues.setdefault(name, OrderedDict())
+        turned = not queue
+        queue[request.request_id] = request
+        if at_head:
+            queue.move_to_end(request.request_id, last=False)
+        self._notify(request, turned)
+
+    def _remove(self, request: CallerRequest) -> None:
+        name = (request.service, request.team)
+        queue = self._queues.get(name)
+        if queue is None or queue.pop(request.request_id, None) is None:
+            return
+        if not queue:
+            del self._queues[name]
+        self._notify(request, False)
+
+    def _notify(self, request: CallerRequest, turned: bool) -> None:
+        for listener in self._listeners:
+            listener(request.service, request.team, turned)
+
+    def _expire(self, request: CallerRequest) -> None:
+        delay_ms = self.retry_after_ms(request.service, request.team)
+        message = "the deadline passed while the request waited"
+        self.withdraw(request, not_run(504, "deadline", message, delay_ms))
+
+    def _use_place(self, team: str) -> None:
+        self._total_places += 1
+        self._places[team] += 1
+
+    def _free_place(self, team: str) -> None:
+        self._total_places -= 1
+        self._places[team] -= 1
+        if not self._places[team]:
+            del self._places[team]
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/rate.py
@@ -0,0 +1,58 @@
+"""Rate at which requests of a service are taken from the queues."""
+
+import math
+
+from bulrushbend.core.clock import Clock
+
+# Long enough to average over long model answers, short enough to follow a failover.
+_MEMORY_MS = 20_000.0
+_SHORTEST_RETRY_MS = 1_000.0
+_LONGEST_RETRY_MS = 60_000.0
+
+
+class ServiceRate:
+    """Exponentially weighted number of requests taken per millisecond.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._weight = 0.0
+        self._updated_ms = clock.now_ms()
+
+    def count(self) -> None:
+        """Count one request that was taken from a queue."""
+        self._decay()
+        self._weight += 1.0
+
+    def per_ms(self) -> float:
+        """Return the recent rate in requests per millisecond."""
+        self._decay()
+        return self._weight / _MEMORY_MS
+
+    def retry_after_ms(self, waiting: int) -> float:
+        """Return when a caller should come back behind `waiting` requests.
+
+        Parameters
+        ----------
+        waiting : int
+            Number of requests that wait.
+
+        Returns
+        -------
+        float
+            Milliseconds from 1,000 to 60,000.
+        """
+        rate = self.per_ms()
+        if rate <= 0.0:
+            return _LONGEST_RETRY_MS if waiting else _SHORTEST_RETRY_MS
+        return min(_LONGEST_RETRY_MS, max(_SHORTEST_RETRY_MS, waiting / rate))
+
+    def _decay(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._weight *= math.exp((self._updated_ms - now_ms) / _MEMORY_MS)
+        self._updated_ms = now_ms
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -23,6 +23,7 @@
 
 from bulrushbend.core.errors import (
     ConnectFailed,
+    PeerError,
     PeerSilent,
     ProtocolFault,
     TruncatedAnswer,
@@ -95,6 +96,7 @@
         self._timeouts = timeouts
         self._collector = _Collector()
         self._reader: asyncio.Task[None] | None = None
+        self._failure: PeerError | None = None
         self._status = 0
         self._headers = HTTPHeaders()
 
@@ -139,15 +141,75 @@
         ProtocolFault
             The answer is not HTTP.
         """
+        exchange = await cls.connect(address, timeouts)
+        await exchange.send(request)
+        return exchange
+
+    @classmethod
+    async def connect(cls, address: str, timeouts: ExchangeTimeouts) -> "Exchange":
+        """Make the connection only; `send` follows.
+
+        Splitting the two steps lets another task `interrupt` an exchange that waits
+        for the headers of its answer.
+
+        Parameters
+        ----------
+        address : str
+            ``"host:port"`` of the peer.
+        timeouts : ExchangeTimeouts
+            Deadlines in milliseconds.
+
+        Raises
+        ------
+        ConnectFailed
+            No connection was made; nothing was sent.
+        """
         stream = await _connect(address, timeouts.connect_ms)
-        exchange = cls(stream, address, timeouts)
+        return cls(stream, address, timeouts)
+
+    async def send(self, request: ExchangeRequest) -> None:
+        """Send `request` and wait for the headers of the answer.
+
+        Parameters
+        ----------
+        request : ExchangeRequest
+            What to send.
+
+        Raises
+        ------
+        PeerSilent
+            No headers arrived in time.
+        TruncatedAnswer
+            The connection ended before the headers.
+        ProtocolFault
+            The answer is not HTTP.
+        """
         try:
-            await exchange._send(request)
-            await exchange._receive_headers()
+            await self._send(request)
+            await self._receive_headers()
         except BaseException:
-            exchange.close()
+            self.close()
             raise
-        return exchange
+
+    def interrupt(self, error: PeerError) -> None:
+        """Close the connection and raise `error` in the task that reads the answer.
+
+        Pieces that arrived but were not read are dropped.
+
+        Parameters
+        ----------
+        error : PeerError
+            Why the exchange is given up.
+        """
+        self._failure = error
+        if not self._collector.start.done():
+            self._collector.start.set_exception(error)
+            self._collector.start.exception()
+        self.close()
+        pieces = self._collector.pieces
+        while not pieces.empty():
+            pieces.get_nowait()
+        pieces.put_nowait(None)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the pieces of the body; returning means that it is complete.
@@ -171,6 +233,8 @@
             if piece is None:
                 break
             yield piece
+        if self._failure is not None:
+            raise self._failure
         if not self._collector.complete:
             raise TruncatedAnswer(
                 "connection ended before the body was complete",
