Test the store against failures of disks, network and replicas

The tests run three replicas on disk in one process behind a network that cuts replicas off and loses answers, and a disk that fails syncs, fills up and loses power.

--- /dev/null
+++ b/libs/store/tests/store_builders.py
@@ -0,0 +1,277 @@
+"""Replicas in one process behind a network and disks that can fail."""
+
+import asyncio
+import contextlib
+import errno
+import os
+import pathlib
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import PeerError, PeerSilent
+from bulrushbend.core.events import MemoryEventLog
+from bulrushbend.core.manifest import parse_manifest
+from bulrushbend.store.configuration import Configuration, Node
+from bulrushbend.store.files import DiskFiles
+from bulrushbend.store.options import ReplicaOptions
+from bulrushbend.store.replica import Replica
+from bulrushbend.store.service import ConsensusService
+from bulrushbend.store.stores import open_stores
+from bulrushbend.store.vote import FOUNDING_DISK
+from bulrushbend.wire.control_pb2 import Command
+from bulrushbend.wire.documents import pack_manifest
+from bulrushbend.wire.fleet_pb2 import KeyReply, KeyRequest, PublishReply
+
+NAMES = ("c1", "c2", "c3")
+ELECTION_MS = 150
+WRITE_MS = 3000
+
+
+class FaultyFiles(DiskFiles):
+    """Disk that fails when told to and knows what survives a loss of power."""
+
+    def __init__(self):
+        self.sync_fails = False
+        self.free_bytes = None
+        self.has_power = True
+        self._synced = {}
+
+    def write(self, file, data):
+        self._require_power()
+        if self.free_bytes is not None and len(data) > self.free_bytes:
+            super().write(file, data[: self.free_bytes])
+            raise OSError(errno.ENOSPC, "No space left on device")
+        super().write(file, data)
+
+    def create(self, path):
+        self._require_power()
+        self._synced[path] = 0
+        return super().create(path)
+
+    def truncate(self, file, length):
+        self._require_power()
+        super().truncate(file, length)
+
+    def sync(self, file):
+        self._require_power()
+        if self.sync_fails:
+            raise OSError(errno.EIO, "Input/output error")
+        super().sync(file)
+        path = pathlib.Path(file.name)
+        self._synced[path] = path.stat().st_size
+
+    def rename(self, source, target):
+        self._require_power()
+        super().rename(source, target)
+        self._synced[target] = self._synced.pop(source)
+
+    def lose_power(self):
+        """Fail every operation from now on."""
+        self.has_power = False
+
+    def return_power(self, torn_bytes):
+        """Work again; keep `torn_bytes` of what was written but not synced."""
+        for path, length in self._synced.items():
+            if path.exists() and path.stat().st_size > length + torn_bytes:
+                os.truncate(path, length + torn_bytes)
+        self.has_power = True
+
+    def _require_power(self):
+        if not self.has_power:
+            raise OSError(errno.EIO, "no power")
+
+
+class Network:
+    """Carries calls between replicas and cuts them off from each other."""
+
+    def __init__(self):
+        self.services = {}
+        self._cut = set()
+        self._lost_answers = set()
+
+    def cut(self, name):
+        """Let no message from or to `name` arrive."""
+        self._cut.add(name)
+
+    def lose_answers(self, method):
+        """Carry out calls of `method` but lose their answers."""
+        self._lost_answers.add(method)
+
+    def heal(self):
+        self._cut.clear()
+        self._lost_answers.clear()
+
+    async def call(self, source, peer, method, request, timeout_ms):
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                if {source, peer.name} & self._cut:
+                    await asyncio.sleep(timeout_ms)
+                stream = _Stream(type(request).FromString(request.SerializeToString()))
+                await self._service(peer, method, stream)
+                if {source, peer.name} & self._cut or method in self._lost_answers:
+                    await asyncio.sleep(timeout_ms)
+                return stream.answer
+        except TimeoutError:
+            raise PeerSilent("no answer", step=method, peer=peer.name) from None
+
+    async def _service(self, peer, method, stream):
+        service = self.services.get(peer.name)
+        if service is None:
+            raise PeerError("connection refused", step=method, peer=peer.name)
+        try:
+            await getattr(service, method)(stream)
+        except Exception as error:
+            raise PeerError(str(error), step=method, peer=peer.name) from None
+
+
+class _Stream:
+    def __init__(self, request):
+        self._request = request
+        self.answer = None
+
+    async def recv_message(self):
+        return self._request
+
+    async def send_message(self, answer):
+        self.answer = answer
+
+
+class _Transport:
+    def __init__(self, network, source):
+        self._network = network
+        self._source = source
+
+    async def call(self, peer, method, request, timeout_ms):
+        return await self._network.call(self._source, peer, method, request, timeout_ms)
+
+    def close(self):
+        pass
+
+
+class _Service(ConsensusService):
+    """Adds the one method of `Fleet` that replicas call."""
+
+    async def ChangeVoters(self, stream):  # noqa: N802
+        request = await stream.recv_message()
+        await stream.send_message(await self._replica.change_voters(request))
+
+
+class Cluster:
+    """Replicas with data folders under `folder`."""
+
+    def __init__(self, folder, names=NAMES, **options):
+        self.folder = folder
+        self.names = names
+        self.network = Network()
+        self.replicas = {}
+        self.files = {}
+        self.events = {}
+        self._options = options
+        self._stacks = {}
+        self._founding = Configuration(
+            tuple(Node(name, address(name), FOUNDING_DISK) for name in names)
+        )
+
+    @property
+    def leader(self):
+        leaders = [r for r in self.replicas.values() if r.is_leader]
+        return max(leaders, key=lambda r: r.status().term, default=None)
+
+    @property
+    def leader_name(self):
+        return next((n for n, r in self.replicas.items() if r is self.leader), "")
+
+    def others(self, name):
+        return [other for other in self.replicas if other != name]
+
+    def start(self, name, bootstrap=True):
+        files = self.files.setdefault(name, FaultyFiles())
+        stack = contextlib.ExitStack()
+        stores = open_stores(self.folder / name, stack, files)
+        options = ReplicaOptions(
+            name=name,
+            founding=self._founding,
+            bootstrap=bootstrap,
+            election_timeout_ms=ELECTION_MS,
+            append_interval_ms=30,
+            **self._options,
+        )
+        events = self.events.setdefault(name, MemoryEventLog())
+        transport = _Transport(self.network, name)
+        replica = Replica(options, stores, transport, Clock(), events)
+        self.network.services[name] = _Service(replica)
+        self.replicas[name] = replica
+        self._stacks[name] = stack
+        replica.start()
+        return replica
+
+    async def stop(self, name):
+        del self.network.services[name]
+        await self.replicas.pop(name).stop()
+        self._stacks.pop(name).close()
+
+    async def lose_power(self, name, torn_bytes):
+        self.files[name].lose_power()
+        await self.stop(name)
+        self.files[name].return_power(torn_bytes)
+
+    async def wipe(self, name):
+        await self.stop(name)
+        for path in (self.folder / name).iterdir():
+            path.unlink()
+
+    async def __aenter__(self):
+        for name in self.names:
+            self.start(name)
+        await self.wait_for_leader()
+        return self
+
+    async def __aexit__(self, *_):
+        for name in list(self.replicas):
+            await self.stop(name)
+
+    async def wait_for_leader(self):
+        await wait_until(lambda: self.leader is not None)
+        return self.leader
+
+    def digest(self, name):
+        manifest = self.replicas[name].state.manifest
+        return manifest.digest if manifest is not None else ""
+
+    async def publish(self, name, version, team="crew-a", timeout_ms=WRITE_MS):
+        """Publish through the replica `name` and return the reply."""
+        command = put_manifest(version, team)
+        result = await self.replicas[name].propose(command, timeout_ms)
+        return PublishReply.FromString(result)
+
+
+def address(name):
+    return f"{name}.invalid:1"
+
+
+async def wait_until(condition, timeout_s=8.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def put_manifest(version, team="crew-a"):
+    text = f'version = {version}\n[[teams]]\nname = "{team}"\n'
+    manifest = parse_manifest(text + f'token_sha256 = "{"0" * 64}"')
+    return Command(put_manifest=pack_manifest(manifest))
+
+
+def key_request(key="k1", request_id="req-1", owner="r1", **fields):
+    return KeyRequest(
+        team="crew-a",
+        service="rota-app",
+        key=key,
+        body_digest=fields.pop("body_digest", "digest-1"),
+        owner=owner,
+        owner_incarnation=fields.pop("incarnation", 1),
+        request_id=request_id,
+        **fields,
+    )
+
+
+def key_result(result):
+    return KeyReply.Result.Name(KeyReply.FromString(result).result)
--- /dev/null
+++ b/libs/store/tests/test_disklog.py
@@ -0,0 +1,127 @@
+import errno
+
+import pytest
+from store_builders import FaultyFiles
+
+from bulrushbend.core.errors import CorruptLog, StoreFailed
+from bulrushbend.store.disklog import DiskLogStore
+from bulrushbend.store.log import MemoryLogStore
+from bulrushbend.store.records import Entry, Position
+
+
+@pytest.fixture(params=["disk", "memory"])
+def log(request, tmp_path):
+    store = MemoryLogStore()
+    if request.param == "disk":
+        store = DiskLogStore(tmp_path / "log")
+    yield store
+    store.close()
+
+
+def entries(first, last, term=1):
+    return [Entry(i, term, b"command-%d" % i) for i in range(first, last + 1)]
+
+
+def reopened(path):
+    store = DiskLogStore(path)
+    store.close()
+    return store
+
+
+def test_truncate_and_compact_keep_the_right_entries(log):
+    log.append(entries(1, 10))
+    log.truncate_after(8)
+    log.append(entries(9, 9, term=2))
+    log.compact(Position(4, 1))
+    assert [e.index for e in log.entries(5)] == [5, 6, 7, 8, 9]
+    assert (log.base, log.last) == (Position(4, 1), Position(9, 2))
+    assert log.term_at(4) == 1
+    assert log.term_at(3) is None
+    assert log.command_bytes == sum(len(e.command) for e in log.entries(5))
+    assert len(log.entries(5, limit_bytes=1)) == 1
+
+
+def test_compact_with_another_history_drops_all_entries(log):
+    log.append(entries(1, 10))
+    log.compact(Position(5, 2))
+    assert log.last == Position(5, 2)
+
+
+def test_entry_in_the_wrong_place_is_refused(log):
+    with pytest.raises(ValueError, match="entry 2 in the place of 1"):
+        log.append(entries(2, 2))
+
+
+def test_content_survives_reopening(tmp_path):
+    store = DiskLogStore(tmp_path / "log")
+    store.append(entries(1, 5))
+    store.compact(Position(2, 1))
+    store.append(entries(6, 7))
+    store.truncate_after(6)
+    store.close()
+    again = reopened(tmp_path / "log")
+    assert again.entries(3) == entries(3, 6)
+    assert again.base == Position(2, 1)
+    assert again.command_bytes == store.command_bytes
+
+
+def test_torn_last_record_is_cut_off_and_can_be_overwritten(tmp_path):
+    path = tmp_path / "log"
+    store = DiskLogStore(path)
+    store.append(entries(1, 3))
+    store.append(entries(4, 4))
+    store.close()
+    path.write_bytes(path.read_bytes()[:-3])
+    store = DiskLogStore(path)
+    assert store.repaired_bytes > 0
+    assert store.last.index == 3
+    store.append(entries(4, 5))
+    store.close()
+    assert reopened(path).last.index == 5
+
+
+def test_flipped_bit_before_the_end_refuses_the_log(tmp_path):
+    path = tmp_path / "log"
+    store = DiskLogStore(path)
+    for index in range(1, 4):
+        store.append(entries(index, index))
+    store.close()
+    content = bytearray(path.read_bytes())
+    content[60] ^= 4
+    path.write_bytes(content)
+    with pytest.raises(CorruptLog, match="entry 1 is damaged"):
+        DiskLogStore(path)
+
+
+@pytest.mark.parametrize(
+    ("fault", "value", "reason"),
+    [("sync_fails", True, "Input/output"), ("free_bytes", 10, "No space left")],
+)
+def test_store_is_refused_after_a_failed_write(tmp_path, fault, value, reason):
+    """A retry after a failed sync may report success without the data."""
+    files = FaultyFiles()
+    store = DiskLogStore(tmp_path / "log", files)
+    store.append(entries(1, 1))
+    healthy = getattr(files, fault)
+    setattr(files, fault, value)
+    with pytest.raises(StoreFailed, match=reason):
+        store.append(entries(2, 2))
+    setattr(files, fault, healthy)
+    with pytest.raises(StoreFailed, match="earlier operation failed"):
+        store.append(entries(2, 2))
+    store.close()
+    again = DiskLogStore(tmp_path / "log")
+    assert again.entries(1)[:1] == entries(1, 1)
+    again.close()
+
+
+def test_failed_compaction_keeps_the_old_file(tmp_path):
+    files = FaultyFiles()
+    store = DiskLogStore(tmp_path / "log", files)
+    store.append(entries(1, 5))
+    files.free_bytes = 10
+    with pytest.raises(StoreFailed) as caught:
+        store.compact(Position(3, 1))
+    assert caught.value.__cause__.errno == errno.ENOSPC
+    store.close()
+    assert reopened(tmp_path / "log").entries(1) == entries(1, 5)
--- /dev/null
+++ b/libs/store/tests/test_replica.py
@@ -0,0 +1,238 @@
+"""Failures that the replicas must survive, each with real replicas on disk."""
+
+import asyncio
+
+import pytest
+from store_builders import (
+    ELECTION_MS,
+    Cluster,
+    address,
+    key_request,
+    key_result,
+    put_manifest,
+    wait_until,
+)
+
+from bulrushbend.core.errors import NoQuorum
+from bulrushbend.wire.control_pb2 import Command
+from bulrushbend.wire.fleet_pb2 import PublishReply, VotersRequest
+
+
+async def change(cluster, kind, name):
+    reply = await cluster.leader.change_voters(
+        VotersRequest(change=kind, name=name, address=address(name))
+    )
+    assert reply.accepted, reply.message
+
+
+async def test_racing_operators_get_one_winner(tmp_path):
+    """Two contents under one version must not both be accepted."""
+    async with Cluster(tmp_path) as cluster:
+        for version in range(1, 6):
+            replies = await asyncio.gather(
+                *(cluster.publish(n, version, f"crew-{n}") for n in cluster.names)
+            )
+            results = sorted(reply.result for reply in replies)
+            assert results == [1, 2, 2]
+            assert len({reply.digest for reply in replies}) == 1
+            await wait_until(
+                lambda winner=replies[0].digest: (
+                    {cluster.digest(name) for name in cluster.names} == {winner}
+                )
+            )
+
+
+async def test_publish_resent_after_a_lost_answer_is_accepted_again(tmp_path):
+    """An operator who resends must not be told of a conflict with himself."""
+    async with Cluster(tmp_path) as cluster:
+        follower = cluster.others(cluster.leader_name)[0]
+        cluster.network.lose_answers("Forward")
+        with pytest.raises(NoQuorum):
+            await cluster.publish(follower, 1, timeout_ms=300)
+        assert cluster.leader.state.manifest_version == 1
+        cluster.network.heal()
+        assert (await cluster.publish(follower, 1)).result == PublishReply.ACCEPTED
+        stale = await cluster.publish(follower, 2)
+        assert stale.result == PublishReply.ACCEPTED
+        assert (await cluster.publish(follower, 1)).result == PublishReply.STALE
+
+
+async def test_leader_without_majority_steps_down_and_accepts_nothing(tmp_path):
+    """An isolated leader must not accept what the others do not know."""
+    async with Cluster(tmp_path) as cluster:
+        old = cluster.leader_name
+        await cluster.publish(old, 1)
+        cluster.network.cut(old)
+        with pytest.raises(NoQuorum):
+            await cluster.publish(old, 2, "isolated", timeout_ms=ELECTION_MS)
+        await wait_until(lambda: not cluster.replicas[old].is_leader)
+        await wait_until(lambda: cluster.leader_name not in ("", old))
+        reply = await cluster.publish(cluster.leader_name, 2, "majority")
+        assert reply.result == PublishReply.ACCEPTED
+        cluster.network.heal()
+        state = cluster.replicas[old].state
+        await wait_until(lambda: state.manifest_version == 2)
+        assert state.manifest.digest == reply.digest
+        kinds = [record["kind"] for record in cluster.events[old].records]
+        assert "leader-stepped-down" in kinds
+
+
+async def test_isolated_replica_does_not_confirm_reads(tmp_path):
+    """An empty process must not get an older manifest as a confirmed one."""
+    async with Cluster(tmp_path) as cluster:
+        for name in (cluster.others(cluster.leader_name)[0], cluster.leader_name):
+            cluster.network.cut(name)
+            with pytest.raises(NoQuorum):
+                await cluster.replicas[name].read_index(ELECTION_MS * 0.6)
+            cluster.network.heal()
+            await cluster.replicas[name].read_index(3000)
+
+
+async def test_confirmed_read_holds_the_newest_accepted_write(tmp_path):
+    """A confirmed read at a follower must not miss a write accepted before it."""
+    async with Cluster(tmp_path) as cluster:
+        follower = cluster.others(cluster.leader_name)[0]
+        for version in range(1, 20):
+            await cluster.publish(cluster.leader_name, version)
+            await cluster.replicas[follower].read_index(1000)
+            assert cluster.replicas[follower].state.manifest_version == version
+
+
+async def test_wiped_replica_has_no_vote_until_promoted(tmp_path):
+    """A lost disk must not turn an accepted write into a lost one.
+
+    c1 and the wiped c2 hold version 1, c3 does not. If the empty c2 voted, c3 could
+    lead without version 1.
+    """
+    async with Cluster(tmp_path) as cluster:
+        first = cluster.leader_name
+        wiped, behind = cluster.others(first)
+        await cluster.stop(behind)
+        await cluster.publish(first, 1)
+        await cluster.stop(first)
+        await cluster.wipe(wiped)
+        cluster.start(behind)
+        cluster.start(wiped, bootstrap=True)
+        await asyncio.sleep(ELECTION_MS * 6 / 1000)
+        assert cluster.leader is None
+        cluster.start(first)
+        await cluster.wait_for_leader()
+        assert not cluster.replicas[wiped].may_vote
+        await cluster.leader.read_index(3000)
+        assert cluster.leader.state.manifest_version == 1
+
+
+async def test_second_loss_right_after_a_repair_loses_nothing(tmp_path):
+    """After the repair of one replica, any other one may be lost."""
+    async with Cluster(tmp_path, snapshot_entries=10) as cluster:
+        for version in range(1, 31):
+            await cluster.publish(cluster.leader_name, version)
+        wiped = cluster.others(cluster.leader_name)[0]
+        await cluster.wipe(wiped)
+        await cluster.publish(cluster.leader_name, 31)
+        cluster.start(wiped, bootstrap=False)
+        await change(cluster, VotersRequest.REMOVE, wiped)
+        await change(cluster, VotersRequest.ADD_LEARNER, wiped)
+        assert not cluster.replicas[wiped].may_vote
+        await change(cluster, VotersRequest.PROMOTE, wiped)
+        await cluster.publish(cluster.leader_name, 32)
+        lost = cluster.leader_name
+        await cluster.wipe(lost)
+        await wait_until(lambda: cluster.leader is not None)
+        assert cluster.replicas[wiped].may_vote
+        await cluster.leader.read_index(3000)
+        assert cluster.leader.state.manifest_version == 32
+        reply = await cluster.publish(wiped, 33)
+        assert reply.result == PublishReply.ACCEPTED
+
+
+async def test_restart_after_500_versions_gets_the_newest_only(tmp_path):
+    """A replica that missed much must not replay the history."""
+    async with Cluster(tmp_path, snapshot_entries=50) as cluster:
+        behind = cluster.others(cluster.leader_name)[0]
+        await cluster.stop(behind)
+        leader = cluster.leader
+        for version in range(1, 501):
+            await leader.propose(put_manifest(version), 3000)
+        seen = []
+        replica = cluster.start(behind)
+        replica.listen(lambda applied: seen.append(replica.state.manifest_version))
+        await wait_until(lambda: replica.state.manifest_version == 500)
+        assert seen[0] >= 450
+        assert len(seen) <= 50
+
+
+async def test_store_failure_ends_leading_and_voting(tmp_path):
+    """After a failed sync the leader must not go on or vote."""
+    async with Cluster(tmp_path) as cluster:
+        failed = cluster.leader_name
+        await cluster.publish(failed, 1)
+        cluster.files[failed].sync_fails = True
+        survivor = cluster.others(failed)[0]
+        await cluster.publish(survivor, 2)
+        cluster.files[failed].sync_fails = False
+        replica = cluster.replicas[failed]
+        assert replica.has_failed
+        assert not replica.may_vote
+        assert cluster.leader_name != failed
+        kinds = [record["kind"] for record in cluster.events[failed].records]
+        assert kinds[-2:] == ["leader-stepped-down", "store-failed"]
+        await cluster.stop(failed)
+        cluster.start(failed)
+        await wait_until(lambda: cluster.replicas[failed].state.manifest_version == 2)
+
+
+async def test_full_disk_of_a_follower_does_not_count_for_the_majority(tmp_path):
+    """With one replica stopped, a full disk on another must stop all writes."""
+    async with Cluster(tmp_path) as cluster:
+        full, stopped = cluster.others(cluster.leader_name)
+        await cluster.publish(cluster.leader_name, 1)
+        await cluster.stop(stopped)
+        cluster.files[full].free_bytes = 20
+        with pytest.raises(NoQuorum):
+            await cluster.publish(cluster.leader_name, 2, timeout_ms=500)
+        assert cluster.replicas[full].has_failed
+        assert cluster.replicas[full].state.manifest_version == 1
+
+
+async def test_second_voter_change_waits_for_the_first(tmp_path):
+    """Two overlapping changes could produce two disjoint majorities."""
+    async with Cluster(tmp_path) as cluster:
+        leader = cluster.leader
+        first, second = cluster.others(cluster.leader_name)
+        requests = [
+            VotersRequest(change=VotersRequest.REMOVE, name=name)
+            for name in (first, second)
+        ]
+        for name in (first, second):
+            cluster.network.cut(name)
+        replies = await asyncio.gather(*map(leader.change_voters, requests))
+        assert not any(reply.accepted for reply in replies)
+
+
+async def test_power_loss_of_all_replicas_loses_nothing_accepted(tmp_path):
+    """What was accepted must be on the disks, not in their caches."""
+    async with Cluster(tmp_path) as cluster:
+        for version in range(1, 6):
+            await cluster.publish(cluster.leader_name, version)
+        for name in cluster.names:
+            await cluster.lose_power(name, torn_bytes=30)
+        for name in cluster.names:
+            cluster.start(name)
+        await cluster.wait_for_leader()
+        await cluster.leader.read_index(3000)
+        assert cluster.leader.state.manifest_version == 5
+
+
+async def test_key_survives_the_loss_of_its_leader(tmp_path):
+    """A key that was recorded must not be recorded again for another request."""
+    async with Cluster(tmp_path) as cluster:
+        old = cluster.leader_name
+        command = Command(record_key=key_request())
+        survivor = cluster.others(old)[0]
+        result = await cluster.replicas[survivor].propose(command, 3000)
+        assert key_result(result) == "RECORDED"
+        await cluster.stop(old)
+        again = Command(record_key=key_request(request_id="req-2", owner="r2"))
+        result = await cluster.replicas[survivor].propose(again, 5000)
+        assert key_result(result) == "RUNNING"
--- /dev/null
+++ b/libs/store/tests/test_stores.py
@@ -0,0 +1,77 @@
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushbend.core.errors import CorruptLog, StoreFailed
+from bulrushbend.store.records import Entry, Position
+from bulrushbend.store.snapshots import (
+    DiskSnapshotStore,
+    Snapshot,
+    decode_snapshot,
+    encode_snapshot,
+)
+from bulrushbend.store.stores import open_stores
+from bulrushbend.store.vote import DiskVoteStore, Vote, decode_vote, encode_vote
+
+
+@given(st.binary(max_size=100))
+def test_arbitrary_bytes_raise_nothing_but_corrupt_log(data):
+    for decode in (decode_vote, decode_snapshot):
+        with contextlib.suppress(CorruptLog):
+            decode(data)
+
+
+@given(st.data())
+def test_flipped_bit_is_found(data):
+    vote = encode_vote(Vote(3, "c1", "founding"))
+    snapshot = encode_snapshot(Snapshot(Position(5, 2), b"state"))
+    for content, decode in ((vote[:-1], decode_vote), (snapshot, decode_snapshot)):
+        damaged = bytearray(content)
+        bit = data.draw(st.integers(0, len(damaged) * 8 - 1))
+        damaged[bit // 8] ^= 1 << bit % 8
+        with contextlib.suppress(CorruptLog):
+            assert decode(bytes(damaged)) == decode(content)
+
+
+def test_vote_and_snapshot_survive_reopening(tmp_path):
+    vote = Vote(3, "c1", "founding")
+    DiskVoteStore(tmp_path / "vote").save(vote)
+    assert DiskVoteStore(tmp_path / "vote").vote == vote
+    snapshot = Snapshot(Position(5, 2), b"state")
+    DiskSnapshotStore(tmp_path / "snapshot").save(snapshot)
+    assert DiskSnapshotStore(tmp_path / "snapshot").latest == snapshot
+
+
+def test_folder_in_use_is_refused(tmp_path):
+    """Two processes on one folder would both vote with it."""
+    with contextlib.ExitStack() as stack:
+        open_stores(tmp_path, stack)
+        with pytest.raises(StoreFailed, match="another process"):
+            open_stores(tmp_path, stack)
+
+
+def test_half_installed_snapshot_is_finished_on_opening(tmp_path):
+    """The process may end after the snapshot was saved and before the log was cut."""
+    with contextlib.ExitStack() as stack:
+        stores = open_stores(tmp_path, stack)
+        stores.votes.save(Vote(1, "", "founding"))
+        stores.log.append([Entry(1, 1, b"a"), Entry(2, 1, b"b")])
+        stores.snapshots.save(Snapshot(Position(9, 3), b"state"))
+    with contextlib.ExitStack() as stack:
+        assert open_stores(tmp_path, stack).log.last == Position(9, 3)
+
+
+@pytest.mark.parametrize("missing", ["log", "vote", "snapshot"])
+def test_folder_with_a_lost_file_is_refused(tmp_path, missing):
+    """A replica that forgot its vote or its entries must not take part."""
+    with contextlib.ExitStack() as stack:
+        stores = open_stores(tmp_path, stack)
+        stores.votes.save(Vote(1, "", "founding"))
+        stores.log.append([Entry(1, 1, b"a"), Entry(2, 1, b"b")])
+        stores.snapshots.save(Snapshot(Position(1, 1), b"state"))
+        stores.log.compact(Position(1, 1))
+    (tmp_path / missing).unlink()
+    with contextlib.ExitStack() as stack, pytest.raises(CorruptLog):
+        open_stores(tmp_path, stack)
