--- a/libs/store/tests/test_disklog.py
+++ b/libs/store/tests/test_disklog.py
@@ -75,6 +75,7 @@
     store = DiskLogStore(path)
     assert store.repaired_bytes > 0
     assert store.last.index == 3
+    assert path.stat().st_size == store.file_bytes
     store.append(entries(4, 5))
     store.close()
     assert reopened(path).last.index == 5
--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -14,6 +14,7 @@
 )
 
 from bulrushbend.core.errors import NoQuorum
+from bulrushbend.store.records import decode_log
 from bulrushbend.wire.control_pb2 import Command
 from bulrushbend.wire.fleet_pb2 import PublishReply, VotersRequest
 
@@ -198,16 +199,21 @@
 async def test_second_voter_change_waits_for_the_first(tmp_path):
     """Two overlapping changes could produce two disjoint majorities."""
     async with Cluster(tmp_path) as cluster:
-        leader = cluster.leader
-        first, second = cluster.others(cluster.leader_name)
-        requests = [
-            VotersRequest(change=VotersRequest.REMOVE, name=name)
-            for name in (first, second)
-        ]
-        for name in (first, second):
-            cluster.network.cut(name)
+        name, leader = cluster.leader_name, cluster.leader
+        await leader.read_index(3000)
+        requests = []
+        for other in cluster.others(name):
+            cluster.network.cut(other)
+            requests.append(VotersRequest(change=VotersRequest.REMOVE, name=other))
         replies = await asyncio.gather(*map(leader.change_voters, requests))
         assert not any(reply.accepted for reply in replies)
+        assert len(voter_entries(tmp_path / name / "log")) == 2
+
+
+def voter_entries(path):
+    decoded = decode_log(path.read_bytes())
+    commands = [Command.FromString(entry.command) for entry in decoded.entries]
+    return [c for c in commands if c.WhichOneof("kind") == "set_voters"]
 
 
 async def test_power_loss_of_all_replicas_loses_nothing_accepted(tmp_path):
