--- a/libs/cli/src/bulrushbend/cli/__init__.py
+++ b/libs/cli/src/bulrushbend/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Command line."""
+"""Command line: thin commands over functions that scripts may call too."""
--- /dev/null
+++ b/libs/cli/src/bulrushbend/cli/calls.py
@@ -0,0 +1,64 @@
+"""Calls of the operators' commands to control replicas."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from bulrushbend.core.settings import split_address
+from bulrushbend.wire.fleet_grpc import FleetStub
+
+CALL_ERRORS = (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError)
+
+
+@dataclass(frozen=True)
+class CallFailure:
+    """A call that gave no answer.
+
+    Attributes
+    ----------
+    address : str
+        Replica called.
+    reason : str
+        Short text for the operator.
+    maybe_sent : bool
+        Whether the replica may have received the request.
+    """
+
+    address: str
+    reason: str
+    maybe_sent: bool
+
+
+async def call_replica(
+    address: str, method: str, request: Any, timeout_ms: float
+) -> Any | CallFailure:
+    """Call one method of the `Fleet` service and return the reply or the failure.
+
+    Parameters
+    ----------
+    address : str
+        ``"host:port"`` of the gRPC server of the replica.
+    method : str
+        Name of a unary method.
+    request : message
+        Request message.
+    timeout_ms : float
+        Deadline in milliseconds, the connection included.
+    """
+    host, port = split_address(address)
+    channel = Channel(host, port)
+    with contextlib.closing(channel):
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                return await getattr(FleetStub(channel), method)(request)
+        except TimeoutError:
+            return CallFailure(address, "no answer in time", True)
+        except ConnectionRefusedError:
+            return CallFailure(address, "connection refused", False)
+        except CALL_ERRORS as error:
+            reason = str(error) or type(error).__name__
+            return CallFailure(address, reason, True)
--- /dev/null
+++ b/libs/cli/src/bulrushbend/cli/daemons.py
@@ -0,0 +1,110 @@
+"""Run the long-running processes.
+
+A command imports only what it runs, so that operators' commands start fast and a
+daemon holds no memory for the others.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+from absl import logging
+from pydantic import ValidationError
+
+from bulrushbend.cli.exits import UsageError
+from bulrushbend.core.errors import SettingsError
+from bulrushbend.core.logs import set_verbosity
+from bulrushbend.core.settings import (
+    AgentSettings,
+    ControlSettings,
+    RouterSettings,
+    load_settings,
+)
+from bulrushbend.core.validation import explain_validation
+
+STAND_IN_KINDS = ("engine", "application", "platform")
+
+
+def run_control_daemon(path: str, bootstrap: bool) -> None:
+    """Run a control replica with the settings file `path` until it is stopped."""
+    from bulrushbend.control.daemon import run_control
+
+    settings = load_settings(path, ControlSettings)
+    start_logging(settings.log_level)
+    asyncio.run(run_control(settings, bootstrap=bootstrap))
+
+
+def run_router_daemon(path: str) -> None:
+    """Run a router with the settings file `path` until it is stopped."""
+    from bulrushbend.router.daemon import run_router
+
+    settings = load_settings(path, RouterSettings)
+    start_logging(settings.log_level)
+    asyncio.run(run_router(settings))
+
+
+def run_agent_daemon(path: str) -> None:
+    """Run an agent with the settings file `path` until it is stopped."""
+    from bulrushbend.agent.daemon import run_agent
+
+    settings = load_settings(path, AgentSettings)
+    start_logging(settings.log_level)
+    asyncio.run(run_agent(settings))
+
+
+def run_stand_in(kind: str, path: str | None, options: Mapping[str, Any]) -> None:
+    """Run a stand-in until it is stopped.
+
+    Parameters
+    ----------
+    kind : {"engine", "application", "platform"}
+        Which one.
+    path : str or None
+        Settings file; `options` are used without one.
+    options : mapping
+        Settings given on the command line; None values are left out.
+
+    Raises
+    ------
+    UsageError
+        If the kind is unknown or both a file and options are given.
+    SettingsError
+        If a setting is invalid.
+    """
+    model, run = _stand_in(kind)
+    given = {key: value for key, value in options.items() if value is not None}
+    if path is not None and given:
+        raise UsageError("takes --settings or single options, not both", step="standin")
+    try:
+        settings = load_settings(path, model) if path else model.model_validate(given)
+    except ValidationError as error:
+        message = explain_validation(error)
+        raise SettingsError(message, step="settings", peer="options") from None
+    start_logging("warning")
+    asyncio.run(run(settings))
+
+
+def start_logging(level: str) -> None:
+    """Write log lines of at least `level` to standard error."""
+    logging.use_absl_handler()
+    set_verbosity(level)
+
+
+def _stand_in(kind: str) -> tuple[Any, Any]:
+    if kind == "engine":
+        from bulrushbend.standins.engine import run_engine
+        from bulrushbend.standins.settings import EngineSettings
+
+        return EngineSettings, run_engine
+    if kind == "application":
+        from bulrushbend.standins.application import run_application
+        from bulrushbend.standins.settings import ApplicationSettings
+
+        return ApplicationSettings, run_application
+    if kind == "platform":
+        from bulrushbend.standins.platform import run_platform
+        from bulrushbend.standins.settings import PlatformSettings
+
+        return PlatformSettings, run_platform
+    allowed = ", ".join(STAND_IN_KINDS)
+    raise UsageError(f"kind {kind!r} is not one of {allowed}", step="standin")
--- /dev/null
+++ b/libs/cli/src/bulrushbend/cli/exits.py
@@ -0,0 +1,38 @@
+"""Exit codes of the commands."""
+
+import enum
+
+from bulrushbend.core.errors import (
+    BulrushbendError,
+    ConfigurationError,
+    ConsensusError,
+    PeerError,
+)
+
+
+class ExitCode(enum.IntEnum):
+    """Exit code of a command; documented in docs/operations.md."""
+
+    OK = 0
+    INTERNAL = 1
+    INVALID = 2
+    CONFLICT = 3
+    UNAVAILABLE = 4
+    FAILED = 5
+
+
+class UsageError(BulrushbendError):
+    """Bad arguments on the command line."""
+
+
+class FleetUnavailable(BulrushbendError):
+    """No control replica gave a usable answer."""
+
+
+def exit_code_of(error: BulrushbendError) -> ExitCode:
+    """Return the exit code for an error that ends a command."""
+    if isinstance(error, ConfigurationError | UsageError):
+        return ExitCode.INVALID
+    if isinstance(error, FleetUnavailable | PeerError | ConsensusError):
+        return ExitCode.UNAVAILABLE
+    return ExitCode.INTERNAL
--- /dev/null
+++ b/libs/cli/tests/test_main.py
@@ -0,0 +1,116 @@
+import json
+import sys
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from bulrushbend.cli.main import run
+from bulrushbend.core.manifest import hash_token
+
+MANIFEST = f"""
+version = 3
+[[services]]
+name = "flor-llm"
+kind = "model"
+[[teams]]
+name = "crew-a"
+token_sha256 = "{hash_token("secret-a")}"
+"""
+QUIET = settings(
+    deadline=None,
+    max_examples=60,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "expected"),
+    [
+        (["frob"], 2, "command 'frob' is not one of control, router"),
+        (["_note_action", "x"], 2, "is not one of"),
+        (["publish"], 2, "required argument: file"),
+        (["publish", "none.toml", "--control=127.0.0.1:1"], 2, "No such file"),
+        (["status", "--control", "nope"], 2, "host:port"),
+        (["status", "--control", "127.0.0.1:1", "--jsn"], 2, "--jsn"),
+        (["status", "--control", "127.0.0.1:1"], 4, "connection refused"),
+        (["check-settings", "clerk", "x"], 2, "'clerk' is not one of control"),
+        (["check_manifest"], 2, "names no file"),
+        (["check-manifest", "--json=maybe", "x"], 2, "true or false"),
+        (["standin", "engine", "--slots", "x"], 2, "slots"),
+        (["control", "none.toml"], 2, "No such file"),
+        (["timeline", "--", "x"], 2, "'--'"),
+    ],
+)
+def test_bad_command_line_is_one_line_and_an_exit_code(
+    capsys, arguments, code, expected
+):
+    assert run(arguments) == code
+    captured = capsys.readouterr()
+    assert captured.out == ""
+    assert captured.err.count("\n") == 1
+    assert expected in captured.err
+
+
+@pytest.mark.parametrize("name", ["check-manifest", "check_manifest"])
+def test_dashes_and_underscores_name_the_same_command(tmp_path, capsys, name):
+    path = tmp_path / "1.10"
+    path.write_text(MANIFEST)
+    assert run([name, "--json", str(path)]) == 0
+    assert json.loads(capsys.readouterr().out)["version"] == 3
+
+
+@pytest.mark.parametrize("arguments", [["--help"], ["publish", "--help"], []])
+def test_help_is_printed_without_a_pager(capsys, arguments):
+    assert run(arguments) == 0
+    assert "SYNOPSIS" in capsys.readouterr().out
+
+
+@QUIET
+@given(content=st.binary(max_size=200) | st.text(max_size=200).map(str.encode))
+@pytest.mark.parametrize(
+    "command", [["check-manifest"], ["check-settings", "router"], ["publish"]]
+)
+def test_any_bad_file_gives_one_line(tmp_path, capsys, command, content):
+    path = tmp_path / "input"
+    path.write_bytes(content)
+    control = ["--control", "127.0.0.1:1"] if command == ["publish"] else []
+    assert run([*command, str(path), *control]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=5,
+)
+
+
+@QUIET
+@given(
+    key=st.sampled_from(["version", "limits", "services", "teams", "endpoints", "x"]),
+    value=values,
+)
+def test_any_wrong_value_in_a_manifest_gives_one_line(tmp_path, capsys, key, value):
+    path = tmp_path / "manifest.json"
+    path.write_text(json.dumps({"version": 1, key: value}))
+    code = run(["check-manifest", str(path)])
+    assert code in (0, 2)
+    assert capsys.readouterr().err.count("\n") == (1 if code else 0)
+
+
+def test_closed_pipe_does_not_raise(monkeypatch):
+    class Closed:
+        def write(self, text):
+            raise BrokenPipeError
+
+        def flush(self):
+            raise BrokenPipeError
+
+        def fileno(self):
+            return self.file.fileno()
+
+    closed = Closed()
+    with open("/dev/null", "w") as closed.file:
+        monkeypatch.setattr(sys, "stdout", closed)
+        assert run(["--help"]) == 141
--- /dev/null
+++ b/libs/standins/src/bulrushbend/standins/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool: bounded traffic of several teams, with checked answers."""
--- a/libs/standins/tests/test_application.py
+++ b/libs/standins/tests/test_application.py
@@ -1,6 +1,6 @@
-import importlib.util
 import json
-from pathlib import Path
+
+from standin_builders import fetch, send
 
 from bulrushbend.standins.application import BookingApplication
 from bulrushbend.standins.platform import Platform
@@ -10,13 +10,6 @@
     PlatformSettings,
 )
 
-_spec = importlib.util.spec_from_file_location(
-    "standins_builders", Path(__file__).with_name("builders.py")
-)
-builders = importlib.util.module_from_spec(_spec)
-_spec.loader.exec_module(builders)
-fetch, send = builders.fetch, builders.send
-
 
 async def test_runs_are_counted_per_key():
     application = BookingApplication(ApplicationSettings(default_cost_ms=0))
--- a/libs/standins/tests/test_engine.py
+++ b/libs/standins/tests/test_engine.py
@@ -1,20 +1,13 @@
 import asyncio
-import importlib.util
 import json
-from pathlib import Path
 
 import pytest
+from standin_builders import completion, fetch, send
 
 from bulrushbend.core.errors import ConnectFailed, PeerSilent, TruncatedAnswer
 from bulrushbend.standins.engine import Engine
 from bulrushbend.standins.settings import EngineSettings
 
-_spec = importlib.util.spec_from_file_location(
-    "standins_builders", Path(__file__).with_name("builders.py")
-)
-builders = importlib.util.module_from_spec(_spec)
-_spec.loader.exec_module(builders)
-completion, fetch, send = builders.completion, builders.fetch, builders.send
 PATH = "/v1/chat/completions"
 
 
