--- a/libs/standins/src/bulrushbend/standins/load/call.py
+++ b/libs/standins/src/bulrushbend/standins/load/call.py
@@ -92,10 +92,9 @@
         if settings.kind == "application":
             document = json.loads(body)
             return document["begin"], document["end"]
-        text = _completion_text(settings, body)
-    except (KeyError, IndexError, TypeError) as error:
+        words = _completion_text(settings, body).split(" ")
+    except (KeyError, IndexError, TypeError, AttributeError) as error:
         raise ValueError(f"no answer: {error}") from None
-    words = text.split(" ")
     if not words[0].startswith("begin:") or not words[-1].startswith("end:"):
         raise ValueError("the answer has no start or no end")
     expected = [f"t{index}" for index in range(settings.tokens)]
