--- /dev/null
+++ b/libs/cli/src/bulrushbend/cli/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the program as ``python -m bulrushbend.cli``."""
+
+from bulrushbend.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- a/libs/control/src/bulrushbend/control/service.py
+++ b/libs/control/src/bulrushbend/control/service.py
@@ -81,8 +81,8 @@
 
     async def Status(self, stream: Any) -> None:  # noqa: N802
         """Answer with manifest, consensus and members as this replica sees them."""
-        await stream.recv_message()
-        await stream.send_message(self.status())
+        request = await stream.recv_message()
+        await stream.send_message(self.status(request.with_manifest))
 
     async def ChangeVoters(self, stream: Any) -> None:  # noqa: N802
         """Change the voter list by one replica."""
@@ -113,8 +113,8 @@
             return KeyReply(result=KeyReply.UNAVAILABLE)
         return KeyReply.FromString(result)
 
-    def status(self) -> StatusReply:
-        """Return the status message of this replica."""
+    def status(self, with_manifest: bool = False) -> StatusReply:
+        """Return the status message of this replica, on request with the manifest."""
         consensus = self._replica.status()
         manifest = self._replica.state.manifest
         return StatusReply(
@@ -126,6 +126,7 @@
             members=self._membership.statuses(),
             voters=consensus.voters,
             learners=consensus.learners,
+            manifest=manifest if with_manifest else None,
         )
 
     def _judge_owner(self, request: KeyRequest, reply: KeyReply) -> KeyReply:
