Add the agent daemon: slots, claims, link, data port, leaving

Cause: routers need the process beside each endpoint that owns its slots. The endpoint sees the attempt id as X-Request-Id. The request id was ruled out: a late cancel of one attempt would reach the next attempt of the same request. An id can start only while its claim is pending, so no list of used ids is needed to keep an id from running twice, also after a restart.

--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/attempts.py
@@ -0,0 +1,193 @@
+"""All attempts of the agent: each id runs at most once."""
+
+from collections import OrderedDict
+
+from bulrushbend.agent import metrics
+from bulrushbend.agent.attempt import Attempt, AttemptRequest, FailureKind
+from bulrushbend.agent.endpoint import Endpoint
+from bulrushbend.agent.gate import Gate, SlotClaim
+from bulrushbend.agent.replay import ReplayBuffer
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.identity import Identity
+from bulrushbend.core.settings import AgentSettings
+from bulrushbend.wire.fleet_pb2 import RunningAttempt
+from bulrushbend.wire.names import AttemptState
+
+# Ids whose outcome is remembered for `DELETE`; a forgotten id is reported as unknown,
+# never as not started.
+_REMEMBERED_IDS = 20_000
+# Answers that ended are held within this multiple of one replay buffer.
+_ENDED_BUFFERS = 16
+
+
+class AttemptTable:
+    """Starts attempts for pending claims and keeps their answers for a while.
+
+    An id can start only while its claim is pending, and `Gate.take` removes the claim.
+    So no id runs twice, also not after a restart, since a new process has no claims.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Limits and times.
+    gate : Gate
+        Owner of the claims.
+    endpoint : Endpoint
+        Where attempts run.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Receives starts, refusals and cancels.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        gate: Gate,
+        endpoint: Endpoint,
+        clock: Clock,
+        events: EventLog,
+    ):
+        self._settings = settings
+        self._gate = gate
+        self._endpoint = endpoint
+        self._clock = clock
+        self._events = events
+        self._attempts: dict[str, Attempt] = {}
+        self._ended: dict[str, Attempt] = {}
+        self._past: OrderedDict[str, AttemptState] = OrderedDict()
+        self._gone_since: dict[Identity, float] = {}
+
+    @property
+    def undelivered(self) -> int:
+        """Number of attempts that run or whose answer was not read to its end."""
+        return sum(
+            1
+            for attempt in self._attempts.values()
+            if attempt.state is AttemptState.RUNNING or not attempt.body.delivered
+        )
+
+    def start(self, request: AttemptRequest, claim: SlotClaim) -> Attempt:
+        """Run `request` in the slot of `claim`."""
+        body = ReplayBuffer(
+            self._settings.replay_bytes, self._settings.orphan_ms, self._clock
+        )
+        attempt = Attempt(request, self._endpoint, body, self._clock, self._events)
+        self._attempts[request.attempt_id] = attempt
+        self._events.write(
+            EventKind.ATTEMPT_STARTED,
+            attempt_id=request.attempt_id,
+            request_id=request.request_id,
+            team=request.team,
+            peer=request.router.name,
+        )
+        task = attempt.start()
+        task.add_done_callback(lambda _: self._note_end(attempt, claim))
+        return attempt
+
+    def find(self, attempt_id: str) -> Attempt | None:
+        """Return the attempt while it runs or its answer is held."""
+        return self._attempts.get(attempt_id)
+
+    def state_of(self, attempt_id: str) -> AttemptState | None:
+        """Return what became of an id, None if this process does not know."""
+        attempt = self._attempts.get(attempt_id)
+        return attempt.state if attempt else self._past.get(attempt_id)
+
+    def note_unused(self, attempt_id: str) -> None:
+        """Remember that a claim ended without a request and will never run."""
+        self._remember(attempt_id, AttemptState.NOT_STARTED)
+
+    def withdraw(self, attempt_id: str, *, cancel: bool) -> AttemptState | None:
+        """Tombstone an id that has not started; optionally cancel it if it runs.
+
+        Returns
+        -------
+        AttemptState or None
+            State after the call, None if this process does not know the id.
+        """
+        if self._gate.withdraw(attempt_id):
+            return AttemptState.NOT_STARTED
+        attempt = self._attempts.get(attempt_id)
+        if attempt is not None and cancel and attempt.state is AttemptState.RUNNING:
+            attempt.cancel("cancelled by the router")
+            return AttemptState.CANCELLED
+        return self.state_of(attempt_id)
+
+    def running_of(self, router: Identity) -> list[RunningAttempt]:
+        """Return the attempts of `router` with the bytes produced so far."""
+        return [
+            RunningAttempt(
+                attempt_id=attempt.request.attempt_id,
+                produced_bytes=attempt.body.produced,
+                finished=attempt.body.ended,
+            )
+            for attempt in self._attempts.values()
+            if attempt.request.router == router
+        ]
+
+    def note_router(self, router: Identity, *, linked: bool) -> None:
+        """Record that a router's link came up or went down."""
+        if linked:
+            self._gone_since.pop(router, None)
+        else:
+            self._gone_since[router] = self._clock.now_ms()
+
+    async def run(self) -> None:
+        """Forget old answers and cancel orphans until cancelled."""
+        pause_ms = min(self._settings.orphan_ms, self._settings.replay_keep_ms) / 10
+        while True:
+            await self._clock.sleep_ms(max(10.0, pause_ms))
+            self._forget_old()
+            self._cancel_orphans()
+
+    def _note_end(self, attempt: Attempt, claim: SlotClaim) -> None:
+        failure = attempt.failure
+        ran = failure is None or failure.kind is not FailureKind.NOT_RUN
+        self._ended[attempt.request.attempt_id] = attempt
+        self._gate.finish(claim, ran=ran)
+        self._trim_ended()
+
+    def _forget_old(self) -> None:
+        """Forget answers that nobody has read from for `replay_keep_ms`."""
+        oldest_ms = self._clock.now_ms() - self._settings.replay_keep_ms
+        for attempt_id, attempt in list(self._ended.items()):
+            if attempt.body.touched_ms <= oldest_ms:
+                self._forget(attempt_id)
+        known = {attempt.request.router for attempt in self._attempts.values()}
+        for router in self._gone_since.keys() - known:
+            del self._gone_since[router]
+
+    def _trim_ended(self) -> None:
+        """Bound the memory of ended answers; delivered and older ones go first."""
+        held = sum(attempt.body.held for attempt in self._ended.values())
+        limit_bytes = _ENDED_BUFFERS * self._settings.replay_bytes
+        if held > limit_bytes:
+            by_need = sorted(self._ended.items(), key=lambda e: not e[1].body.delivered)
+            for attempt_id, attempt in by_need:
+                if held <= limit_bytes:
+                    break
+                held -= attempt.body.held
+                self._forget(attempt_id)
+        metrics.REPLAY_BYTES.set(held)
+
+    def _forget(self, attempt_id: str) -> None:
+        del self._ended[attempt_id]
+        attempt = self._attempts.pop(attempt_id)
+        attempt.body.forget()
+        self._remember(attempt_id, attempt.state)
+
+    def _remember(self, attempt_id: str, state: AttemptState) -> None:
+        self._past[attempt_id] = state
+        if len(self._past) > _REMEMBERED_IDS:
+            self._past.popitem(last=False)
+
+    def _cancel_orphans(self) -> None:
+        latest_ms = self._clock.now_ms() - self._settings.orphan_ms
+        for attempt in list(self._attempts.values()):
+            request = attempt.request
+            gone_ms = self._gone_since.get(request.router)
+            if gone_ms is None or gone_ms > latest_ms or not request.idempotent:
+                continue
+            attempt.cancel("its router is gone")
--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/backlog.py
@@ -0,0 +1,170 @@
+"""Waiting work as the linked routers advertise it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.identity import Identity
+
+
+class ClaimTarget(Protocol):
+    """A router link that takes claims."""
+
+    @property
+    def identity(self) -> Identity:
+        """Name and incarnation of the router."""
+        ...
+
+    def send_claim(self, attempt_id: str, team: str) -> None:
+        """Send a claim for one request of `team` at once."""
+        ...
+
+
+@dataclass
+class _Entry:
+    waiting: int
+    since_ms: float
+    claimed: int = 0
+
+    @property
+    def available(self) -> bool:
+        return self.waiting > self.claimed
+
+
+class Backlog:
+    """Advertised requests by team and router, less the claims on the way.
+
+    A router's numbers are absolute and may be older than a claim that it has not
+    seen yet. Counting claims in flight keeps one waiting request from being claimed
+    twice by this agent; a wrong count costs a missed claim, never a request.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    on_waiting : callable
+        Called with a team and whether any router advertises work of it, on changes.
+    """
+
+    def __init__(self, clock: Clock, on_waiting: Callable[[str, bool], None]):
+        self._clock = clock
+        self._on_waiting = on_waiting
+        self._teams: dict[str, dict[ClaimTarget, _Entry]] = {}
+        self._waiting_entries: dict[str, int] = {}
+
+    @property
+    def any_waiting(self) -> bool:
+        """Whether any linked router advertises work."""
+        return bool(self._waiting_entries)
+
+    @property
+    def waiting_teams(self) -> list[str]:
+        """Teams with advertised work."""
+        return list(self._waiting_entries)
+
+    def update(
+        self, link: ClaimTarget, team: str, waiting: int, oldest_age_ms: float
+    ) -> None:
+        """Take the number of waiting requests of `team` at one router.
+
+        Parameters
+        ----------
+        link : ClaimTarget
+            Link to the router.
+        team : str
+            Name of the team.
+        waiting : int
+            Absolute number of waiting requests.
+        oldest_age_ms : float
+            Age of the oldest one in milliseconds.
+        """
+        entries = self._teams.setdefault(team, {})
+        entry = entries.setdefault(link, _Entry(0, 0.0))
+        entry.since_ms = self._clock.now_ms() - oldest_age_ms
+        self._set_waiting(team, link, entry, waiting)
+
+    def retain(self, link: ClaimTarget, teams: set[str]) -> None:
+        """Set the teams that are not in `teams` to no waiting work at `link`."""
+        for team in [t for t, entries in self._teams.items() if link in entries]:
+            if team not in teams:
+                entry = self._teams[team][link]
+                self._set_waiting(team, link, entry, 0)
+
+    def drop(self, link: ClaimTarget) -> None:
+        """Forget everything that `link` advertised."""
+        for team in [t for t, entries in self._teams.items() if link in entries]:
+            entry = self._teams[team][link]
+            entry.claimed = 0
+            self._set_waiting(team, link, entry, 0)
+
+    def claim(self, link: ClaimTarget, team: str) -> None:
+        """Count a claim that was sent to `link`."""
+        entry = self._teams.get(team, {}).get(link)
+        if entry is not None:
+            entry.claimed += 1
+
+    def settle(self, link: ClaimTarget, team: str, *, taken: bool, empty: bool) -> None:
+        """Count a claim that ended.
+
+        Parameters
+        ----------
+        link : ClaimTarget
+            Link over which the claim was sent.
+        team : str
+            Team of the claim.
+        taken : bool
+            Whether a request was handed over.
+        empty : bool
+            Whether the router reported that it holds no request of the team.
+        """
+        entry = self._teams.get(team, {}).get(link)
+        if entry is None:
+            return
+        entry.claimed = max(0, entry.claimed - 1)
+        waiting = entry.waiting
+        if empty:
+            waiting = 0
+        elif taken:
+            waiting = max(0, waiting - 1)
+        self._set_waiting(team, link, entry, waiting)
+
+    def ages(self) -> dict[str, float]:
+        """Return the age in ms of the oldest claimable request of each team."""
+        now_ms = self._clock.now_ms()
+        ages: dict[str, float] = {}
+        for team in self._waiting_entries:
+            since = [e.since_ms for e in self._teams[team].values() if e.available]
+            if since:
+                ages[team] = now_ms - min(since)
+        return ages
+
+    def oldest(self, team: str) -> ClaimTarget | None:
+        """Return the link to the router with the oldest claimable request."""
+        best: tuple[float, ClaimTarget] | None = None
+        for link, entry in self._teams.get(team, {}).items():
+            if entry.available and (best is None or entry.since_ms < best[0]):
+                best = (entry.since_ms, link)
+        return best[1] if best else None
+
+    def _set_waiting(
+        self, team: str, link: ClaimTarget, entry: _Entry, waiting: int
+    ) -> None:
+        had = entry.waiting > 0
+        entry.waiting = waiting
+        if had != (waiting > 0):
+            self._count_team(team, 1 if waiting else -1)
+        if not waiting and not entry.claimed:
+            del self._teams[team][link]
+            if not self._teams[team]:
+                del self._teams[team]
+
+    def _count_team(self, team: str, change: int) -> None:
+        before = self._waiting_entries.get(team, 0)
+        after = before + change
+        if after:
+            self._waiting_entries[team] = after
+        else:
+            self._waiting_entries.pop(team, None)
+        if (before > 0) != (after > 0):
+            self._on_waiting(team, after > 0)
--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/dataport.py
@@ -0,0 +1,258 @@
+"""Data port: the HTTP interface over which routers run attempts."""
+
+import re
+
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler, stream_request_body
+
+from bulrushbend.agent import metrics
+from bulrushbend.agent.attempt import Attempt, AttemptRequest
+from bulrushbend.agent.attempts import AttemptTable
+from bulrushbend.agent.errors import (
+    AnswerCut,
+    AnswerNotHeld,
+    OffsetAhead,
+    ReaderDropped,
+)
+from bulrushbend.agent.gate import Gate
+from bulrushbend.agent.replay import ReplayReader
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.manifest import Limits, Service
+from bulrushbend.process.inforce import ManifestInForce
+from bulrushbend.wire import names
+from bulrushbend.wire.exchange import ExchangeRequest
+
+_METHOD = re.compile(r"[A-Z]{1,20}")
+_PATH = re.compile(r"/[\x21-\x7e]*")
+_NUMBER = re.compile(r"[0-9]{1,15}")
+_MAX_DEADLINE_MS = 86_400_000
+_OWN_PREFIX = "bulrushbend-"
+
+
+class BadAttempt(ValueError):
+    """The router's request does not follow the protocol of the data port."""
+
+
+class DataPort:
+    """What the handlers of the data port share.
+
+    Parameters
+    ----------
+    attempts : AttemptTable
+        Attempts by id.
+    gate : Gate
+        Owner of the claims.
+    in_force : ManifestInForce
+        Gives limits and service.
+    endpoint_name : str
+        Name of the endpoint in the manifest.
+    events : EventLog
+        Receives refusals.
+    """
+
+    def __init__(
+        self,
+        attempts: AttemptTable,
+        gate: Gate,
+        in_force: ManifestInForce,
+        endpoint_name: str,
+        events: EventLog,
+    ):
+        self.attempts = attempts
+        self.gate = gate
+        self.events = events
+        self._in_force = in_force
+        self._endpoint_name = endpoint_name
+
+    def limits(self) -> Limits:
+        """Return the limits in force."""
+        manifest = self._in_force.current
+        return manifest.limits if manifest else Limits()
+
+    def service(self) -> Service | None:
+        """Return the service of the endpoint, None if the manifest lacks it."""
+        manifest = self._in_force.current
+        endpoint = manifest and manifest.endpoints_by_name.get(self._endpoint_name)
+        return manifest.services_by_name[endpoint.service] if endpoint else None
+
+
+# The decorator keeps Tornado from parsing form bodies, which are passed on as they are.
+@stream_request_body
+class AttemptHandler(RequestHandler):
+    """``/attempts/{attempt_id}``."""
+
+    def initialize(self, port: DataPort) -> None:
+        """Keep the shared objects."""
+        self._port = port
+        self._body: list[bytes] = []
+        self._reader: ReplayReader | None = None
+
+    def prepare(self) -> None:
+        """Bound the size of the request body."""
+        self.request.connection.set_max_body_size(self._port.limits().body_bytes)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the request body.
+
+        It is read to its end before a refusal is sent: closing a connection with
+        unread data may reset it and lose the refusal on the way.
+        """
+        self._body.append(chunk)
+
+    def on_connection_close(self) -> None:
+        """Stop reading the answer; the attempt goes on."""
+        if self._reader is not None:
+            self._reader.drop()
+
+    async def post(self, attempt_id: str) -> None:
+        """Start the attempt and stream its answer, or refuse it before its start."""
+        try:
+            forward, deadline_ms = self._read_forward(attempt_id)
+            idempotent = self._read_flag(names.HEADER_IDEMPOTENT)
+        except BadAttempt as error:
+            self._refuse(attempt_id, 400, str(error))
+            return
+        claim = self._port.gate.take(attempt_id)
+        if claim is None:
+            state = self._port.attempts.state_of(attempt_id)
+            self._refuse(attempt_id, 409, f"claim is {state or 'not known'}")
+            return
+        service = self._port.service()
+        request = AttemptRequest(
+            attempt_id=attempt_id,
+            request_id=self.request.headers.get(names.HEADER_REQUEST, ""),
+            team=claim.team,
+            router=claim.link.identity,
+            idempotent=idempotent,
+            resumable=service is not None and service.resume == "last-event-id",
+            deadline_ms=deadline_ms,
+            forward=forward,
+        )
+        attempt = self._port.attempts.start(request, claim)
+        await self._stream(attempt, attempt.body.open_reader(0))
+
+    async def get(self, attempt_id: str) -> None:
+        """Continue an answer from the body byte named by ``offset``."""
+        attempt = self._port.attempts.find(attempt_id)
+        if attempt is None:
+            known = self._port.attempts.state_of(attempt_id) is not None
+            self._answer_error(410 if known else 404, "no answer is held for this id")
+            return
+        offset = self.get_query_argument("offset", "0")
+        if not _NUMBER.fullmatch(offset):
+            self._answer_error(400, "offset must be a whole number")
+            return
+        try:
+            reader = attempt.body.open_reader(int(offset))
+        except OffsetAhead as error:
+            self._answer_error(416, str(error))
+            return
+        except AnswerNotHeld as error:
+            self._answer_error(410, str(error))
+            return
+        metrics.REPLAYS.inc()
+        await self._stream(attempt, reader)
+
+    def delete(self, attempt_id: str) -> None:
+        """Tombstone an attempt that has not started, or cancel it on request."""
+        cancel = self.get_query_argument("cancel", "0") == "1"
+        state = self._port.attempts.withdraw(attempt_id, cancel=cancel)
+        if state is None:
+            self._answer_error(404, "this process does not know the attempt")
+            return
+        self.write({"state": str(state)})
+
+    async def _stream(self, attempt: Attempt, reader: ReplayReader) -> None:
+        self._reader = reader
+        try:
+            self.set_header(names.HEADER_REQUEST, attempt.request.request_id)
+            head = await attempt.head()
+            if reader.dropped:
+                self._break_framing()
+                return
+            if head is None:
+                assert attempt.failure is not None
+                self.set_header(names.HEADER_FAILURE, str(attempt.failure.kind))
+                self._answer_error(502, attempt.failure.reason)
+                return
+            self._write_head(head.status, head.headers)
+            await self.flush()
+            async for piece in reader.pieces():
+                self.write(piece)
+                await self.flush()
+            await self.finish()
+        except (AnswerCut, ReaderDropped):
+            self._break_framing()
+        except StreamClosedError:
+            reader.drop()
+
+    def _write_head(self, status: int, headers: HTTPHeaders) -> None:
+        self.clear_header("Content-Type")
+        self.clear_header("Server")
+        self.clear_header("Date")
+        self.set_header(names.HEADER_STATUS, str(status))
+        for name, value in headers.get_all():
+            if _is_end_to_end(name) and name.lower() != "x-request-id":
+                self.add_header(name, value)
+
+    def _break_framing(self) -> None:
+        """Close the connection without the last chunk, so the cut is seen."""
+        self.detach().close()
+
+    def _read_forward(self, attempt_id: str) -> tuple[ExchangeRequest, float]:
+        headers = self.request.headers
+        method = headers.get(names.HEADER_METHOD, "POST")
+        path = headers.get(names.HEADER_PATH, "")
+        if not _METHOD.fullmatch(method):
+            raise BadAttempt(f"{names.HEADER_METHOD} is not a method")
+        if not _PATH.fullmatch(path):
+            raise BadAttempt(f"{names.HEADER_PATH} is not a path")
+        forward = HTTPHeaders()
+        for name, value in headers.get_all():
+            if _is_end_to_end(name):
+                forward.add(name, value)
+        # Names the stream for resume and cancel. The attempt id, not the request id:
+        # a late cancel of one attempt must not reach the next one of the request.
+        forward["X-Request-Id"] = attempt_id
+        body = b"".join(self._body)
+        return ExchangeRequest(method, path, forward, body), self._read_deadline()
+
+    def _read_deadline(self) -> float:
+        text = self.request.headers.get(names.HEADER_DEADLINE)
+        if text is None:
+            return self._port.limits().default_deadline_ms
+        if not _NUMBER.fullmatch(text) or not 0 < int(text) <= _MAX_DEADLINE_MS:
+            raise BadAttempt(f"{names.HEADER_DEADLINE} is not a positive number")
+        return float(text)
+
+    def _read_flag(self, name: str) -> bool:
+        text = self.request.headers.get(name, "false").lower()
+        if text not in ("true", "false"):
+            raise BadAttempt(f"{name} is neither true nor false")
+        return text == "true"
+
+    def _refuse(self, attempt_id: str, status: int, reason: str) -> None:
+        metrics.REFUSED.inc()
+        self._port.events.write(
+            EventKind.ATTEMPT_REFUSED,
+            attempt_id=attempt_id,
+            request_id=self.request.headers.get(names.HEADER_REQUEST, ""),
+            reason=reason,
+        )
+        self.set_header(names.HEADER_REFUSED, "not-started")
+        self._answer_error(status, reason)
+
+    def _answer_error(self, status: int, reason: str) -> None:
+        self.set_status(status)
+        self.write({"error": reason})
+
+
+def _is_end_to_end(name: str) -> bool:
+    lower = name.lower()
+    return lower not in names.HOP_BY_HOP and not lower.startswith(_OWN_PREFIX)
+
+
+def data_routes(port: DataPort) -> list[tuple]:
+    """Return the Tornado routes of the data port."""
+    return [(r"/attempts/([A-Za-z0-9._-]{1,80})", AttemptHandler, {"port": port})]
--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/eventstream.py
@@ -0,0 +1,87 @@
+"""Server-sent events: whole events only, and the id to resume after."""
+
+import re
+
+from bulrushbend.core.errors import ProtocolFault
+
+# Bounds the memory that an endpoint takes which never ends an event.
+_MAX_EVENT_BYTES = 1 << 20
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_LINE_END = re.compile(rb"\r\n|\n|\r")
+
+
+class EventFramer:
+    """Cuts an event stream at event boundaries and remembers the last id.
+
+    Only whole events are passed on, so a stream that breaks inside an event can be
+    resumed without a gap or a repeated byte. Events without an id that followed the
+    last id are sent again by the endpoint after a resume and are skipped then.
+    """
+
+    def __init__(self) -> None:
+        self._partial = b""
+        self._last_id = ""
+        self._after_id = 0
+        self._to_skip = 0
+
+    @property
+    def last_id(self) -> str:
+        """Id of the last whole event, empty before the first one."""
+        return self._last_id
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes of the stream and return the whole events among them.
+
+        Raises
+        ------
+        ProtocolFault
+            An event is larger than 1 MiB.
+        """
+        self._partial += data
+        passed: list[bytes] = []
+        start = 0
+        for match in _EVENT_END.finditer(self._partial):
+            event = self._partial[start : match.end()]
+            start = match.end()
+            if self._accept(event):
+                passed.append(event)
+        self._partial = self._partial[start:]
+        if len(self._partial) > _MAX_EVENT_BYTES:
+            raise ProtocolFault("event is larger than 1 MiB", step="event stream")
+        return b"".join(passed)
+
+    def finish(self) -> bytes:
+        """Return what is left when the stream ended as complete."""
+        rest, self._partial = self._partial, b""
+        return rest
+
+    def restart(self) -> None:
+        """Prepare for the stream that the endpoint sends after a resume."""
+        self._partial = b""
+        self._to_skip = self._after_id
+
+    def _accept(self, event: bytes) -> bool:
+        event_id, has_data = _inspect(event)
+        if event_id is not None:
+            self._last_id = event_id
+            self._after_id = 0
+            self._to_skip = 0
+            return True
+        if not has_data:
+            return True
+        if self._to_skip:
+            self._to_skip -= 1
+            return False
+        self._after_id += 1
+        return True
+
+
+def _inspect(event: bytes) -> tuple[str | None, bool]:
+    event_id: str | None = None
+    has_data = False
+    for line in _LINE_END.split(event):
+        if line.startswith(b"id:"):
+            event_id = line[3:].strip().decode("utf-8", "replace")
+        elif line.startswith(b"data"):
+            has_data = True
+    return event_id, has_data
--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/gate.py
@@ -0,0 +1,253 @@
+"""Slots and claims: which team is served next, and from which router."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bulrushbend.agent import metrics
+from bulrushbend.agent.backlog import Backlog, ClaimTarget
+from bulrushbend.agent.slots import SlotAccount
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.identity import new_id
+from bulrushbend.share.ledger import Charge, Ledger
+from bulrushbend.share.picker import TeamPicker
+from bulrushbend.wire.fleet_pb2 import SlotReport
+
+
+@dataclass(eq=False)
+class SlotClaim:
+    """A slot that is reserved for a request, then used by it."""
+
+    attempt_id: str
+    team: str
+    link: ClaimTarget
+    charge: Charge
+    sent_ms: float
+
+
+class Gate:
+    """Owns the slots of the endpoint.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Receives claims and their outcome.
+    picker : TeamPicker
+        Chooses the next team.
+    claim_timeout_ms : float
+        Age at which an unanswered claim expires.
+    on_unused : callable
+        Called with the attempt id of each claim that ended without a request.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventLog,
+        picker: TeamPicker,
+        claim_timeout_ms: float,
+        on_unused: Callable[[str], None],
+    ):
+        self._clock = clock
+        self._events = events
+        self._picker = picker
+        self._claim_timeout_ms = claim_timeout_ms
+        self._on_unused = on_unused
+        self._ledger: Ledger | None = None
+        self._backlog = Backlog(clock, self._mark_waiting)
+        self._account = SlotAccount(clock)
+        self._limit = 0
+        self._open = False
+        self._running = 0
+        self._claims: dict[str, SlotClaim] = {}
+        self._expiry: deque[SlotClaim] = deque()
+        self._claim_sent = asyncio.Event()
+
+    @property
+    def backlog(self) -> Backlog:
+        """Advertised work; call `fill` after a change."""
+        return self._backlog
+
+    @property
+    def running(self) -> int:
+        """Number of slots whose request runs."""
+        return self._running
+
+    @property
+    def in_use(self) -> int:
+        """Number of slots that are claimed or run."""
+        return self._running + len(self._claims)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether new work may start."""
+        return self._open
+
+    def use_ledger(self, ledger: Ledger) -> None:
+        """Account in `ledger` from now on; running requests keep theirs."""
+        self._ledger = ledger
+        for team in self._backlog.waiting_teams:
+            ledger.set_waiting(team, True)
+
+    def set_limit(self, limit: int) -> None:
+        """Set the number of slots; running requests above it finish."""
+        self._limit = limit
+        self.fill()
+
+    def open(self) -> None:
+        """Allow new work."""
+        self._open = True
+        self.fill()
+
+    def close(self) -> None:
+        """Stop claiming at once and refuse the requests that were claimed before."""
+        self._open = False
+        for claim in list(self._claims.values()):
+            self._release(claim, EventKind.CLAIM_EXPIRED)
+        self._observe()
+
+    def fill(self) -> None:
+        """Claim requests for the free slots while routers advertise work."""
+        while self._open and self._ledger is not None and self.in_use < self._limit:
+            ages = self._backlog.ages()
+            team = self._picker.pick(ages, self._ledger) if ages else None
+            link = self._backlog.oldest(team) if team is not None else None
+            if team is None or link is None:
+                break
+            self._send_claim(team, link, self._ledger)
+        self._observe()
+
+    def take(self, attempt_id: str) -> SlotClaim | None:
+        """Turn a claim into a running request.
+
+        Returns
+        -------
+        SlotClaim or None
+            None if the claim is unknown, expired, used or withdrawn.
+        """
+        claim = self._claims.get(attempt_id)
+        if claim is None:
+            return None
+        if self._clock.now_ms() - claim.sent_ms >= self._claim_timeout_ms:
+            self._release(claim, EventKind.CLAIM_EXPIRED)
+            return None
+        del self._claims[attempt_id]
+        claim.charge.start()
+        self._running += 1
+        self._backlog.settle(claim.link, claim.team, taken=True, empty=False)
+        metrics.CLAIM_LATENCY.observe((self._clock.now_ms() - claim.sent_ms) / 1000.0)
+        self._observe()
+        return claim
+
+    def finish(self, claim: SlotClaim, *, ran: bool) -> float:
+        """Free the slot of a request that ended.
+
+        Parameters
+        ----------
+        claim : SlotClaim
+            What `take` returned.
+        ran : bool
+            False if the request provably did not run; the team is not charged.
+
+        Returns
+        -------
+        float
+            Cost in slot milliseconds.
+        """
+        cost_ms = 0.0
+        if ran:
+            cost_ms = claim.charge.end()
+        else:
+            claim.charge.release()
+        self._running -= 1
+        self.fill()
+        return cost_ms
+
+    def miss(self, attempt_id: str) -> None:
+        """Take the router's word that it has no request for a claim."""
+        claim = self._claims.get(attempt_id)
+        if claim is not None:
+            self._release(claim, EventKind.CLAIM_MISSED, empty=True)
+            self.fill()
+
+    def withdraw(self, attempt_id: str) -> bool:
+        """Give up a claim; return whether it was pending."""
+        claim = self._claims.get(attempt_id)
+        if claim is None:
+            return False
+        self._release(claim, EventKind.CLAIM_EXPIRED)
+        self.fill()
+        return True
+
+    def drop_link(self, link: ClaimTarget) -> None:
+        """Forget the work advertised over `link` and release its claims."""
+        for claim in [c for c in self._claims.values() if c.link is link]:
+            self._release(claim, EventKind.CLAIM_EXPIRED)
+        self._backlog.drop(link)
+        self.fill()
+
+    def report(self, leaving: bool) -> SlotReport:
+        """Return the slot report for routers and control."""
+        report = self._account.report(self.in_use, leaving)
+        metrics.publish_slots(report)
+        return report
+
+    async def run(self) -> None:
+        """Expire claims until cancelled."""
+        while True:
+            if not self._expiry:
+                self._claim_sent.clear()
+                await self._claim_sent.wait()
+            claim = self._expiry.popleft()
+            if claim.attempt_id not in self._claims:
+                continue
+            due_ms = claim.sent_ms + self._claim_timeout_ms
+            await self._clock.sleep_ms(due_ms - self._clock.now_ms())
+            if self._claims.get(claim.attempt_id) is claim:
+                self._release(claim, EventKind.CLAIM_EXPIRED)
+                self.fill()
+
+    def _send_claim(self, team: str, link: ClaimTarget, ledger: Ledger) -> None:
+        attempt_id = new_id("att")
+        claim = SlotClaim(
+            attempt_id, team, link, ledger.hold(team), self._clock.now_ms()
+        )
+        self._claims[attempt_id] = claim
+        self._expiry.append(claim)
+        self._claim_sent.set()
+        self._backlog.claim(link, team)
+        link.send_claim(attempt_id, team)
+        metrics.CLAIMS.labels("sent").inc()
+        self._events.write(
+            EventKind.CLAIM_SENT,
+            attempt_id=attempt_id,
+            team=team,
+            peer=link.identity.name,
+        )
+
+    def _release(
+        self, claim: SlotClaim, kind: EventKind, *, empty: bool = False
+    ) -> None:
+        del self._claims[claim.attempt_id]
+        claim.charge.release()
+        self._backlog.settle(claim.link, claim.team, taken=False, empty=empty)
+        self._on_unused(claim.attempt_id)
+        metrics.CLAIMS.labels("missed" if empty else "expired").inc()
+        self._events.write(
+            kind,
+            attempt_id=claim.attempt_id,
+            team=claim.team,
+            peer=claim.link.identity.name,
+        )
+
+    def _mark_waiting(self, team: str, waiting: bool) -> None:
+        if self._ledger is not None:
+            self._ledger.set_waiting(team, waiting)
+
+    def _observe(self) -> None:
+        limit = self._limit if self._open else 0
+        self._account.observe(limit, self._running, self._backlog.any_waiting)
--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/leaving.py
@@ -0,0 +1,151 @@
+"""Whether the endpoint is leaving, and the platform list that may say so."""
+
+import enum
+import json
+from collections.abc import Callable
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.logs import part_logger
+from bulrushbend.core.validation import explain_validation
+
+_log = part_logger("agent.leaving")
+
+_POLL_TIMEOUT_S = 2.0
+
+
+class LeavingCause(enum.StrEnum):
+    """Who says that the endpoint is leaving."""
+
+    MANIFEST = "manifest"
+    PLATFORM = "platform"
+    SIGNAL = "signal"
+
+
+class Leaving:
+    """Collects the reasons to leave; one is enough.
+
+    Parameters
+    ----------
+    events : EventLog
+        Receives ``leaving-started`` and ``leaving-finished``.
+    on_change : callable
+        Called when the endpoint starts or stops to leave.
+    """
+
+    def __init__(self, events: EventLog, on_change: Callable[[], None]):
+        self._events = events
+        self._on_change = on_change
+        self._causes: set[LeavingCause] = set()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the endpoint takes no new work."""
+        return bool(self._causes)
+
+    def set(self, cause: LeavingCause, leaving: bool) -> None:
+        """Record what `cause` says now."""
+        before = self.is_leaving
+        if leaving:
+            self._causes.add(cause)
+        else:
+            self._causes.discard(cause)
+        if self.is_leaving == before:
+            return
+        _log.info("%s (%s)", "leaving" if leaving else "no longer leaving", cause)
+        kind = EventKind.LEAVING_STARTED if leaving else EventKind.LEAVING_FINISHED
+        self._events.write(kind, reason=str(cause))
+        self._on_change()
+
+
+class _Vm(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    vm: str
+    state: Literal["live", "leaving"]
+
+
+class _VmList(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    vms: tuple[_Vm, ...]
+
+
+class PlatformList:
+    """Polls the platform's list of VMs.
+
+    The list lags and may fail. A failed poll, an invalid list and a list without this
+    VM change nothing: absence may be lag, and an outage of the platform must not
+    take endpoints out of service.
+
+    Parameters
+    ----------
+    url : str
+        Address of the list.
+    poll_ms : float
+        Pause between two polls in milliseconds.
+    vm : str
+        Name of the VM of the endpoint.
+    leaving : Leaving
+        Receives the state.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, url: str, poll_ms: float, vm: str, leaving: Leaving, clock: Clock
+    ):
+        self._url = url
+        self._poll_ms = poll_ms
+        self._vm = vm
+        self._leaving = leaving
+        self._clock = clock
+        self._etag = ""
+        self._failing = False
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await self._clock.sleep_ms(self._poll_ms)
+
+    async def poll(self) -> None:
+        """Ask for the list once and take this VM's state from it."""
+        try:
+            states = await self._fetch()
+        except (HTTPClientError, OSError, ValueError) as error:
+            self._note_failure(error)
+            return
+        self._failing = False
+        state = states.get(self._vm) if states is not None else None
+        if state is not None:
+            self._leaving.set(LeavingCause.PLATFORM, state == "leaving")
+
+    async def _fetch(self) -> dict[str, str] | None:
+        """Return the states by VM, None if the list has not changed."""
+        headers = {"If-None-Match": self._etag} if self._etag else {}
+        request = HTTPRequest(
+            self._url,
+            headers=headers,
+            connect_timeout=_POLL_TIMEOUT_S,
+            request_timeout=_POLL_TIMEOUT_S,
+        )
+        response = await AsyncHTTPClient().fetch(request, raise_error=False)
+        if response.code == 304:
+            return None
+        response.rethrow()
+        vms = _VmList.model_validate(json.loads(response.body)).vms
+        self._etag = response.headers.get("ETag", "")
+        return {entry.vm: entry.state for entry in vms}
+
+    def _note_failure(self, error: Exception) -> None:
+        if self._failing:
+            return
+        self._failing = True
+        invalid = isinstance(error, ValidationError)
+        reason = explain_validation(error) if invalid else str(error)
+        _log.warning("platform list %s cannot be read: %s", self._url, reason)
--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/replay.py
@@ -0,0 +1,238 @@
+"""Replay buffer: the bytes of one answer that a router may ask for again."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from bulrushbend.agent.errors import (
+    AnswerCut,
+    AnswerNotHeld,
+    OffsetAhead,
+    ReaderDropped,
+    ReaderStalled,
+)
+from bulrushbend.core.clock import Clock
+
+_READ_BYTES = 1 << 16
+
+
+class ReplayBuffer:
+    """Window over the body of one answer, bounded in bytes.
+
+    The window starts at offset 0. When it is full, bytes that the current reader has
+    taken are dropped from its front. When the reader has not taken them, the writer
+    waits, which stops reading from the endpoint; it waits at most `stall_ms` without
+    any progress of the reader.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Most bytes held.
+    stall_ms : float
+        Longest time in milliseconds that a writer waits for the reader.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, limit_bytes: int, stall_ms: float, clock: Clock):
+        self._clock = clock
+        self._limit_bytes = limit_bytes
+        self._stall_ms = stall_ms
+        self._window = bytearray()
+        self._start = 0
+        self._end = 0
+        self._taken = 0
+        self._ended = False
+        self._complete = False
+        self._discarding = False
+        self._reader: ReplayReader | None = None
+        self._progress = asyncio.Event()
+        self._touched_ms = clock.now_ms()
+
+    @property
+    def touched_ms(self) -> float:
+        """Time of the last progress of a reader, or of the end of the answer."""
+        return self._touched_ms
+
+    @property
+    def produced(self) -> int:
+        """Number of bytes written since the start of the answer."""
+        return self._end
+
+    @property
+    def held(self) -> int:
+        """Number of bytes in memory."""
+        return len(self._window)
+
+    @property
+    def ended(self) -> bool:
+        """Whether no more bytes will be written."""
+        return self._ended
+
+    @property
+    def delivered(self) -> bool:
+        """Whether a reader took the answer to its end."""
+        return self._ended and self._taken == self._end
+
+    async def put(self, data: bytes) -> None:
+        """Append `data`, waiting for the reader while the window is full.
+
+        Raises
+        ------
+        ReaderStalled
+            The reader made no progress for `stall_ms`.
+        """
+        if len(data) > self._limit_bytes:
+            for start in range(0, len(data), self._limit_bytes):
+                await self.put(data[start : start + self._limit_bytes])
+            return
+        while not self._discarding and not self._make_room(len(data)):
+            self._progress.clear()
+            try:
+                async with asyncio.timeout(self._stall_ms / 1000.0):
+                    await self._progress.wait()
+            except TimeoutError:
+                raise ReaderStalled(
+                    "replay buffer is full and its reader makes no progress",
+                    step="replay",
+                ) from None
+        self._end += len(data)
+        if self._discarding:
+            self._start = self._end
+            return
+        self._window += data
+        self._wake_reader()
+
+    def discard(self) -> None:
+        """Drop what is held and everything that follows; readers are cut off."""
+        self._discarding = True
+        self._window.clear()
+        self._start = self._end
+        self._wake_reader()
+
+    def finish(self, *, complete: bool) -> None:
+        """State that no more bytes follow.
+
+        Parameters
+        ----------
+        complete : bool
+            Whether the answer is whole; otherwise its readers are cut off.
+        """
+        if self._ended:
+            return
+        self._ended = True
+        self._complete = complete and not self._discarding
+        self._touched_ms = self._clock.now_ms()
+        self._wake_reader()
+
+    def forget(self) -> None:
+        """Free the memory; later readers get `AnswerNotHeld`."""
+        self._discarding = True
+        self._window.clear()
+        self._start = self._end + 1
+
+    def open_reader(self, offset: int) -> "ReplayReader":
+        """Return a reader that starts at `offset`; an older reader is dropped.
+
+        Raises
+        ------
+        AnswerNotHeld
+            The offset is before the window.
+        OffsetAhead
+            The offset is beyond the bytes produced so far.
+        """
+        if offset > self._end:
+            raise OffsetAhead(f"only {self._end} bytes were produced", step="replay")
+        if offset < self._start:
+            raise AnswerNotHeld(f"held from byte {self._start}", step="replay")
+        if self._reader is not None:
+            self._reader.drop()
+        self._reader = ReplayReader(self, offset)
+        self._note_progress(offset)
+        return self._reader
+
+    def read(self, offset: int) -> bytes:
+        """Return the bytes from `offset`, empty at the end of what was produced."""
+        start = offset - self._start
+        return bytes(self._window[start : start + _READ_BYTES])
+
+    def note_taken(self, reader: "ReplayReader", offset: int) -> None:
+        """Record that `reader` has taken everything before `offset`."""
+        if reader is self._reader:
+            self._note_progress(offset)
+
+    def check_readable(self, offset: int) -> None:
+        """Raise `AnswerCut` if a reader at `offset` can never go on."""
+        if offset < self._start or (self._discarding and offset < self._end):
+            raise AnswerCut("the answer is no longer held", step="replay")
+        if self._ended and not self._complete and offset == self._end:
+            raise AnswerCut("the answer ended early", step="replay")
+
+    def _note_progress(self, offset: int) -> None:
+        self._taken = offset
+        self._touched_ms = self._clock.now_ms()
+        self._progress.set()
+
+    def _make_room(self, size: int) -> bool:
+        excess = len(self._window) + size - self._limit_bytes
+        if excess <= 0:
+            return True
+        if self._start + excess > self._taken:
+            return False
+        del self._window[:excess]
+        self._start += excess
+        return True
+
+    def _wake_reader(self) -> None:
+        if self._reader is not None:
+            self._reader.wake()
+
+
+class ReplayReader:
+    """Position of one connection in a `ReplayBuffer`."""
+
+    def __init__(self, buffer: ReplayBuffer, offset: int):
+        self._buffer = buffer
+        self._offset = offset
+        self._dropped = False
+        self._changed = asyncio.Event()
+
+    @property
+    def dropped(self) -> bool:
+        """Whether the reader was replaced or its connection closed."""
+        return self._dropped
+
+    def wake(self) -> None:
+        """Let the reader look for new bytes."""
+        self._changed.set()
+
+    def drop(self) -> None:
+        """End the reader with `ReaderDropped`."""
+        self._dropped = True
+        self._changed.set()
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the bytes as they come; returning means that the answer is whole.
+
+        A piece counts as taken when the next one is asked for.
+
+        Raises
+        ------
+        AnswerCut
+            The answer ends without being whole.
+        ReaderDropped
+            Another connection reads the answer now.
+        """
+        while True:
+            if self._dropped:
+                raise ReaderDropped("replaced by a newer connection", step="replay")
+            self._buffer.check_readable(self._offset)
+            piece = self._buffer.read(self._offset)
+            if piece:
+                yield piece
+                self._offset += len(piece)
+                self._buffer.note_taken(self, self._offset)
+            elif self._buffer.ended:
+                return
+            else:
+                self._changed.clear()
+                await self._changed.wait()
