Add the policy driver and compare levels without the reserve on a raise

Cause: a team that became backlogged started at the lowest level with the reserve of the others in it, and stayed behind by that reserve for good. Change: the raise compares service without reserves; the bench drives the real ledgers with a heap of end times.

--- /dev/null
+++ b/libs/bench/src/bulrushbend/bench/policy.py
@@ -0,0 +1,307 @@
+"""Driver of the real ledgers and pickers with a heap of end times.
+
+One ledger per agent; rows are exchanged with a delay. It measures the choice of teams
+only: there are no sockets, no routers and no failing endpoints in it. Times are
+milliseconds.
+"""
+
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bulrushbend.bench.gaps import GapMeter, PolicyResult, ServiceMeter
+from bulrushbend.bench.scenario import Restart, Scenario, TeamLoad
+from bulrushbend.bench.variants import VARIANTS
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.identity import Identity
+from bulrushbend.share.ledger import Charge, Ledger
+from bulrushbend.share.row import Row
+
+_SERVICE = "flor-llm"
+_SAMPLE_MS = 50.0
+# Requests of a flood that wait at any time; first come first served sees their ages.
+_FLOOD_WINDOW = 32
+
+
+class HeapClock(Clock):
+    """Clock that the driver sets to the time of each event."""
+
+    def __init__(self):
+        self.value_ms = 0.0
+
+    def now_ms(self) -> float:
+        """Return the time of the current event in milliseconds."""
+        return self.value_ms
+
+
+@dataclass
+class _Request:
+    number: int
+    load: TeamLoad
+    queued_ms: float
+
+
+class _Agent:
+    def __init__(self, number: int, scenario: Scenario, clock: Clock):
+        self.number = number
+        self.incarnation = 0
+        self.up = False
+        self._scenario = scenario
+        self._clock = clock
+
+    def boot(self) -> None:
+        """Start without rows, under a new incarnation."""
+        self.incarnation += 1
+        self.up = True
+        self.free = self._scenario.slots
+        self.cursor = 0
+        self.queue: deque[_Request] = deque()
+        self.open: dict[int, tuple[_Request, Charge]] = {}
+        variant = VARIANTS[self._scenario.variant]
+        self.picker = variant.build_picker()
+        identity = Identity(f"agent-{self.number}", self.incarnation)
+        estimator = variant.build_estimator()
+        self.ledger = Ledger(_SERVICE, identity, self._clock, estimator)
+        self.ledger.set_shares({t.name: t.share for t in self._scenario.teams})
+
+    def take_rows(self) -> list[Row]:
+        """Return the own rows to send; all of them if messages may be lost."""
+        after = 0 if self._scenario.faults.any else self.cursor
+        self.cursor, rows = self.ledger.rows(after)
+        name = f"agent-{self.number}"
+        return [r for r in rows if r.agent == name]
+
+
+class PolicyDriver:
+    """Runs one scenario; the same scenario gives the same result.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        What to run.
+    """
+
+    def __init__(self, scenario: Scenario):
+        self._scenario = scenario
+        self._random = random.Random(scenario.seed)
+        self._clock = HeapClock()
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._teams = {team.name: team for team in scenario.teams}
+        self._queues: dict[str, deque[_Request]] = {n: deque() for n in self._teams}
+        self._meter = ServiceMeter(scenario.teams)
+        self._gaps = GapMeter()
+        self._waits: dict[str, list[float]] = {
+            team.name: [] for team in scenario.teams if not team.is_flood
+        }
+        self._idle_ms = self._claimed_ms = 0.0
+        self._requests = 0
+        self._agents = [
+            _Agent(number, scenario, self._clock) for number in range(scenario.agents)
+        ]
+
+    def run(self) -> PolicyResult:
+        """Run to the end of the scenario and return the figures."""
+        for agent in self._agents:
+            agent.boot()
+            phase_ms = self._random.uniform(0.0, self._scenario.spread_ms)
+            self._after(phase_ms, lambda agent=agent: self._spread(agent))
+        for team in self._scenario.teams:
+            # Without this order the first team would take all slots before the
+            # others wait.
+            self._arrive(team)
+        self._serve_all()
+        for restart in self._scenario.restarts:
+            self._after(restart.at_ms, lambda restart=restart: self._crash(restart))
+        self._after(_SAMPLE_MS, self._sample)
+        while self._events[0][0] <= self._scenario.duration_ms:
+            self._clock.value_ms, _, action = heapq.heappop(self._events)
+            action()
+        return self._result()
+
+    def _result(self) -> PolicyResult:
+        now_ms = self._clock.value_ms
+        return PolicyResult(
+            gap_ms=self._gaps.gap_ms,
+            interval_gap_ms=self._gaps.interval_gap_ms,
+            served_ms={n: self._meter.served_ms(n, now_ms) for n in self._teams},
+            waits_ms=self._waits,
+            idle_ms=self._idle_ms,
+            claimed_ms=self._claimed_ms,
+            requests=self._requests,
+        )
+
+    def _after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        due_ms = self._clock.value_ms + delay_ms
+        heapq.heappush(self._events, (due_ms, next(self._order), action))
+
+    def _arrive(self, team: TeamLoad) -> None:
+        now_ms = self._clock.value_ms
+        if team.is_on(now_ms):
+            missing = _FLOOD_WINDOW - len(self._queues[team.name])
+            for _ in range(missing if team.is_flood else 1):
+                self._enqueue(team)
+            if now_ms:
+                self._serve_all()
+        else:
+            self._withdraw(team)
+        if team.is_flood:
+            changes = {edge for period in team.periods for edge in period}
+            for edge_ms in sorted(change for change in changes if change > now_ms)[:1]:
+                self._after(edge_ms - now_ms, lambda: self._arrive(team))
+            return
+        gap_ms = self._random.expovariate(team.rate_per_s) * 1000.0
+        self._after(gap_ms, lambda: self._arrive(team))
+
+    def _withdraw(self, team: TeamLoad) -> None:
+        if team.is_flood:
+            self._queues[team.name].clear()
+            self._note_waiting(team.name)
+
+    def _enqueue(self, team: TeamLoad) -> None:
+        request = _Request(next(self._order), team, self._clock.value_ms)
+        if self._scenario.push:
+            self._push(request)
+            return
+        self._queues[team.name].append(request)
+        self._note_waiting(team.name)
+
+    def _push(self, request: _Request) -> None:
+        up = [agent for agent in self._agents if agent.up]
+        least = min(up, key=lambda a: (len(a.queue) - a.free, self._random.random()))
+        least.queue.append(request)
+
+    def _note_waiting(self, team: str) -> None:
+        waiting = bool(self._queues[team])
+        for agent in self._agents:
+            if agent.up:
+                agent.ledger.set_waiting(team, waiting)
+
+    def _serve_all(self) -> None:
+        free = [agent for agent in self._agents if agent.up and agent.free]
+        self._random.shuffle(free)
+        for agent in free:
+            self._serve(agent)
+
+    def _serve(self, agent: _Agent) -> None:
+        while agent.up and agent.free:
+            request = self._next_request(agent)
+            if request is None:
+                return
+            self._claim(agent, request)
+
+    def _next_request(self, agent: _Agent) -> _Request | None:
+        if self._scenario.push:
+            return agent.queue.popleft() if agent.queue else None
+        now_ms = self._clock.value_ms
+        waiting = {
+            team: now_ms - queue[0].queued_ms
+            for team, queue in self._queues.items()
+            if queue
+        }
+        team = agent.picker.pick(waiting, agent.ledger)
+        return None if team is None else self._queues[team].popleft()
+
+    def _claim(self, agent: _Agent, request: _Request) -> None:
+        agent.free -= 1
+        team = request.load
+        charge = agent.ledger.hold(team.name)
+        agent.open[request.number] = (request, charge)
+        incarnation = agent.incarnation
+        if team.is_flood and team.is_on(self._clock.value_ms):
+            self._enqueue(team)
+        elif not self._scenario.push:
+            self._note_waiting(team.name)
+        self._after(
+            self._scenario.claim_ms, lambda: self._start(agent, incarnation, request)
+        )
+
+    def _start(self, agent: _Agent, incarnation: int, request: _Request) -> None:
+        self._claimed_ms += self._scenario.claim_ms
+        if agent.incarnation != incarnation or request.number not in agent.open:
+            return
+        now_ms = self._clock.value_ms
+        self._requests += 1
+        agent.open[request.number][1].start()
+        self._meter.start(request.load.name, request.number, now_ms)
+        if not request.load.is_flood:
+            self._waits[request.load.name].append(now_ms - request.queued_ms)
+        cost_ms = request.load.draw_cost_ms(self._random)
+        self._after(cost_ms, lambda: self._end(agent, incarnation, request))
+
+    def _end(self, agent: _Agent, incarnation: int, request: _Request) -> None:
+        if agent.incarnation != incarnation or request.number not in agent.open:
+            return
+        agent.open.pop(request.number)[1].end()
+        self._meter.end(request.load.name, request.number, self._clock.value_ms)
+        agent.free += 1
+        self._serve(agent)
+
+    def _spread(self, agent: _Agent) -> None:
+        self._after(self._scenario.spread_ms, lambda: self._spread(agent))
+        if not agent.up:
+            return
+        rows = agent.take_rows()
+        for peer in self._agents:
+            if peer is not agent:
+                self._send(peer, rows)
+
+    def _send(self, peer: _Agent, rows: list[Row]) -> None:
+        faults = self._scenario.faults
+        if not faults.any:
+            self._after(self._scenario.hop_ms, lambda: self._deliver(peer, rows))
+            return
+        if self._random.random() < faults.lost:
+            return
+        copies = 2 if self._random.random() < faults.doubled else 1
+        for _ in range(copies):
+            late_ms = self._random.uniform(0.0, faults.late_ms)
+            self._after(
+                self._scenario.hop_ms + late_ms, lambda: self._deliver(peer, rows)
+            )
+
+    def _deliver(self, peer: _Agent, rows: list[Row]) -> None:
+        if peer.up:
+            peer.ledger.merge(rows)
+
+    def _crash(self, restart: Restart) -> None:
+        agent = self._agents[restart.agent]
+        now_ms = self._clock.value_ms
+        for request, charge in agent.open.values():
+            if charge.started:
+                self._meter.end(request.load.name, request.number, now_ms)
+        agent.open.clear()
+        agent.up = False
+        self._after(restart.down_ms, lambda: self._reboot(agent))
+
+    def _reboot(self, agent: _Agent) -> None:
+        teachers = [peer for peer in self._agents if peer.up]
+        agent.boot()
+        for team, queue in self._queues.items():
+            agent.ledger.set_waiting(team, bool(queue))
+        if teachers:
+            rows = self._random.choice(teachers).ledger.rows()[1]
+            self._after(self._scenario.hop_ms, lambda: self._deliver(agent, rows))
+        self._serve(agent)
+
+    def _sample(self) -> None:
+        self._after(_SAMPLE_MS, self._sample)
+        now_ms = self._clock.value_ms
+        self._gaps.sample(
+            {
+                team.name: self._meter.normalised_ms(team.name, now_ms)
+                for team in self._scenario.teams
+                if team.is_flood and team.is_on(now_ms)
+            }
+        )
+        if any(self._queues.values()):
+            idle = sum(agent.free for agent in self._agents if agent.up)
+            self._idle_ms += idle * _SAMPLE_MS
+
+
+def run_policy(scenario: Scenario) -> PolicyResult:
+    """Run `scenario` and return its figures."""
+    return PolicyDriver(scenario).run()
--- a/libs/share/src/bulrushbend/share/ledger.py
+++ b/libs/share/src/bulrushbend/share/ledger.py
@@ -35,6 +35,11 @@
         """Team that is charged."""
         return self._team
 
+    @property
+    def started(self) -> bool:
+        """Whether slot time accrues or has accrued."""
+        return self._charge.start_ms is not None
+
     def start(self) -> None:
         """Let slot time accrue from now."""
         self._ledger._start(self._team, self._charge)
@@ -174,26 +179,44 @@
         return account
 
     def _level(self, team: str, now_ms: float) -> float:
+        return self._served_level(team, now_ms) + self._held_level(team, now_ms)
+
+    def _served_level(self, team: str, now_ms: float) -> float:
+        """Return the level without the reserve."""
         totals = self._peers.totals.get(team)
         account = self._accounts.get(team)
-        start = weighted_ms = reserve_ms = 0.0
+        start = weighted_ms = 0.0
         if totals is not None:
             start = totals.start_level
             weighted_ms = totals.weighted_ms
-            reserve_ms = totals.reserve_ms
         if account is not None:
             start = max(start, account.start_level)
             weighted_ms += account.weighted_ms(now_ms)
+        return start + weighted_ms
+
+    def _held_level(self, team: str, now_ms: float) -> float:
+        """Return the reserve over the share."""
+        totals = self._peers.totals.get(team)
+        account = self._accounts.get(team)
+        reserve_ms = totals.reserve_ms if totals is not None else 0.0
+        if account is not None:
             reserve_ms += account.reserve_ms(self._estimator, now_ms)
-        return start + weighted_ms + reserve_ms / self._share(team)
+        return reserve_ms / self._share(team)
 
     def _raise(self, team: str, account: TeamAccount) -> None:
-        """Raise the level of a team that becomes backlogged."""
+        """Raise the service of a team that becomes backlogged.
+
+        The reserves stay out of the comparison: requests that run now become service
+        of their teams after this moment, as those of the raised team will.
+        A team that runs may lag by its reserve, because the newest service of its
+        running requests may not have arrived here and would count twice.
+        """
         now_ms = self._clock.now_ms()
         self._peers.expire(now_ms)
         if team in self._peers.waiting:
-            return  # backlogged elsewhere: it is raised there
-        missing = self._floor(team, now_ms) - self._level(team, now_ms)
+            return  # backlogged elsewhere: it was raised there
+        credit = max(0.0, self._held_level(team, now_ms))
+        missing = self._floor(team, now_ms) - credit - self._served_level(team, now_ms)
         if missing <= 0.0:
             return
         totals = self._peers.totals.get(team)
@@ -204,9 +227,9 @@
         waiting = [name for name, own in self._accounts.items() if own.waiting]
         waiting.extend(self._peers.waiting)
         if waiting:
-            return min(self._level(name, now_ms) for name in waiting)
+            return min(self._served_level(name, now_ms) for name in waiting)
         known = self._accounts.keys() | self._peers.totals.keys()
-        return max(self._level(name, now_ms) for name in known)
+        return max(self._served_level(name, now_ms) for name in known)
 
     def _start(self, team: str, charge: OpenCharge) -> None:
         self._account(team).start(charge, self._clock.now_ms())
