Hold keyed answers until control has stored them

RecordKey precedes the queue, CompleteKey precedes the answer, ReleaseKey follows only a proof that nothing ran. Calls that control did not confirm are owed and tried again. A first run that failed or ended unknown is completed with that outcome, because a key that stays recorded under a live router would be reported as running for ever.

Outcome 'completed' is added for a stored answer without its body.

--- a/libs/router/src/bulrushbend/router/answers.py
+++ b/libs/router/src/bulrushbend/router/answers.py
@@ -94,6 +94,11 @@
     )
 
 
+def caller_gone() -> CallEnded:
+    """Return the end of a request that did not run and whose caller is gone."""
+    return not_run(499, "caller-gone", "the caller closed the connection")
+
+
 def unknown(code: str, message: str, status: int = 502) -> CallEnded:
     """Return the answer to a request that may have run."""
     return CallEnded(status, Outcome.UNKNOWN, code, message)
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -23,12 +23,13 @@
 from bulrushbend.process.inforce import ManifestInForce
 from bulrushbend.process.watch import FleetWatch
 from bulrushbend.router import metrics
-from bulrushbend.router.answers import CallEnded, not_run
+from bulrushbend.router.answers import CallEnded, caller_gone, not_run
 from bulrushbend.router.attempt import AttemptContext
 from bulrushbend.router.dispatch import Dispatcher
 from bulrushbend.router.drain import Drain
 from bulrushbend.router.http import caller_application
 from bulrushbend.router.intake import Intake
+from bulrushbend.router.keys import KeyBook
 from bulrushbend.router.link import AgentLink, LinkContext
 from bulrushbend.router.links import AgentLinks
 from bulrushbend.router.queue import Place, WaitingQueues
@@ -41,6 +42,8 @@
 
 _STARTING_RETRY_MS = 1_000.0
 _SWEEP_MS = 500.0
+# Extra time at shutdown for keys that control has not confirmed yet.
+_OWED_KEYS_S = 5.0
 # Tornado closes a connection whose headers exceed its own limit without an answer, so
 # that limit is higher than the one that is answered with status 431.
 _HEADER_LIMIT_FACTOR = 4
@@ -100,6 +103,9 @@
                 self._take_rows,
             )
         )
+        self._keys = KeyBook(
+            self._watch, identity, clock, events, settings.key_timeout_ms
+        )
         self._drain = Drain(settings, clock, events, self._queues)
         self._in_force.listen(self._adopt)
         self._watch.listen(self._links.update)
@@ -162,15 +168,25 @@
         error = self._lack_of_endpoints(request.service)
         if error is not None:
             raise error
-        self._write(EventKind.REQUEST_QUEUED, request)
         with self._drain.track():
-            await self._dispatcher.serve(request, place, sink)
+            if request.key is None:
+                await self._run(request, place, sink)
+                return
+            await self._keys.serve(
+                request, sink, lambda held: self._run(request, place, held)
+            )
+
+    async def _run(
+        self, request: CallerRequest, place: Place, sink: AnswerSink
+    ) -> None:
+        self._write(EventKind.REQUEST_QUEUED, request)
+        await self._dispatcher.serve(request, place, sink)
 
     def abandon(self, request: CallerRequest) -> bool:
         """End the waiting of a request whose caller is gone; False if it runs."""
         self._write(EventKind.REQUEST_ABANDONED, request)
-        gone = not_run(499, "caller-gone", "the caller closed the connection")
-        return self._queues.withdraw(request, gone)
+        request.abandoned = True
+        return self._queues.withdraw(request, caller_gone())
 
     def note_end(
         self,
@@ -201,6 +217,7 @@
                 group.create_task(self._watch.run())
                 group.create_task(self._dispatcher.watch_stalls())
                 group.create_task(self._sweep())
+                group.create_task(self._keys.settle())
                 group.create_task(self._note_ready())
         finally:
             self._links.close()
@@ -209,6 +226,10 @@
         """Finish what is in progress; see `Drain.run`."""
         self._watch.set_leaving()
         await self._drain.run()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_OWED_KEYS_S):
+                while self._keys.owed:
+                    await self._clock.sleep_ms(50)
 
     async def _note_ready(self) -> None:
         await self._in_force.wait()
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/keys.py
@@ -0,0 +1,247 @@
+"""Idempotency keys: a non-idempotent request with a key runs at most once."""
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from tornado.httputil import HTTPHeaders
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import NoQuorum
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.identity import Identity
+from bulrushbend.core.logs import part_logger
+from bulrushbend.router.answers import CallEnded, not_run, refused
+from bulrushbend.router.holding import HoldingSink
+from bulrushbend.router.request import CallerRequest
+from bulrushbend.router.sinks import AnswerSink
+from bulrushbend.wire.fleet_pb2 import Header, KeyReply, KeyRequest, StoredAnswer
+from bulrushbend.wire.names import HEADER_OUTCOME, Outcome
+
+_log = part_logger("router.keys")
+
+_RUNNING_RETRY_MS = 1_000.0
+_UNAVAILABLE_RETRY_MS = 2_000.0
+_OWED_RETRY_MS = 1_000.0
+# Each owed completion holds an answer of up to 64 KiB.
+_MOST_OWED = 500
+
+
+class KeyControl(Protocol):
+    """Calls to control, as `FleetWatch` makes them."""
+
+    async def call(self, method: str, request: Any, timeout_ms: float) -> Any:
+        """Call a method of the `Fleet` service; raises `NoQuorum`."""
+        ...
+
+
+class KeyBook:
+    """Records, completes and releases keys through control.
+
+    What control could not be told is owed and tried again until it answers.
+
+    Parameters
+    ----------
+    control : KeyControl
+        Way to control.
+    identity : Identity
+        This router, the owner of the keys it records.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Receives the key events.
+    timeout_ms : float
+        Deadline of one call in milliseconds.
+    """
+
+    def __init__(
+        self,
+        control: KeyControl,
+        identity: Identity,
+        clock: Clock,
+        events: EventLog,
+        timeout_ms: float,
+    ):
+        self._control = control
+        self._identity = identity
+        self._clock = clock
+        self._events = events
+        self._timeout_ms = timeout_ms
+        self._owed: OrderedDict[str, tuple[str, KeyRequest]] = OrderedDict()
+
+    @property
+    def owed(self) -> int:
+        """Number of completions and releases that control has not confirmed."""
+        return len(self._owed)
+
+    async def serve(
+        self,
+        request: CallerRequest,
+        sink: AnswerSink,
+        run: Callable[[AnswerSink], Awaitable[None]],
+    ) -> None:
+        """Run a keyed request once, or give the answer of its first run.
+
+        The answer is held until control has stored it, so that a caller that saw an
+        answer gets the same one again.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            Request with a key.
+        sink : AnswerSink
+            Receives the answer.
+        run : callable
+            Runs the request and passes its answer to the sink it is given.
+
+        Raises
+        ------
+        CallEnded
+            The request ended without an endpoint's complete answer.
+        """
+        name = self._describe(request)
+        reply = await self._record(name)
+        if reply.result == KeyReply.COMPLETED:
+            await _replay(reply.answer, sink)
+            return
+        if reply.result != KeyReply.RECORDED:
+            raise _refusal(reply)
+        self._write(EventKind.KEY_RECORDED, request)
+        await self._run_once(request, name, HoldingSink(sink), run)
+
+    async def settle(self) -> None:
+        """Try what is owed again and again until cancelled."""
+        while True:
+            await self._clock.sleep_ms(_OWED_RETRY_MS)
+            for request_id, (method, message) in list(self._owed.items()):
+                if not await self._tell(method, message):
+                    break
+                self._owed.pop(request_id, None)
+
+    async def _run_once(
+        self,
+        request: CallerRequest,
+        name: KeyRequest,
+        held: HoldingSink,
+        run: Callable[[AnswerSink], Awaitable[None]],
+    ) -> None:
+        try:
+            await run(held)
+        except CallEnded as error:
+            if error.outcome is Outcome.NOT_RUN:
+                await self._tell_or_owe("ReleaseKey", name)
+                self._write(EventKind.KEY_RELEASED, request)
+            else:
+                await self._complete(request, name, _stored_failure(error, name))
+            raise
+        await self._complete(request, name, held.stored())
+        await held.hand_over()
+
+    async def _record(self, name: KeyRequest) -> KeyReply:
+        try:
+            reply = await self._control.call("RecordKey", name, self._timeout_ms)
+        except NoQuorum as error:
+            _log.warning("a key was not recorded: %s", error)
+            reply = KeyReply(result=KeyReply.UNAVAILABLE)
+        if reply.result in (KeyReply.UNAVAILABLE, KeyReply.UNSPECIFIED):
+            # The key may have been recorded nevertheless, and nothing runs under it.
+            self._owe("ReleaseKey", name)
+        return reply
+
+    async def _complete(
+        self, request: CallerRequest, name: KeyRequest, answer: StoredAnswer
+    ) -> None:
+        message = KeyRequest()
+        message.CopyFrom(name)
+        message.answer.CopyFrom(answer)
+        await self._tell_or_owe("CompleteKey", message)
+        self._write(EventKind.KEY_COMPLETED, request)
+
+    async def _tell_or_owe(self, method: str, message: KeyRequest) -> None:
+        if not await self._tell(method, message):
+            self._owe(method, message)
+
+    async def _tell(self, method: str, message: KeyRequest) -> bool:
+        try:
+            reply = await self._control.call(method, message, self._timeout_ms)
+        except NoQuorum:
+            return False
+        return reply.result not in (KeyReply.UNAVAILABLE, KeyReply.UNSPECIFIED)
+
+    def _owe(self, method: str, message: KeyRequest) -> None:
+        self._owed[message.request_id] = (method, message)
+        if len(self._owed) > _MOST_OWED:
+            self._owed.popitem(last=False)
+            _log.error("control is away for long; the oldest owed key is given up")
+
+    def _describe(self, request: CallerRequest) -> KeyRequest:
+        return KeyRequest(
+            team=request.team,
+            service=request.service,
+            key=request.key,
+            body_digest=body_digest(request),
+            owner=self._identity.name,
+            owner_incarnation=self._identity.incarnation,
+            request_id=request.request_id,
+        )
+
+    def _write(self, kind: EventKind, request: CallerRequest) -> None:
+        self._events.write(
+            kind,
+            request_id=request.request_id,
+            team=request.team,
+            service=request.service,
+        )
+
+
+def body_digest(request: CallerRequest) -> str:
+    """Return the SHA-256 over method, path and body in hexadecimal."""
+    digest = hashlib.sha256(f"{request.method} {request.path}\n".encode())
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def _refusal(reply: KeyReply) -> CallEnded:
+    first = reply.request_id or "unknown"
+    match reply.result:
+        case KeyReply.RUNNING:
+            return CallEnded(
+                409,
+                Outcome.RUNNING,
+                "key-running",
+                f"the first request with this key still runs: {first}",
+                retry_after_ms=_RUNNING_RETRY_MS,
+            )
+        case KeyReply.OUTCOME_UNKNOWN:
+            message = f"the first request with this key may have run: {first}"
+            return CallEnded(409, Outcome.UNKNOWN, "key-unknown", message)
+        case KeyReply.MISMATCH:
+            return refused(422, "key-reused", "the key was used with another request")
+    message = "no majority of control recorded the key"
+    return not_run(503, "key-unavailable", message, _UNAVAILABLE_RETRY_MS)
+
+
+async def _replay(answer: StoredAnswer, sink: AnswerSink) -> None:
+    headers = HTTPHeaders()
+    for header in answer.headers:
+        headers.add(header.name, header.value)
+    if not answer.body_kept:
+        headers[HEADER_OUTCOME] = str(Outcome.COMPLETED)
+    await sink.start(answer.status, headers)
+    if answer.body:
+        await sink.write(answer.body)
+
+
+def _stored_failure(error: CallEnded, name: KeyRequest) -> StoredAnswer:
+    """Return what a repeated request gets after a first run without an answer."""
+    status = 409 if error.outcome is Outcome.UNKNOWN else error.status
+    return StoredAnswer(
+        status=status,
+        headers=[
+            Header(name=header, value=value)
+            for header, value in error.headers(name.request_id).get_all()
+        ],
+        body=error.body(name.request_id),
+        body_kept=True,
+    )
--- a/libs/router/src/bulrushbend/router/queue.py
+++ b/libs/router/src/bulrushbend/router/queue.py
@@ -8,7 +8,7 @@
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.manifest import Limits
 from bulrushbend.router.affinity import RecentPrefixes, choose_request
-from bulrushbend.router.answers import CallEnded, not_run
+from bulrushbend.router.answers import CallEnded, caller_gone, not_run
 from bulrushbend.router.rate import ServiceRate
 from bulrushbend.router.request import CallerRequest, Grant
 
@@ -126,6 +126,8 @@
         CallEnded
             The deadline passed or the request was withdrawn.
         """
+        if request.abandoned:
+            raise caller_gone()
         loop = asyncio.get_running_loop()
         place.hold()
         request.granted = loop.create_future()
@@ -134,6 +136,9 @@
         timer = loop.call_later(max(0.0, remaining_ms) / 1000.0, self._expire, request)
         try:
             return await request.granted
+        except asyncio.CancelledError:
+            self._give_back(request.granted)
+            raise
         finally:
             timer.cancel()
             self._remove(request)
@@ -213,6 +218,12 @@
         waiting = len(self._queues.get((service, team), ()))
         return self.rate(service).retry_after_ms(waiting)
 
+    def _give_back(self, granted: asyncio.Future[Grant]) -> None:
+        """Report a miss for a claim that arrived together with a cancellation."""
+        if granted.done() and not granted.cancelled() and not granted.exception():
+            grant = granted.result()
+            grant.link.send_miss(grant.attempt_id)
+
     def _full(self, code: str, message: str, team: str) -> CallEnded:
         services = {service for service, name in self._queues if name == team}
         delays = [self.retry_after_ms(service, team) for service in services]
--- a/libs/router/src/bulrushbend/router/request.py
+++ b/libs/router/src/bulrushbend/router/request.py
@@ -104,6 +104,8 @@
         Monotonic time of the admission in milliseconds.
     passed_over : int
         How often a later request of the queue was preferred.
+    abandoned : bool
+        Whether the caller is gone.
     granted : Future or None
         Resolved with the `Grant` while the request waits.
     """
@@ -121,6 +123,7 @@
     prefix: tuple[int, ...] = ()
     queued_ms: float = 0.0
     passed_over: int = 0
+    abandoned: bool = False
     granted: asyncio.Future[Grant] | None = field(default=None, repr=False)
 
     @property
--- a/libs/wire/src/bulrushbend/wire/names.py
+++ b/libs/wire/src/bulrushbend/wire/names.py
@@ -37,6 +37,7 @@
     """What became of a request."""
 
     ANSWERED = "answered"
+    COMPLETED = "completed"
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
     FAILED = "failed"
