--- a/libs/router/tests/builders.py
+++ b/libs/router/tests/builders.py
@@ -255,6 +255,9 @@
             method, path, _ = line.split(" ")
             self.calls.append((method, path))
             self.requests.append((method, headers, body))
+            name = path.split("/")[2].split("?")[0]
+            if method == "POST" and name not in self.running:
+                self.running[name] = 0
             answer = self.answers[method]
             if isinstance(answer, list):
                 answer = answer.pop(0) if len(answer) > 1 else answer[0]
@@ -264,6 +267,9 @@
         finally:
             writer.close()
 
+    def count(self, method):
+        return sum(name == method for name, _ in self.calls)
+
 
 class FakeExchange:
     """One connection at the agent's data port."""
@@ -283,9 +289,14 @@
         await self.raw(CHUNKED + lines + "\r\n")
 
     async def chunk(self, text):
+        self.produce(len(text))
         await self.raw(f"{len(text):x}\r\n{text}\r\n")
 
+    def produce(self, size):
+        self.agent.running[self.attempt_id] += size
+
     async def end(self):
+        self.agent.running.pop(self.attempt_id, None)
         await self.raw("0\r\n\r\n")
 
     async def raw(self, text):
