--- /dev/null
+++ b/tests/test_build.py
@@ -0,0 +1,72 @@
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from localfleet import fetch, pick_ports
+
+ROOT = Path(__file__).parent.parent
+
+
+@pytest.fixture(scope="module")
+def program(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("build")
+    environment = os.environ | {"BUILD_FOLDER": str(folder)}
+    environment["BIN"] = str(Path(sys.executable).parent)
+    command = [str(ROOT / "tools" / "build.sh")]
+    subprocess.run(command, env=environment, check=True, capture_output=True)
+    return folder / "bulrushbend"
+
+
+def start(program, folder, *arguments):
+    environment = {"PATH": os.environ["PATH"], "SHIV_ROOT": str(folder)}
+    return subprocess.Popen(
+        [program, *arguments],
+        env=environment,
+        cwd=folder,
+        text=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+
+
+def children(pid):
+    tasks = Path(f"/proc/{pid}/task").glob("*/children")
+    return [child for task in tasks for child in task.read_text().split()]
+
+
+def test_program_is_one_process_from_its_first_start(program, tmp_path):
+    address = f"127.0.0.1:{pick_ports(1)[0]}"
+    process = start(program, tmp_path, "standin", "platform", "--http-address", address)
+    seen = []
+    while process.poll() is None and not serves(address):
+        seen += children(process.pid)
+        time.sleep(0.01)
+    seen += children(process.pid)
+    process.terminate()
+    assert process.wait(10) == 0
+    assert seen == []
+
+
+def serves(address):
+    try:
+        return fetch(f"http://{address}/vms")[0] == 200
+    except OSError:
+        return False
+
+
+def test_processes_that_unpack_at_the_same_time_all_run(program, tmp_path):
+    processes = [start(program, tmp_path, "--help") for _ in range(6)]
+    outputs = [process.communicate(timeout=60) for process in processes]
+    assert [process.returncode for process in processes] == [0] * 6
+    assert all("SYNOPSIS" in output for output, _ in outputs)
+    assert len(list(tmp_path.glob("bulrushbend_*"))) == 1
+
+
+def test_program_holds_no_development_packages(program, tmp_path):
+    start(program, tmp_path, "--help").communicate(timeout=60)
+    names = {path.name for path in tmp_path.glob("*/site-packages/*")}
+    assert {"tornado", "grpclib", "bulrushbend"} <= names
+    assert names.isdisjoint({"pytest", "ruff", "numpy", "matplotlib", "grpc_tools"})
