Run the built program with a named interpreter in its tests

The test saw children of python3 itself: on this path it is a shell script that starts processes before it becomes the interpreter.

--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -21,9 +21,11 @@
 
 
 def start(program, folder, *arguments):
+    # The interpreter is named, because python3 on the path may be a shell script
+    # that starts processes of its own before it becomes the interpreter.
     environment = {"PATH": os.environ["PATH"], "SHIV_ROOT": str(folder)}
     return subprocess.Popen(
-        [program, *arguments],
+        [sys.executable, program, *arguments],
         env=environment,
         cwd=folder,
         text=True,
