--- a/libs/cli/src/bulrushbend/cli/exits.py
+++ b/libs/cli/src/bulrushbend/cli/exits.py
@@ -7,6 +7,7 @@
     ConfigurationError,
     ConsensusError,
     PeerError,
+    StoreError,
 )
 
 
@@ -35,4 +36,6 @@
         return ExitCode.INVALID
     if isinstance(error, FleetUnavailable | PeerError | ConsensusError):
         return ExitCode.UNAVAILABLE
+    if isinstance(error, StoreError):
+        return ExitCode.FAILED
     return ExitCode.INTERNAL
