--- a/libs/control/src/bulrushbend/control/service.py
+++ b/libs/control/src/bulrushbend/control/service.py
@@ -114,7 +114,7 @@
         return KeyReply.FromString(result)
 
     def status(self, with_manifest: bool = False) -> StatusReply:
-        """Return the status message of this replica."""
+        """Return the status message of this replica, on request with the manifest."""
         consensus = self._replica.status()
         manifest = self._replica.state.manifest
         return StatusReply(
