Serve watch streams with one full manifest for each member

Every member watches every replica, and each of them sent the whole manifest. Now one replica, chosen by a hash of the names, sends it at once; the others send it only to members that still report the old version 750 ms later.

A replica that knows no leader refuses writes at once, so that callers try another one.

--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -14,6 +14,7 @@
 from bulrushbend.control.journal import Journal
 from bulrushbend.control.membership import Membership
 from bulrushbend.control.service import FleetService
+from bulrushbend.control.watcher import WatchOptions
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import NoQuorum, SettingsError
 from bulrushbend.core.events import EventKind, EventLog
@@ -148,7 +149,14 @@
         )
         self._replica.listen(Journal(self._events).write)
         self._membership = Membership(self._clock, settings.member_timeout_ms)
-        self._service = FleetService(self._replica, self._membership, self._clock)
+        options = WatchOptions(
+            name=settings.name,
+            heartbeat_ms=settings.silence_between_regions_ms / 3,
+            silence_ms=settings.member_timeout_ms,
+        )
+        self._service = FleetService(
+            self._replica, self._membership, self._clock, options
+        )
 
     async def _start_grpc(self) -> None:
         server = Server([self._service, ConsensusService(self._replica)])
--- a/libs/control/src/bulrushbend/control/service.py
+++ b/libs/control/src/bulrushbend/control/service.py
@@ -3,13 +3,16 @@
 from collections.abc import Callable
 from typing import Any
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
 from bulrushbend.control.membership import Membership
-from bulrushbend.control.watcher import Watcher
+from bulrushbend.control.watcher import Watcher, WatchOptions
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import ManifestError, NoQuorum
 from bulrushbend.store.base import Applied, BaseReplica
 from bulrushbend.store.state import cap_answer
-from bulrushbend.wire.control_pb2 import Command
+from bulrushbend.wire.control_pb2 import Command, KeyRecord
 from bulrushbend.wire.documents import unpack_manifest
 from bulrushbend.wire.fleet_grpc import FleetBase
 from bulrushbend.wire.fleet_pb2 import (
@@ -34,14 +37,24 @@
         Members that report to this replica.
     clock : Clock
         Source of time.
+    options : WatchOptions, optional
+        Settings of the watch streams.
     """
 
-    def __init__(self, replica: BaseReplica, membership: Membership, clock: Clock):
+    def __init__(
+        self,
+        replica: BaseReplica,
+        membership: Membership,
+        clock: Clock,
+        options: WatchOptions | None = None,
+    ):
         self._replica = replica
         self._membership = membership
         self._clock = clock
+        self._options = options or WatchOptions()
         self._watchers: set[Watcher] = set()
         self._known_version = 0
+        self._known_since_ms = clock.now_ms()
         replica.listen(self._after_apply)
 
     @property
@@ -49,9 +62,14 @@
         """Number of open watch streams."""
         return len(self._watchers)
 
+    @property
+    def manifest_age_ms(self) -> float:
+        """Time since this replica learnt the newest manifest, in milliseconds."""
+        return self._clock.now_ms() - self._known_since_ms
+
     async def Watch(self, stream: Any) -> None:  # noqa: N802
         """Serve one watch stream."""
-        watcher = Watcher(stream, self._replica, self._membership, self._clock)
+        watcher = Watcher(stream, self, self._replica, self._membership, self._options)
         self._watchers.add(watcher)
         try:
             await watcher.run()
@@ -61,6 +79,7 @@
     async def Publish(self, stream: Any) -> None:  # noqa: N802
         """Publish a manifest."""
         request = await stream.recv_message()
+        self._refuse_when_cut_off()
         await stream.send_message(await self.publish(request))
 
     async def RecordKey(self, stream: Any) -> None:  # noqa: N802
@@ -106,6 +125,7 @@
         self, request: KeyRequest, build: Callable[[KeyRequest, int], Command]
     ) -> KeyReply:
         """Propose a key command; `build` makes it from the request and the time."""
+        self._refuse_when_cut_off()
         command = build(request, self._clock.wall_ms())
         try:
             result = await self._replica.propose(command, WRITE_TIMEOUT_MS)
@@ -129,24 +149,38 @@
             manifest=manifest if with_manifest else None,
         )
 
+    def _refuse_when_cut_off(self) -> None:
+        """Send the caller to another replica at once instead of after a timeout."""
+        if self._replica.is_cut_off:
+            raise GRPCError(Status.UNAVAILABLE, "this replica knows no leader")
+
     def _judge_owner(self, request: KeyRequest, reply: KeyReply) -> KeyReply:
         """Turn RUNNING into OUTCOME_UNKNOWN when the recording router is gone.
 
         The state does not know who is alive, since membership is not replicated. A
         replica that has just started cannot tell either and answers RUNNING.
         """
-        if reply.result != KeyReply.RUNNING or not self._membership.is_settled:
+        if reply.result != KeyReply.RUNNING:
             return reply
         record = self._replica.state.key_record(request)
         if record is None or record.request_id != reply.request_id:
             return reply
-        if not self._membership.is_alive(record.owner, record.owner_incarnation):
+        if self._is_gone(record, request):
             reply.result = KeyReply.OUTCOME_UNKNOWN
         return reply
 
+    def _is_gone(self, record: KeyRecord, request: KeyRequest) -> bool:
+        """Return whether the router that recorded the key does not run any more."""
+        if record.owner == request.owner:
+            return record.owner_incarnation < request.owner_incarnation
+        return self._membership.is_settled and not self._membership.is_alive(
+            record.owner, record.owner_incarnation
+        )
+
     def _after_apply(self, applied: Applied) -> None:
         if self._replica.state.manifest_version > self._known_version:
             self._known_version = self._replica.state.manifest_version
+            self._known_since_ms = self._clock.now_ms()
             for watcher in self._watchers:
                 watcher.wake()
 
--- a/libs/control/src/bulrushbend/control/watcher.py
+++ b/libs/control/src/bulrushbend/control/watcher.py
@@ -2,21 +2,56 @@
 
 import asyncio
 import contextlib
-from typing import Any
+import hashlib
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 from bulrushbend.control.membership import Membership
-from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import NoQuorum
 from bulrushbend.store.base import BaseReplica
 from bulrushbend.wire.fleet_pb2 import FleetState, MemberReport
 
-# A client gives a silent replica up after `silence_between_regions_ms` (6 s by
-# default); a state every 2 s survives the loss of two.
-HEARTBEAT_MS = 2000
 # Members that join together are told together; without this pause a start of 1,000
 # processes would send each of them 1,000 messages.
 MEMBER_PAUSE_MS = 20
 CONFIRM_TIMEOUT_MS = 1000
+# A peer that has not adopted a manifest by then may have lost it with a connection.
+RESEND_MS = 2000
+
+
+@dataclass(frozen=True)
+class WatchOptions:
+    """Settings of the watch streams; times are in milliseconds.
+
+    Attributes
+    ----------
+    name : str
+        Name of this replica.
+    heartbeat_ms : float
+        Longest time without a message to the peer. A client gives a silent replica up
+        after `silence_between_regions_ms`, 6 s by default; a third of that survives
+        the loss of two messages.
+    silence_ms : float
+        The stream is closed when no report has come for so long.
+    push_grace_ms : float
+        Time that the preferred replica has for handing on a new manifest before the
+        others send it to a member that still reports the old one. Each member watches
+        every replica; without the grace each of them would send the whole manifest.
+    """
+
+    name: str = ""
+    heartbeat_ms: float = 2000.0
+    silence_ms: float = 5000.0
+    push_grace_ms: float = 750.0
+
+
+class ManifestAge(Protocol):
+    """Tells how long the newest manifest has been known here."""
+
+    @property
+    def manifest_age_ms(self) -> float:
+        """Time since this replica learnt the newest manifest, in milliseconds."""
+        ...
 
 
 class Watcher:
@@ -26,29 +61,36 @@
     ----------
     stream : grpclib.server.Stream
         The stream.
+    age : ManifestAge
+        Tells how new the manifest is.
     replica : BaseReplica
         Source of the manifest.
     membership : Membership
         Receives the reports.
-    clock : Clock
-        Source of time.
+    options : WatchOptions
+        Settings.
     """
 
     def __init__(
         self,
         stream: Any,
+        age: ManifestAge,
         replica: BaseReplica,
         membership: Membership,
-        clock: Clock,
+        options: WatchOptions,
     ):
         self._stream = stream
+        self._age = age
         self._replica = replica
         self._membership = membership
-        self._clock = clock
+        self._options = options
+        self._member_name = ""
         self._dirty: set[str] = set()
         self._wake = asyncio.Event()
         self._peer_version = 0
         self._wants_confirmation = False
+        self._sent_version = 0
+        self._sent_age_ms = 0.0
 
     def wake(self) -> None:
         """Have the sending side look for news."""
@@ -72,13 +114,22 @@
 
     async def _receive(self) -> None:
         try:
-            while (report := await self._stream.recv_message()) is not None:
+            while (report := await self._next_report()) is not None:
                 self._take_report(report)
         finally:
             self._wake.set()
 
+    async def _next_report(self) -> MemberReport | None:
+        """Return the next report, None when the peer has ended or gone silent."""
+        try:
+            async with asyncio.timeout(self._options.silence_ms / 1000.0):
+                return await self._stream.recv_message()
+        except TimeoutError:
+            return None
+
     def _take_report(self, report: MemberReport) -> None:
         self._membership.take(report)
+        self._member_name = report.member.name
         self._peer_version = report.manifest_version
         self._wants_confirmation = report.confirm
         if self._needs_manifest():
@@ -86,11 +137,11 @@
 
     async def _wait_for_news(self, receiver: asyncio.Task[None]) -> None:
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(HEARTBEAT_MS / 1000.0):
+            async with asyncio.timeout(self._options.heartbeat_ms / 1000.0):
                 await self._wake.wait()
-        self._wake.clear()
         if self._dirty and not receiver.done() and not self._needs_manifest():
-            await self._clock.sleep_ms(MEMBER_PAUSE_MS)
+            await asyncio.sleep(MEMBER_PAUSE_MS / 1000.0)
+        self._wake.clear()
 
     async def _send_first(self) -> None:
         self._dirty.clear()
@@ -103,7 +154,19 @@
         )
 
     def _needs_manifest(self) -> bool:
-        return self._replica.state.manifest_version > self._peer_version
+        """Return whether to send the manifest to the peer now."""
+        version = self._replica.state.manifest_version
+        if not self._member_name or version <= self._peer_version:
+            return False
+        age_ms = self._age.manifest_age_ms
+        if version == self._sent_version:
+            # Reports that were under way still carry the old version.
+            return age_ms - self._sent_age_ms >= RESEND_MS
+        if age_ms >= self._options.push_grace_ms:
+            return True
+        voters = self._replica.status().voters
+        preferred = preferred_replica(self._member_name, voters)
+        return preferred in ("", self._options.name)
 
     async def _send_news(self) -> None:
         state = FleetState()
@@ -132,6 +195,24 @@
             state.confirmed = True
         document = self._replica.state.manifest
         state.manifest.CopyFrom(document)
-        # The next report still carries the old version when it is under way already;
-        # sending the manifest again for it would only cost traffic.
-        self._peer_version = document.version
+        self._sent_version = document.version
+        self._sent_age_ms = self._age.manifest_age_ms
+
+
+def preferred_replica(member: str, voters: tuple[str, ...]) -> str:
+    """Return the replica that hands new manifests to `member` at once.
+
+    Every replica computes the same one, and the members spread over all of them.
+
+    Parameters
+    ----------
+    member : str
+        Name of the member.
+    voters : tuple of str
+        Names of the voting replicas; without any, the result is empty.
+    """
+    return max(
+        voters,
+        key=lambda name: hashlib.blake2b(f"{member}/{name}".encode()).digest(),
+        default="",
+    )
--- a/libs/control/tests/control_builders.py
+++ b/libs/control/tests/control_builders.py
@@ -31,14 +31,14 @@
     ]
 
 
-def router_settings(control, name="r1"):
+def router_settings(control, name="r1", heartbeat_ms=50):
     return RouterSettings(
         name=name,
         vm=name,
         data_centre="papantla",
         http_address="127.0.0.1:1",
         control=control,
-        heartbeat_ms=50,
+        heartbeat_ms=heartbeat_ms,
     )
 
 
--- a/libs/store/src/bulrushbend/store/base.py
+++ b/libs/store/src/bulrushbend/store/base.py
@@ -57,6 +57,11 @@
         """State as far as this replica has applied it; it may lag behind."""
         return self._state
 
+    @property
+    @abc.abstractmethod
+    def is_cut_off(self) -> bool:
+        """Whether writes here are hopeless, so that callers should go elsewhere."""
+
     def listen(self, listener: AppliedListener) -> None:
         """Call `listener` after each applied command, and after an installed snapshot.
 
@@ -127,6 +132,11 @@
         self._name = name
         self._index = 0
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return False, since this replica needs no peers."""
+        return False
+
     def status(self) -> ReplicaStatus:
         """Return a status that names this replica as leader."""
         return ReplicaStatus(self._name, 1, self._index, (self._name,), ())
--- a/libs/store/src/bulrushbend/store/core.py
+++ b/libs/store/src/bulrushbend/store/core.py
@@ -63,6 +63,7 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.heard_ms = clock.now_ms()
+        self.leaderless_since_ms = clock.now_ms()
         self.role_changed = asyncio.Event()
         self._announce = announce
         self._lock = asyncio.Lock()
@@ -217,6 +218,8 @@
         self._become(Role.CANDIDATE, "")
 
     def _become(self, role: Role, leader: str) -> None:
+        if self.leader and not leader:
+            self.leaderless_since_ms = self.clock.now_ms()
         self.role = role
         self.leader = leader
         self.role_changed.set()
--- a/libs/store/src/bulrushbend/store/replica.py
+++ b/libs/store/src/bulrushbend/store/replica.py
@@ -95,6 +95,20 @@
         """Whether the store has failed, so that the replica takes no part."""
         return self._core.role is Role.FAILED
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the store has failed or no leader is known for long.
+
+        An election among replicas that reach each other takes less than the election
+        timeout from the time at which the first of them gives the old leader up.
+        """
+        if self.has_failed:
+            return True
+        leaderless_ms = self._clock.now_ms() - self._core.leaderless_since_ms
+        return not self._core.leader and (
+            leaderless_ms > self._core.options.election_timeout_ms
+        )
+
     @property
     def may_vote(self) -> bool:
         """Whether this replica is a voter on its data folder."""
@@ -171,7 +185,10 @@
             This replica does not lead.
         NoQuorum
             It stepped down first; the outcome is unknown.
+        StoreFailed
+            The store has failed, or the replica was stopped.
         """
+        self._core.refuse_after_failure()
         if not self.is_leader:
             raise NotLeader("not the leader", step="propose", peer=self._core.leader)
         return await self._leadership.submit(command)
@@ -185,7 +202,10 @@
             This replica does not lead.
         NoQuorum
             It stepped down first.
+        StoreFailed
+            The store has failed, or the replica was stopped.
         """
+        self._core.refuse_after_failure()
         if not self.is_leader:
             raise NotLeader("not the leader", step="read index", peer=self._core.leader)
         return await self._leadership.confirm_read()
@@ -252,7 +272,7 @@
                     return await attempt(share_ms)
             except TimeoutError:
                 reason = "no majority answered in time"
-            except (NotLeader, NoQuorum, PeerError) as error:
+            except (NotLeader, NoQuorum, PeerError, StoreFailed) as error:
                 reason = str(error)
             await self._clock.sleep_ms(RETRY_MS)
         raise NoQuorum(reason, step=step, peer=self._core.leader)
--- a/libs/store/src/bulrushbend/store/service.py
+++ b/libs/store/src/bulrushbend/store/service.py
@@ -56,6 +56,8 @@
         try:
             result = await self._replica.lead_proposal(request.command)
             reply = ForwardReply(accepted=True, result=result)
+        except StoreFailed as error:
+            raise _unavailable(error) from None
         except (NotLeader, NoQuorum) as error:
             reply = ForwardReply(accepted=False, message=str(error))
         await stream.send_message(reply)
@@ -66,6 +68,8 @@
         try:
             index = await self._replica.lead_read()
             reply = ReadIndexReply(confirmed=True, index=index)
+        except StoreFailed as error:
+            raise _unavailable(error) from None
         except (NotLeader, NoQuorum):
             reply = ReadIndexReply(confirmed=False)
         await stream.send_message(reply)
--- a/libs/store/src/bulrushbend/store/transport.py
+++ b/libs/store/src/bulrushbend/store/transport.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from bulrushbend.core.errors import PeerError, PeerSilent
 from bulrushbend.core.settings import split_address
@@ -76,9 +76,8 @@
             raise PeerSilent(
                 f"no answer within {timeout_ms:.0f} ms", step=method, peer=peer.name
             ) from None
-        except (GRPCError, StreamTerminatedError, OSError) as error:
-            if not isinstance(error, GRPCError):
-                self._drop(place, channel)
+        except (GRPCError, ProtocolError, StreamTerminatedError, OSError) as error:
+            self._drop(place, channel)
             reason = str(error) or type(error).__name__
             raise PeerError(reason, step=method, peer=peer.name) from None
 
