Move slots between teams at the rate that the levels call for

Cause: with rows that are 250 ms old every agent gave its freed slots to the same team. Slots of short requests end often and went to long requests for good: a team of only 20 s requests beside one of only 20 ms requests led by 400 s at 50 agents. Change: ProportionalPicker keeps a freed slot with its team unless the team is above the centre of the levels, and then moves it with the probability that removes the surplus within the dissemination delay. BalancedMean holds one reserve for all teams, the mean of the teams' means.

--- a/libs/bench/src/bulrushbend/bench/policy.py
+++ b/libs/bench/src/bulrushbend/bench/policy.py
@@ -14,7 +14,7 @@
 
 from bulrushbend.bench.gaps import GapMeter, PolicyResult, ServiceMeter
 from bulrushbend.bench.scenario import Restart, Scenario, TeamLoad
-from bulrushbend.bench.variants import VARIANTS
+from bulrushbend.bench.variants import variant_named
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.identity import Identity
 from bulrushbend.share.ledger import Charge, Ledger
@@ -60,8 +60,9 @@
         self.cursor = 0
         self.queue: deque[_Request] = deque()
         self.open: dict[int, tuple[_Request, Charge]] = {}
-        variant = VARIANTS[self._scenario.variant]
-        self.picker = variant.build_picker()
+        variant = variant_named(self._scenario.variant)
+        horizon_ms = self._scenario.spread_ms + self._scenario.hop_ms
+        self.picker = variant.build_picker(self.number, horizon_ms)
         identity = Identity(f"agent-{self.number}", self.incarnation)
         estimator = variant.build_estimator()
         self.ledger = Ledger(_SERVICE, identity, self._clock, estimator)
--- a/libs/bench/src/bulrushbend/bench/variants.py
+++ b/libs/bench/src/bulrushbend/bench/variants.py
@@ -1,24 +1,22 @@
 """Variants of the policy that the bench compares; times are slot milliseconds."""
 
 import bisect
+import random
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from bulrushbend.share.estimator import Estimator, RunningMean
+from bulrushbend.share.estimator import BalancedMean, Estimator, RunningMean
 from bulrushbend.share.ledger import Ledger
-from bulrushbend.share.picker import LowestLevelPicker, TeamPicker
+from bulrushbend.share.picker import LowestLevelPicker, ProportionalPicker, TeamPicker
 
 _SAMPLE = 256
 _INITIAL_MS = 1000.0
 
 
-class NoReserve:
+class NoReserve(RunningMean):
     """Holds nothing: only accrued time counts."""
 
-    def observe(self, team: str, cost_ms: float) -> None:
-        """Ignore the cost."""
-
     def reserve_ms(self, team: str, elapsed_ms: float) -> float:
         """Return 0."""
         return 0.0
@@ -36,7 +34,7 @@
     """Holds a multiple of the mean cost."""
 
     def __init__(self, factor: float):
-        super().__init__(_INITIAL_MS)
+        super().__init__()
         self._factor = factor
 
     def reserve_ms(self, team: str, elapsed_ms: float) -> float:
@@ -44,21 +42,24 @@
         return self._factor * super().reserve_ms(team, elapsed_ms)
 
 
-class TeamMean:
+class TeamMean(RunningMean):
     """Holds the mean cost of the team's own recent requests."""
 
-    def __init__(self):
-        self._fleet = RunningMean(_INITIAL_MS)
-        self._teams: dict[str, RunningMean] = {}
+    def reserve_ms(self, team: str, elapsed_ms: float) -> float:
+        """Return the mean of the team."""
+        return self.mean_cost_ms(team)
 
-    def observe(self, team: str, cost_ms: float) -> None:
-        """Move the means of the team and of all teams."""
-        self._fleet.observe(team, cost_ms)
-        self._teams.setdefault(team, RunningMean(_INITIAL_MS)).observe(team, cost_ms)
+
+class FixedReserve(RunningMean):
+    """Holds the same time for each request."""
+
+    def __init__(self, reserve_ms: float):
+        super().__init__()
+        self._reserve_ms = reserve_ms
 
     def reserve_ms(self, team: str, elapsed_ms: float) -> float:
-        """Return the mean of the team, of all teams before its first end."""
-        return self._teams.get(team, self._fleet).reserve_ms(team, elapsed_ms)
+        """Return the fixed time."""
+        return self._reserve_ms
 
 
 class _Sample:
@@ -85,15 +86,17 @@
         return sum(longer) / len(longer) - elapsed_ms
 
 
-class RemainingMean:
+class RemainingMean(RunningMean):
     """Holds the expected rest of the cost, given what has elapsed."""
 
     def __init__(self, by_team: bool = False):
+        super().__init__()
         self._by_team = by_team
         self._samples: dict[str, _Sample] = {}
 
     def observe(self, team: str, cost_ms: float) -> None:
         """Add the cost to the sample."""
+        super().observe(team, cost_ms)
         self._sample(team).add(cost_ms)
 
     def reserve_ms(self, team: str, elapsed_ms: float) -> float:
@@ -116,6 +119,26 @@
         return self._sample(team).quantile(self._part)
 
 
+class LengthBiasedMean(RunningMean):
+    """Holds the mean cost weighted by cost: that of the request that runs."""
+
+    def __init__(self):
+        super().__init__()
+        self._square = _INITIAL_MS**2
+        self._sum = _INITIAL_MS
+
+    def observe(self, team: str, cost_ms: float) -> None:
+        """Add the cost; older costs fade with the slot time observed."""
+        super().observe(team, cost_ms)
+        fade = 0.5 ** (cost_ms / 1_000_000.0)
+        self._square = self._square * fade + cost_ms * cost_ms
+        self._sum = self._sum * fade + cost_ms
+
+    def reserve_ms(self, team: str, elapsed_ms: float) -> float:
+        """Return the weighted mean, the same for all teams."""
+        return self._square / self._sum
+
+
 class RoundRobinPicker:
     """Serves the waiting teams of one agent in turn."""
 
@@ -139,25 +162,86 @@
         return max(waiting, key=lambda team: waiting[team], default=None)
 
 
+class StickyPicker:
+    """Keeps a freed slot with its team unless that is a step above the lowest."""
+
+    def pick(self, waiting: Mapping[str, float], ledger: Ledger) -> str | None:
+        """Return the freed team if it is close to the lowest, else the lowest."""
+        freed = ledger.take_freed()
+        lowest = min(waiting, key=lambda team: (ledger.level(team), team), default=None)
+        if lowest is None or freed not in waiting:
+            return lowest
+        lead = ledger.level(freed) - ledger.level(lowest)
+        return freed if lead <= ledger.claim_step(lowest) else lowest
+
+
+class RandomPicker:
+    """Adds a random part of the claim step to each level."""
+
+    def __init__(self, position: int):
+        self._random = random.Random(position)
+
+    def pick(self, waiting: Mapping[str, float], ledger: Ledger) -> str | None:
+        """Return the team with the lowest level after the addition."""
+        return min(
+            waiting,
+            key=lambda team: (
+                ledger.level(team) + self._random.random() * ledger.claim_step(team),
+                team,
+            ),
+            default=None,
+        )
+
+
+PickerBuilder = Callable[[int, float], TeamPicker]
+
+
 @dataclass(frozen=True)
 class Variant:
     """Estimator and picker that each agent gets."""
 
     build_estimator: Callable[[], Estimator]
-    build_picker: Callable[[], TeamPicker] = LowestLevelPicker
-
-
-VARIANTS: dict[str, Variant] = {
-    "accrued": Variant(NoReserve),
-    "admission": Variant(AdmissionEstimate),
-    "mean": Variant(RunningMean),
-    "mean-half": Variant(lambda: ScaledMean(0.5)),
-    "mean-double": Variant(lambda: ScaledMean(2.0)),
-    "mean-quadruple": Variant(lambda: ScaledMean(4.0)),
-    "team-mean": Variant(TeamMean),
-    "remaining": Variant(RemainingMean),
-    "team-remaining": Variant(lambda: RemainingMean(by_team=True)),
-    "team-quantile": Variant(TeamQuantile),
-    "round-robin": Variant(NoReserve, RoundRobinPicker),
-    "first-come": Variant(NoReserve, FirstComePicker),
+    build_picker: PickerBuilder
+
+
+ESTIMATORS: dict[str, Callable[[], Estimator]] = {
+    "accrued": NoReserve,
+    "admission": AdmissionEstimate,
+    "mean": RunningMean,
+    "mean-double": lambda: ScaledMean(2.0),
+    "team-mean": TeamMean,
+    "team-quantile": TeamQuantile,
+    "remaining": RemainingMean,
+    "team-remaining": lambda: RemainingMean(by_team=True),
+    "length-biased": LengthBiasedMean,
+    "fixed-1s": lambda: FixedReserve(1000.0),
+    "fixed-10s": lambda: FixedReserve(10_000.0),
+    "balanced": BalancedMean,
+    "balanced-1s": lambda: BalancedMean(1000.0),
+    "balanced-10s": lambda: BalancedMean(10_000.0),
+}
+
+
+def _build_proportional(gain: float) -> PickerBuilder:
+    return lambda position, horizon_ms: ProportionalPicker(
+        position, horizon_ms, gain, random.Random(position)
+    )
+
+
+PICKERS: dict[str, PickerBuilder] = {
+    "lowest": lambda position, horizon_ms: LowestLevelPicker(),
+    "random": lambda position, horizon_ms: RandomPicker(position),
+    "sticky": lambda position, horizon_ms: StickyPicker(),
+    "proportional": _build_proportional(2.0),
+    "proportional-1": _build_proportional(1.0),
+    "proportional-4": _build_proportional(4.0),
+    "round-robin": lambda position, horizon_ms: RoundRobinPicker(),
+    "first-come": lambda position, horizon_ms: FirstComePicker(),
 }
+CHOSEN = "balanced/proportional"
+
+
+def variant_named(name: str) -> Variant:
+    """Return the variant ``"estimator/picker"``; the picker defaults to lowest."""
+    estimator, _, picker = name.partition("/")
+    return Variant(ESTIMATORS[estimator], PICKERS[picker or "lowest"])
--- a/libs/share/src/bulrushbend/share/estimator.py
+++ b/libs/share/src/bulrushbend/share/estimator.py
@@ -2,6 +2,10 @@
 
 from typing import Protocol
 
+# Without a floor a run of instant requests would make the reserve, and with it the
+# distance that one claim moves a level, zero.
+_SMALLEST_RESERVE_MS = 1.0
+
 
 class Estimator(Protocol):
     """Learns from the costs of ended requests; times are slot milliseconds."""
@@ -10,6 +14,10 @@
         """Learn that a request of `team` ended with `cost_ms`."""
         ...
 
+    def mean_cost_ms(self, team: str) -> float:
+        """Return the mean cost of recent requests of `team`."""
+        ...
+
     def reserve_ms(self, team: str, elapsed_ms: float) -> float:
         """Return what to hold for a request of `team` beside its accrued time.
 
@@ -23,28 +31,96 @@
         ...
 
 
+class _Mean:
+    """Mean of the first `memory` values, exponential afterwards.
+
+    A `weight` above 0 counts the initial value as so many values.
+    """
+
+    __slots__ = ("_count", "_memory", "value")
+
+    def __init__(self, initial: float, memory: int, weight: int = 0):
+        self.value = initial
+        self._memory = memory
+        self._count = weight
+
+    def add(self, value: float) -> float:
+        """Add a value and return the change of the mean."""
+        self._count = min(self._count + 1, self._memory)
+        change = (value - self.value) / self._count
+        self.value += change
+        return change
+
+
 class RunningMean:
     """Holds the mean cost of recent requests of all teams, whatever has elapsed.
 
     Parameters
     ----------
-    initial_ms : float, default=1000.0
+    initial_ms : float, default=3000.0
         Value until the first request ends.
     memory : int, default=256
-        Number of requests over which the mean runs. A plain mean is used until as
-        many have ended, an exponential one afterwards.
+        Number of requests over which the means run.
     """
 
-    def __init__(self, initial_ms: float = 1000.0, memory: int = 256):
-        self._mean_ms = initial_ms
+    def __init__(self, initial_ms: float = 3000.0, memory: int = 256):
+        self._initial_ms = initial_ms
         self._memory = memory
-        self._count = 0
+        self._mean = _Mean(initial_ms, memory)
+        self._teams: dict[str, _Mean] = {}
 
     def observe(self, team: str, cost_ms: float) -> None:
-        """Move the mean towards `cost_ms`."""
-        self._count = min(self._count + 1, self._memory)
-        self._mean_ms += (cost_ms - self._mean_ms) / self._count
+        """Move the means towards `cost_ms`."""
+        self._mean.add(cost_ms)
+        if team not in self._teams:
+            self._teams[team] = _Mean(self._initial_ms, self._memory)
+        self._teams[team].add(cost_ms)
+
+    def mean_cost_ms(self, team: str) -> float:
+        """Return the mean cost of recent requests of `team`."""
+        mean = self._teams.get(team)
+        return mean.value if mean else self._initial_ms
+
+    def reserve_ms(self, team: str, elapsed_ms: float) -> float:
+        """Return the mean cost over all requests."""
+        return max(_SMALLEST_RESERVE_MS, self._mean.value)
+
+
+class BalancedMean(RunningMean):
+    """Holds the mean of the teams' mean costs, the same for every request.
+
+    It must be the same for all teams: with a reserve of its own, a team of long
+    requests would stay behind by the difference of the reserves for good. And every
+    team counts once: in a mean over requests, a team with thousands of short requests
+    brings the reserve down to nothing.
+
+    Parameters
+    ----------
+    initial_ms : float, default=3000.0
+        Value until requests end.
+    memory : int, default=256
+        Number of requests over which the means run.
+    weight : int, default=16
+        Number of requests of a team for which the initial value counts. Short requests
+        end first, so the first ends alone would give far too low a mean.
+    """
+
+    def __init__(self, initial_ms: float = 3000.0, memory: int = 256, weight: int = 16):
+        super().__init__(initial_ms, memory)
+        self._weight = weight
+        self._weighted: dict[str, _Mean] = {}
+        self._sum_ms = 0.0
+
+    def observe(self, team: str, cost_ms: float) -> None:
+        """Move the means of `team` towards `cost_ms`."""
+        super().observe(team, cost_ms)
+        if team not in self._weighted:
+            self._weighted[team] = _Mean(self._initial_ms, self._memory, self._weight)
+            self._sum_ms += self._initial_ms
+        self._sum_ms += self._weighted[team].add(cost_ms)
 
     def reserve_ms(self, team: str, elapsed_ms: float) -> float:
-        """Return the mean cost in slot milliseconds."""
-        return self._mean_ms
+        """Return the mean over the teams."""
+        if not self._weighted:
+            return self._initial_ms
+        return max(_SMALLEST_RESERVE_MS, self._sum_ms / len(self._weighted))
--- a/libs/share/src/bulrushbend/share/ledger.py
+++ b/libs/share/src/bulrushbend/share/ledger.py
@@ -4,6 +4,7 @@
 slot milliseconds per unit of share.
 """
 
+from collections import deque
 from collections.abc import Iterable, Mapping
 
 from bulrushbend.core.clock import Clock
@@ -19,6 +20,8 @@
 # Active rows are renewed at this interval even if nothing changed, so that readers
 # can tell an agent that is silent from a team that only waits.
 RENEW_MS = 1000.0
+# Freed slots that nobody asked about, such as those above a lowered slot limit.
+_FREED_KEPT = 64
 
 
 class Charge:
@@ -93,6 +96,7 @@
         self._accounts: dict[str, TeamAccount] = {}
         self._sent: dict[str, tuple[Row, float]] = {}
         self._cursor = 0
+        self._freed: deque[str] = deque(maxlen=_FREED_KEPT)
         self._changes: dict[tuple[str, int, str], int] = {}
 
     def set_shares(self, shares: Mapping[str, float]) -> None:
@@ -106,7 +110,7 @@
         self._shares = dict(shares)
         now_ms = self._clock.now_ms()
         for team, account in self._accounts.items():
-            account.set_share(self._share(team), now_ms)
+            account.set_share(self.share(team), now_ms)
 
     def set_waiting(self, team: str, waiting: bool) -> None:
         """Note whether linked routers hold waiting requests of `team`."""
@@ -162,6 +166,32 @@
         self._peers.expire(now_ms)
         return self._level(team, now_ms)
 
+    def running(self, team: str) -> int:
+        """Return the claims and running requests of `team` fleet-wide."""
+        totals = self._peers.totals.get(team)
+        account = self._accounts.get(team)
+        elsewhere = totals.running if totals else 0
+        return elsewhere + (account.running if account else 0)
+
+    def share(self, team: str) -> float:
+        """Return the weight of `team`."""
+        return self._shares.get(team, _DEFAULT_SHARE)
+
+    def mean_cost_ms(self, team: str) -> float:
+        """Return the mean cost of recent requests of `team` at this agent."""
+        return self._estimator.mean_cost_ms(team)
+
+    def take_freed(self) -> str | None:
+        """Return the team whose request ended first since the last call, if any.
+
+        The slot of that request is the one a picker is asked about.
+        """
+        return self._freed.popleft() if self._freed else None
+
+    def claim_step(self, team: str) -> float:
+        """Return how far one more claim raises the level of `team`."""
+        return self._estimator.reserve_ms(team, 0.0) / self.share(team)
+
     def served_ms(self, team: str) -> float:
         """Return the slot time served to `team` fleet-wide, as known here."""
         totals = self._peers.totals.get(team)
@@ -169,13 +199,10 @@
         served_ms = totals.served_ms if totals else 0.0
         return served_ms + (account.served_ms(self._clock.now_ms()) if account else 0.0)
 
-    def _share(self, team: str) -> float:
-        return self._shares.get(team, _DEFAULT_SHARE)
-
     def _account(self, team: str) -> TeamAccount:
         account = self._accounts.get(team)
         if account is None:
-            account = self._accounts[team] = TeamAccount(team, self._share(team))
+            account = self._accounts[team] = TeamAccount(team, self.share(team))
         return account
 
     def _level(self, team: str, now_ms: float) -> float:
@@ -201,7 +228,7 @@
         reserve_ms = totals.reserve_ms if totals is not None else 0.0
         if account is not None:
             reserve_ms += account.reserve_ms(self._estimator, now_ms)
-        return reserve_ms / self._share(team)
+        return reserve_ms / self.share(team)
 
     def _raise(self, team: str, account: TeamAccount) -> None:
         """Raise the service of a team that becomes backlogged.
@@ -237,6 +264,7 @@
     def _close(self, team: str, charge: OpenCharge) -> float:
         cost_ms = self._account(team).close(charge, self._clock.now_ms())
         if charge.start_ms is not None:
+            self._freed.append(team)
             self._estimator.observe(team, cost_ms)
         return cost_ms
 
