Adjust the slots in use to the load that the engine reports

Cause: an engine serves in order of arrival, so requests that queue inside it undo the choice of teams; its reports lag behind the load. Change: SlotLimit with additive increase and multiplicative decrease; after a decrease it waits until a report can show the effect, and an unused limit does not grow. Ruled out: a decrease for each report with a queue; with late reports one queue would take the limit down to 1. Conclusion: agent can poll the engine and set its slots by it.

--- /dev/null
+++ b/libs/share/src/bulrushbend/share/slots.py
@@ -0,0 +1,136 @@
+"""Number of slots in use, adjusted to the load that an engine reports."""
+
+from dataclasses import dataclass
+
+from prometheus_client.parser import text_string_to_metric_families
+
+_RUNNING = "vllm:num_requests_running"
+_WAITING = "vllm:num_requests_waiting"
+_CACHE = ("vllm:kv_cache_usage_perc", "vllm:gpu_cache_usage_perc")
+# An engine with a full KV cache preempts running requests, so growth stops before.
+_FULL_CACHE = 0.95
+
+
+@dataclass(frozen=True)
+class EngineLoad:
+    """Load that an engine reported, possibly some time ago.
+
+    Attributes
+    ----------
+    running, waiting : float
+        Requests that the engine runs, and that it has queued.
+    cache_usage : float
+        Used part of the KV cache, from 0 to 1.
+    """
+
+    running: float
+    waiting: float
+    cache_usage: float = 0.0
+
+
+def parse_load(text: str) -> EngineLoad | None:
+    """Read a load report in the Prometheus text format.
+
+    Parameters
+    ----------
+    text : str
+        Body of the metrics page, with the metric names of vLLM.
+
+    Returns
+    -------
+    load : EngineLoad or None
+        None if the text is unreadable or lacks the number of waiting requests.
+    """
+    values: dict[str, float] = {}
+    try:
+        for family in text_string_to_metric_families(text):
+            for sample in family.samples:
+                values[sample.name] = values.get(sample.name, 0.0) + sample.value
+    except ValueError:
+        return None
+    if _WAITING not in values:
+        return None
+    cache = max((values[name] for name in _CACHE if name in values), default=0.0)
+    return EngineLoad(values.get(_RUNNING, 0.0), values[_WAITING], cache)
+
+
+class SlotLimit:
+    """Additive increase and multiplicative decrease of the slots in use.
+
+    No queue may form inside the engine, because it serves in order of arrival and
+    would undo the choice of teams. A report with queued requests lowers the limit to
+    `decrease` times the requests that the engine can run. Reports lag behind, so
+    further decreases wait until a report can show the effect of the last one. Without
+    a queue the limit grows by `increase` for each report, up to `upper`.
+
+    Parameters
+    ----------
+    upper : int
+        Slots of the endpoint in the manifest.
+    lag_ms : float, default=1000.0
+        Age that a report may have.
+    decrease : float, default=0.8
+        Factor of a decrease.
+    increase : float, default=1.0
+        Slots added for each report without a queue.
+    """
+
+    def __init__(
+        self,
+        upper: int,
+        lag_ms: float = 1000.0,
+        decrease: float = 0.8,
+        increase: float = 1.0,
+    ):
+        self._upper = upper
+        self._lag_ms = lag_ms
+        self._decrease = decrease
+        self._increase = increase
+        self._limit = float(upper)
+        self._hold_until_ms = float("-inf")
+
+    @property
+    def limit(self) -> int:
+        """Slots that may be in use, from 1 to `upper`."""
+        return max(1, int(self._limit))
+
+    @property
+    def upper(self) -> int:
+        """Upper bound from the manifest."""
+        return self._upper
+
+    def set_upper(self, upper: int) -> None:
+        """Set the upper bound when the manifest changes."""
+        was_open = self._limit >= self._upper
+        self._upper = upper
+        self._limit = float(upper) if was_open else min(self._limit, float(upper))
+
+    def report(self, load: EngineLoad | None, in_use: int, now_ms: float) -> int:
+        """Adjust the limit to a load report and return it.
+
+        Parameters
+        ----------
+        load : EngineLoad or None
+            The report; None if the engine gave none. A missing report changes
+            nothing: an engine that answers requests but not its metrics page keeps
+            the slots it had.
+        in_use : int
+            Slots in use now, at this agent.
+        now_ms : float
+            Monotonic time in milliseconds.
+        """
+        if load is None or now_ms < self._hold_until_ms:
+            return self.limit
+        if load.waiting > 0:
+            self._shrink(load, in_use)
+            self._hold_until_ms = now_ms + self._lag_ms
+        elif load.cache_usage < _FULL_CACHE and in_use >= self.limit - 1:
+            # An unused limit says nothing about what the engine could carry.
+            self._limit = min(float(self._upper), self._limit + self._increase)
+        return self.limit
+
+    def _shrink(self, load: EngineLoad, in_use: int) -> None:
+        carried = min(self._limit, float(in_use)) or self._limit
+        if load.running > 0:
+            carried = min(carried, load.running)
+        self._limit = max(1.0, carried * self._decrease)
