--- a/libs/router/src/bulrushbend/router/attempt.py
+++ b/libs/router/src/bulrushbend/router/attempt.py
@@ -75,6 +75,7 @@
         self._grant = grant
         self._path = f"/attempts/{grant.attempt_id}"
         self._exchange: Exchange | None = None
+        self._started = False
         self._received_bytes = 0
         self._fruitless = 0
         self._reading = False
@@ -218,6 +219,7 @@
                 "answer to another request", step="headers", peer=self._peer
             )
         if exchange.status == 200 and headers.get(HEADER_STATUS, "").isdigit():
+            self._started = True
             return
         if exchange.status == 409 and HEADER_REFUSED in headers:
             self._write(EventKind.ATTEMPT_REFUSED)
@@ -288,7 +290,7 @@
 
     async def _prove_not_started(self, reason: str) -> None:
         """Raise `NotRun` if the agent proves it, else `OutcomeUnknown`."""
-        if not self._received_bytes:
+        if not self._started:
             state = await self.settle(cancel=False)
             if state is AttemptState.NOT_STARTED:
                 raise NotRun("not started", step="proof", peer=self._peer)
--- a/libs/router/tests/builders.py
+++ b/libs/router/tests/builders.py
@@ -289,8 +289,9 @@
         await self.raw(CHUNKED + lines + "\r\n")
 
     async def chunk(self, text):
-        self.produce(len(text))
-        await self.raw(f"{len(text):x}\r\n{text}\r\n")
+        data = text.encode()
+        self.produce(len(data))
+        await self.raw(f"{len(data):x}\r\n{text}\r\n")
 
     def produce(self, size):
         self.agent.running[self.attempt_id] += size
@@ -315,7 +316,7 @@
 async def echo(exchange):
     await exchange.head()
     await exchange.chunk(f"echo {exchange.headers['Bulrushbend-Request']} ")
-    await exchange.chunk(exchange.body.decode() or "-")
+    await exchange.chunk(exchange.body.decode("latin-1") or "-")
     await exchange.end()
 
 
