--- a/examples/demo.py
+++ b/examples/demo.py
@@ -20,7 +20,6 @@
     FleetPlan,
     LocalFleet,
     fetch,
-    source_program,
     token_of,
 )
 
@@ -39,7 +38,7 @@
     parser.add_argument("--program", help="built program; by default the sources run")
     parser.add_argument("--folder", help="run folder; by default a temporary one")
     options = parser.parse_args()
-    program = [options.program] if options.program else source_program()
+    program = [options.program] if options.program else None
     folder = Path(options.folder or tempfile.mkdtemp(prefix="bulrushbend-demo-"))
     started = time.monotonic()
     try:
--- a/examples/localfleet.py
+++ b/examples/localfleet.py
@@ -69,6 +69,10 @@
     def http_address(self) -> str:
         return self.settings["http_address"]
 
+    @property
+    def listen_address(self) -> str:
+        return self.settings.get("http_listen", self.http_address)
+
     @property
     def pid(self) -> int:
         assert self.process is not None
@@ -88,6 +92,12 @@
     return [sys.executable, "-m", "bulrushbend.cli"]
 
 
+def source_environment() -> dict[str, str]:
+    """Return the environment in which the program comes from these sources."""
+    folders = Path(__file__).resolve().parent.parent.glob("libs/*/src")
+    return os.environ | {"PYTHONPATH": os.pathsep.join(map(str, sorted(folders)))}
+
+
 def pick_ports(count: int) -> list[int]:
     """Return ports that are free on loopback now.
 
@@ -147,6 +157,7 @@
         self.folder = Path(folder)
         self.plan = plan
         self.program = program or source_program()
+        self.environment = None if program else source_environment()
         self.units: dict[str, Unit] = {}
         self._ports = iter(pick_ports(64))
         for name in ("settings", "events", "logs", "data"):
@@ -215,7 +226,11 @@
                 command.append("--bootstrap")
             with open(log_path, "ab") as log:
                 unit.process = subprocess.Popen(
-                    command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+                    command,
+                    stdin=subprocess.DEVNULL,
+                    stdout=log,
+                    stderr=log,
+                    env=self.environment,
                 )
             unit.starts += 1
 
@@ -244,13 +259,17 @@
             text=True,
             timeout=timeout_s,
             check=False,
+            env=self.environment,
         )
 
     def popen(self, *arguments: str) -> subprocess.Popen:
         """Start an operator's command without waiting for its end."""
-        pipe = subprocess.PIPE
         return subprocess.Popen(
-            [*self.program, *arguments], stdout=pipe, stderr=pipe, text=True
+            [*self.program, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env=self.environment,
         )
 
     def publish(self, manifest: Mapping[str, Any], *, wait: bool = True):
@@ -297,7 +316,7 @@
 
     def _answers(self, name: str, page: str) -> bool:
         try:
-            url = f"http://{self.units[name].http_address}{page}"
+            url = f"http://{self.units[name].listen_address}{page}"
             return fetch(url, timeout_s=1.0)[0] == 200
         except OSError:
             return False
--- a/libs/agent/src/bulrushbend/agent/daemon.py
+++ b/libs/agent/src/bulrushbend/agent/daemon.py
@@ -135,7 +135,7 @@
         """
         settings = self._settings
         link_socket = bind_link_socket(
-            settings.link_address, settings.silence_between_regions_ms
+            settings.link_bind, settings.silence_between_regions_ms
         )
         await self._grpc_server.start(sock=link_socket)
         port = DataPort(
@@ -147,7 +147,7 @@
         )
         routes = data_routes(port) + operational_routes(lambda: self.is_ready)
         self._http_server = HTTPServer(Application(routes), no_keep_alive=True)
-        listen_http(self._http_server, settings.http_address)
+        listen_http(self._http_server, settings.http_bind)
         self._in_force.listen(self._take_manifest)
         self._events.write(EventKind.PROCESS_STARTED)
         self._start_tasks()
--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -131,7 +131,7 @@
         self._stack.push_async_callback(self._replica.stop)
         self._start_http()
         self._start_task(self._sweep())
-        _log.info("replica %s serves on %s", settings.name, settings.link_address)
+        _log.info("replica %s serves on %s", settings.name, settings.link_bind)
 
     def _report_repair(self, length: int) -> None:
         _log.warning("cut %d bytes of an incomplete append off the log", length)
@@ -152,14 +152,14 @@
 
     async def _start_grpc(self) -> None:
         server = Server([self._service, ConsensusService(self._replica)])
-        host, port = split_address(self._settings.link_address)
+        host, port = split_address(self._settings.link_bind)
         try:
             await server.start(host, port)
         except OSError as error:
             raise SettingsError(
                 error.strerror or str(error),
                 step="listen",
-                peer=self._settings.link_address,
+                peer=self._settings.link_bind,
             ) from None
         self._stack.push_async_callback(server.wait_closed)
         self._stack.callback(server.close)
@@ -167,7 +167,7 @@
     def _start_http(self) -> None:
         application = Application(operational_routes(lambda: self.is_ready))
         server = HTTPServer(application)
-        listen_http(server, self._settings.http_address)
+        listen_http(server, self._settings.http_bind)
         self._stack.push_async_callback(server.close_all_connections)
         self._stack.callback(server.stop)
 
--- a/libs/core/src/bulrushbend/core/settings.py
+++ b/libs/core/src/bulrushbend/core/settings.py
@@ -62,6 +62,9 @@
     The silence deadlines differ by distance: within a data centre a round trip takes
     well under 5 ms, so 2 s without four heartbeats means a dead peer or connection;
     between data centres and regions queues and route changes last longer.
+
+    A process announces ``http_address`` and listens there. Behind an address
+    translation or a forwarder it listens on ``http_listen`` instead.
     """
 
     name: Name
@@ -69,6 +72,7 @@
     data_centre: Name
     region: Name = "region-1"
     http_address: Address
+    http_listen: Address | None = None
     control: tuple[PeerAddress, ...] = Field(min_length=1)
     event_log: str | None = None
     log_level: Literal["info", "warning", "error"] = "info"
@@ -80,6 +84,11 @@
     spread_ms: PositiveMs = 100
     drain_ms: PositiveMs = 30_000
 
+    @property
+    def http_bind(self) -> str:
+        """Address to listen on for HTTP."""
+        return self.http_listen or self.http_address
+
     def silence_for(self, data_centre: str, region: str) -> int:
         """Return the silence deadline in milliseconds for a peer's place."""
         if region and region != self.region:
@@ -89,10 +98,24 @@
         return self.silence_ms
 
 
-class ControlSettings(ProcessSettings):
-    """Settings of a control replica."""
+class _LinkSettings(ProcessSettings):
+    """Settings of a process with a gRPC server.
+
+    Like ``http_listen``, ``link_listen`` replaces the announced address.
+    """
 
     link_address: Address
+    link_listen: Address | None = None
+
+    @property
+    def link_bind(self) -> str:
+        """Address to listen on for gRPC."""
+        return self.link_listen or self.link_address
+
+
+class ControlSettings(_LinkSettings):
+    """Settings of a control replica."""
+
     data_folder: str
     election_timeout_ms: PositiveMs = 1000
     append_interval_ms: PositiveMs = 150
@@ -109,10 +132,9 @@
     key_timeout_ms: PositiveMs = 3000
 
 
-class AgentSettings(ProcessSettings):
+class AgentSettings(_LinkSettings):
     """Settings of an agent."""
 
-    link_address: Address
     endpoint: Name
     endpoint_address: Address
     platform_url: str | None = None
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -313,7 +313,7 @@
             body_timeout=_BODY_TIMEOUT_S,
             idle_connection_timeout=_IDLE_CONNECTION_S,
         )
-        listen_http(server, settings.http_address)
+        listen_http(server, settings.http_bind)
         stack.callback(server.stop)
         events.write(EventKind.PROCESS_STARTED)
         running = asyncio.create_task(router.run())
--- /dev/null
+++ b/tests/forwarder.py
@@ -0,0 +1,205 @@
+"""TCP forwarder that can cut, silence and delay connections on command."""
+
+import asyncio
+import contextlib
+import enum
+import threading
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+
+from bulrushbend.core.settings import split_address
+
+_CHUNK_BYTES = 65_536
+
+
+class Rule(enum.Enum):
+    """What happens to the connections of a link."""
+
+    PASS = "pass"
+    # Open and new connections carry nothing, and their ends are not passed on: as a
+    # network partition that drops packets, but for connecting, which succeeds.
+    SILENT = "silent"
+    # Open connections are closed, new ones are closed at once.
+    DROP = "drop"
+
+
+@dataclass(eq=False)
+class Connection:
+    """One forwarded connection."""
+
+    target: str
+    source: str
+    silent: bool = False
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def abort(self) -> None:
+        self.closed.set()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class Network:
+    """All forwarders of a fleet, run by one thread of the test process.
+
+    Parameters
+    ----------
+    identify : callable
+        Returns the name of the process that has the client port, or "".
+    """
+
+    def __init__(self, identify: Callable[[int], str]):
+        self._identify = identify
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._servers: list[asyncio.Server] = []
+        self._connections: set[Connection] = set()
+        self._rules: dict[tuple[str, str], Rule] = {}
+        self._delay_ms = 0.0
+        self._thread.start()
+
+    def forward(self, target: str, listen: str, address: str) -> None:
+        """Forward connections to the process `target` from `listen` to `address`."""
+
+        async def serve(reader, writer):
+            # asyncio reports a cancelled handler as an error; `close` cancels them.
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._serve(target, address, reader, writer)
+
+        async def start():
+            host, port = split_address(listen)
+            self._servers.append(await asyncio.start_server(serve, host, port))
+
+        self._call(start())
+
+    def set_rule(self, rule: Rule, target: str, source: str = "") -> None:
+        """Apply a rule to the connections that `source`, or anyone, makes."""
+
+        async def change():
+            self._rules[target, source] = rule
+            for connection in self._matching(target, source):
+                if rule is Rule.DROP:
+                    connection.abort()
+                connection.silent = connection.silent or rule is Rule.SILENT
+
+        self._call(change())
+
+    def silence_open(self, target: str, source: str = "") -> int:
+        """Silence the open connections for good; new ones work. Return their number."""
+
+        async def change():
+            found = self._matching(target, source)
+            for connection in found:
+                connection.silent = True
+            return len(found)
+
+        return self._call(change())
+
+    def set_delay(self, delay_ms: float) -> None:
+        """Delay all data one way by `delay_ms`."""
+        self._delay_ms = delay_ms
+
+    def heal(self) -> None:
+        """Drop all rules; connections that had gone silent are reset."""
+
+        async def change():
+            self._rules.clear()
+            for connection in list(self._connections):
+                if connection.silent:
+                    connection.abort()
+
+        self._call(change())
+
+    def close(self) -> None:
+        async def stop():
+            for server in self._servers:
+                server.close()
+            for connection in list(self._connections):
+                connection.abort()
+            own = asyncio.current_task()
+            tasks = [task for task in asyncio.all_tasks() if task is not own]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self._call(stop())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _call(self, coroutine: Coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10)
+
+    def _matching(self, target: str, source: str) -> list[Connection]:
+        return [
+            connection
+            for connection in self._connections
+            if connection.target == target and source in ("", connection.source)
+        ]
+
+    def _rule_for(self, target: str, source: str) -> Rule:
+        anyone = self._rules.get((target, ""), Rule.PASS)
+        return self._rules.get((target, source), anyone)
+
+    async def _serve(self, target, address, reader, writer) -> None:
+        port = writer.get_extra_info("peername")[1]
+        connection = Connection(target, self._identify(port), writers=[writer])
+        rule = self._rule_for(target, connection.source)
+        connection.silent = rule is Rule.SILENT
+        self._connections.add(connection)
+        try:
+            if rule is not Rule.DROP:
+                await self._join(connection, address, reader, writer)
+        finally:
+            self._connections.discard(connection)
+            connection.abort()
+
+    async def _join(self, connection, address, reader, writer) -> None:
+        try:
+            upstream = await asyncio.open_connection(*split_address(address))
+        except OSError:
+            return
+        connection.writers.append(upstream[1])
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._pump(connection, reader, upstream[1]))
+            group.create_task(self._pump(connection, upstream[0], writer))
+
+    async def _pump(self, connection, reader, writer) -> None:
+        """Copy one direction, with the end of the data; stop when it goes silent."""
+        pieces: asyncio.Queue = asyncio.Queue()
+        feeding = asyncio.create_task(self._feed(reader, pieces))
+        try:
+            with contextlib.suppress(OSError):
+                await self._drain(connection, pieces, writer)
+        finally:
+            feeding.cancel()
+
+    async def _feed(self, reader, pieces: asyncio.Queue) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                data = await reader.read(_CHUNK_BYTES)
+            except OSError:
+                data = None
+            await pieces.put((loop.time() + self._delay_ms / 1000.0, data))
+            if not data:
+                return
+
+    async def _drain(self, connection, pieces: asyncio.Queue, writer) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due, data = await pieces.get()
+            if due > loop.time():
+                await asyncio.sleep(due - loop.time())
+            if connection.silent:
+                await connection.closed.wait()
+                return
+            if data is None:
+                connection.abort()
+                return
+            if not data:
+                with contextlib.suppress(OSError):
+                    writer.write_eof()
+                return
+            writer.write(data)
+            await writer.drain()
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,50 @@
+from fleet import Fleet
+from forwarder import Rule
+from localfleet import MODEL_SERVICE, FleetPlan
+
+PLAN = FleetPlan(engines=2, applications=0)
+# silence_ms within one data centre is 2 s, between data centres 3 s; the rest is
+# time for dialling again.
+WITHIN_S = 8.0
+
+
+def ask(fleet, router=0):
+    document = {"model": MODEL_SERVICE, "x_nonce": "n", "x_tokens": 2}
+    return fleet.request("/v1/chat/completions", document, router=router)[0]
+
+
+def test_links_that_go_silent_are_dialled_again(tmp_path):
+    with Fleet(tmp_path, PLAN) as fleet:
+        fleet.boot()
+        assert fleet.network.silence_open("agent-engine-1", "router-1") > 0
+
+        def is_down():
+            return "agent-engine-1" not in fleet.linked_peers("router-1")
+
+        fleet.wait_until(is_down, "the silent link is closed", WITHIN_S)
+        assert "agent-engine-1" in fleet.linked_peers("router-2")
+        fleet.wait_until(fleet.all_linked, "the link is up again", WITHIN_S)
+        assert ask(fleet) == 200
+
+
+def test_router_cut_off_from_one_agent_serves_through_the_other(tmp_path):
+    with Fleet(tmp_path, PLAN) as fleet:
+        fleet.boot()
+        fleet.network.set_rule(Rule.DROP, "agent-engine-1", "router-1")
+        assert [ask(fleet) for _ in range(4)] == [200] * 4
+        fleet.network.heal()
+        fleet.wait_until(fleet.all_linked, "the link is up again", WITHIN_S)
+
+
+def test_paused_killed_and_restarted_processes_come_back(tmp_path):
+    with Fleet(tmp_path, PLAN) as fleet:
+        fleet.boot()
+        fleet.pause("control-1")
+        fleet.kill("router-1")
+        assert ask(fleet, router=1) == 200
+        fleet.resume("control-1")
+        fleet.restart("router-1")
+        fleet.wait_for("/readyz", ["router-1"])
+        fleet.wait_until(fleet.all_linked, "all links are up", WITHIN_S)
+        assert ask(fleet, router=0) == 200
+        assert set(fleet.stop().values()) == {0}
