Send claims without waiting for a delayed acknowledgement

Accepted links had no TCP_NODELAY: asyncio sets it only on sockets whose protocol number is given, and create_server gives none. A second small message then waited up to 40 ms for the acknowledgement of the first, with the slot idle.

--- a/libs/agent/src/bulrushbend/agent/link.py
+++ b/libs/agent/src/bulrushbend/agent/link.py
@@ -352,6 +352,9 @@
         reason = error.strerror or str(error)
         raise SettingsError(reason, step="listen", peer=address) from None
     seconds = max(1, int(silence_ms / 1000))
+    # asyncio sets this only on sockets that name their protocol, which the ones
+    # accepted here do not. Without it a claim waits for a delayed ACK of 40 ms.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
