--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -33,7 +33,7 @@
 from bulrushbend.store.replica import Replica
 from bulrushbend.store.service import ConsensusService
 from bulrushbend.store.stores import Stores, open_stores
-from bulrushbend.store.transport import GrpcTransport
+from bulrushbend.store.transport import GrpcTransport, PeerTransport
 from bulrushbend.store.vote import FOUNDING_DISK
 from bulrushbend.wire.control_pb2 import Command, ExpireKeys
 
@@ -57,6 +57,8 @@
         File system of the store.
     events : EventLog, optional
         Event log in place of the one that the settings name.
+    transport : PeerTransport, optional
+        Calls to the other replicas, in place of gRPC.
     """
 
     def __init__(
@@ -67,12 +69,14 @@
         clock: Clock | None = None,
         files: Files | None = None,
         events: EventLog | None = None,
+        transport: PeerTransport | None = None,
     ):
         self._settings = settings
         self._bootstrap = bootstrap
         self._clock = clock or Clock()
         self._files = files
         self._events = events
+        self._transport = transport or GrpcTransport()
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -143,7 +147,7 @@
         self._replica = Replica(
             _replica_options(settings, self._bootstrap),
             stores,
-            GrpcTransport(),
+            self._transport,
             self._clock,
             self._events,
         )
