--- a/libs/agent/src/bulrushbend/agent/daemon.py
+++ b/libs/agent/src/bulrushbend/agent/daemon.py
@@ -146,14 +146,14 @@
         """
         settings = self._settings
         link_socket = bind_link_socket(
-            settings.link_address, settings.silence_between_regions_ms
+            settings.link_bind, settings.silence_between_regions_ms
         )
         self._servers.callback(link_socket.close)
         await self._grpc_server.start(sock=link_socket)
         self._servers.push_async_callback(self._close_links)
         routes = data_routes(self._port) + operational_routes(lambda: self.is_ready)
         http_server = HTTPServer(Application(routes), no_keep_alive=True)
-        listen_http(http_server, settings.http_address)
+        listen_http(http_server, settings.http_bind)
         self._servers.callback(http_server.stop)
         self._in_force.listen(self._take_manifest)
         self._events.write(EventKind.PROCESS_STARTED)
--- a/libs/agent/tests/test_link.py
+++ b/libs/agent/tests/test_link.py
@@ -1,7 +1,9 @@
 import asyncio
+import socket
 
 import pytest
 
+from bulrushbend.agent.link import bind_link_socket
 from bulrushbend.core.errors import PeerError
 from bulrushbend.wire.documents import pack_manifest
 from bulrushbend.wire.fleet_pb2 import AccountRow, RouterBatch
@@ -203,3 +205,18 @@
     exchange = await router.post(attempt_id)
     if exchange.status != 200:
         raise PeerError("refused")
+
+
+async def test_accepted_links_send_small_messages_at_once():
+    accepted = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        link = writer.get_extra_info("socket")
+        accepted.set_result(link.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        writer.close()
+
+    listening = bind_link_socket("127.0.0.1:0", 2000)
+    async with await asyncio.start_server(serve, sock=listening):
+        _, writer = await asyncio.open_connection(*listening.getsockname())
+        assert await accepted != 0
+        writer.close()
