Follow the engine's load, and place claims with share's picker

Cause: the gate used the lowest-level picker and the manifest's slots alone. Change: reports of the engine feed SlotLimit; an unreadable report changes nothing.

--- a/libs/agent/src/bulrushbend/agent/daemon.py
+++ b/libs/agent/src/bulrushbend/agent/daemon.py
@@ -13,7 +13,7 @@
 from bulrushbend.agent.gate import Gate
 from bulrushbend.agent.leaving import Leaving, LeavingCause, PlatformList
 from bulrushbend.agent.link import LinkService, RouterLink, bind_link_socket
-from bulrushbend.agent.load import LoadPoll, LoadReport
+from bulrushbend.agent.load import LoadPoll
 from bulrushbend.agent.rows import pack_rows, unpack_rows
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind
@@ -31,9 +31,10 @@
 )
 from bulrushbend.process.inforce import ManifestInForce
 from bulrushbend.process.watch import FleetWatch
-from bulrushbend.share.estimator import RunningMean
+from bulrushbend.share.estimator import BalancedMean
 from bulrushbend.share.ledger import Ledger
-from bulrushbend.share.picker import LowestLevelPicker
+from bulrushbend.share.picker import ProportionalPicker
+from bulrushbend.share.slots import EngineLoad, SlotLimit
 from bulrushbend.wire.fleet_pb2 import (
     AccountRow,
     ManifestDocument,
@@ -82,14 +83,13 @@
         )
         self._ledger: Ledger | None = None
         self._service = ""
-        self._slots = 0
+        self._slot_limit: SlotLimit | None = None
         self._row_cursor = 0
         self._leaving = Leaving(self._events, self._adjust)
         self._endpoint = Endpoint(settings, self._clock, self._adjust)
         self._gate = Gate(
             self._clock,
             self._events,
-            LowestLevelPicker(),
             settings.claim_timeout_ms,
             lambda attempt_id: self._attempts.note_unused(attempt_id),
         )
@@ -276,7 +276,7 @@
         self._leaving.set(LeavingCause.MANIFEST, gone)
         if endpoint is not None:
             self._use_service(endpoint.service, manifest)
-            self._slots = endpoint.slots
+            self._set_slots(endpoint.slots)
         self._adjust()
 
     def _use_service(self, service: str, manifest: Manifest) -> None:
@@ -284,16 +284,36 @@
             self._service = service
             self._member.service = service
             self._row_cursor = 0
-            self._ledger = Ledger(service, self._identity, self._clock, RunningMean())
-            self._gate.use_ledger(self._ledger)
+            self._ledger = Ledger(service, self._identity, self._clock, BalancedMean())
+            self._gate.use_ledger(self._ledger, self._build_picker(service, manifest))
         self._ledger.set_shares({team.name: team.share for team in manifest.teams})
 
-    def _take_load(self, report: LoadReport) -> None:
-        pass
+    def _build_picker(self, service: str, manifest: Manifest) -> ProportionalPicker:
+        names = sorted(e.name for e in manifest.endpoints if e.service == service)
+        position = names.index(self._settings.endpoint)
+        # A row waits for the next spread here and once more at the router.
+        return ProportionalPicker(position, 2.0 * self._settings.spread_ms)
+
+    def _set_slots(self, slots: int) -> None:
+        if self._slot_limit is None:
+            self._slot_limit = SlotLimit(slots)
+        else:
+            self._slot_limit.set_upper(slots)
+
+    def _take_load(self, load: EngineLoad) -> None:
+        if self._slot_limit is None:
+            return
+        before = self._slot_limit.limit
+        now_ms = self._clock.now_ms()
+        after = self._slot_limit.report(load, self._gate.in_use, now_ms)
+        if after != before:
+            self._events.write(EventKind.SLOT_LIMIT_CHANGED, limit=after, before=before)
+            self._gate.set_limit(after)
 
     def _adjust(self) -> None:
         """Apply the manifest, leaving and the endpoint's state to the gate."""
-        self._gate.set_limit(self._slots)
+        if self._slot_limit is not None:
+            self._gate.set_limit(self._slot_limit.limit)
         may_start = (
             self._ledger is not None
             and self._endpoint.is_up
--- a/libs/agent/src/bulrushbend/agent/gate.py
+++ b/libs/agent/src/bulrushbend/agent/gate.py
@@ -36,8 +36,6 @@
         Source of time.
     events : EventLog
         Receives claims and their outcome.
-    picker : TeamPicker
-        Chooses the next team.
     claim_timeout_ms : float
         Age at which an unanswered claim expires.
     on_unused : callable
@@ -48,16 +46,15 @@
         self,
         clock: Clock,
         events: EventLog,
-        picker: TeamPicker,
         claim_timeout_ms: float,
         on_unused: Callable[[str], None],
     ):
         self._clock = clock
         self._events = events
-        self._picker = picker
         self._claim_timeout_ms = claim_timeout_ms
         self._on_unused = on_unused
         self._ledger: Ledger | None = None
+        self._picker: TeamPicker | None = None
         self._backlog = Backlog(clock, self._mark_waiting)
         self._account = SlotAccount(clock)
         self._limit = 0
@@ -92,9 +89,18 @@
         """Whether new work may start."""
         return self._open
 
-    def use_ledger(self, ledger: Ledger) -> None:
-        """Account in `ledger` from now on; running requests keep theirs."""
+    def use_ledger(self, ledger: Ledger, picker: TeamPicker) -> None:
+        """Account in `ledger` from now on; running requests keep theirs.
+
+        Parameters
+        ----------
+        ledger : Ledger
+            Account of the service.
+        picker : TeamPicker
+            Chooses the next team.
+        """
         self._ledger = ledger
+        self._picker = picker
         for team in self._backlog.waiting_teams:
             ledger.set_waiting(team, True)
 
@@ -117,13 +123,8 @@
 
     def fill(self) -> None:
         """Claim requests for the free slots while routers advertise work."""
-        while self._open and self._ledger is not None and self.in_use < self._limit:
-            ages = self._backlog.ages()
-            team = self._picker.pick(ages, self._ledger) if ages else None
-            link = self._backlog.oldest(team) if team is not None else None
-            if team is None or link is None:
-                break
-            self._send_claim(team, link, self._ledger)
+        while self._open and self.in_use < self._limit and self._claim_next():
+            pass
         self._observe()
 
     def take(self, attempt_id: str) -> SlotClaim | None:
@@ -216,6 +217,18 @@
                 self._release(claim, EventKind.CLAIM_EXPIRED)
                 self.fill()
 
+    def _claim_next(self) -> bool:
+        """Claim one request; return False if no team waits."""
+        if self._ledger is None or self._picker is None:
+            return False
+        # Asked also when no team waits: the picker takes note of freed slots.
+        team = self._picker.pick(self._backlog.ages(), self._ledger)
+        link = self._backlog.oldest(team) if team is not None else None
+        if team is None or link is None:
+            return False
+        self._send_claim(team, link, self._ledger)
+        return True
+
     def _send_claim(self, team: str, link: ClaimTarget, ledger: Ledger) -> None:
         attempt_id = new_id("att")
         claim = SlotClaim(
--- a/libs/agent/src/bulrushbend/agent/load.py
+++ b/libs/agent/src/bulrushbend/agent/load.py
@@ -1,63 +1,16 @@
 """Load report of the engine, which adjusts the number of slots in use."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
-from prometheus_client.parser import text_string_to_metric_families
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.logs import part_logger
+from bulrushbend.share.slots import EngineLoad, parse_load
 
 _log = part_logger("agent.load")
 
 _POLL_TIMEOUT_S = 2.0
-_RUNNING = "vllm:num_requests_running"
-_WAITING = "vllm:num_requests_waiting"
-_CACHE_USAGE = "vllm:kv_cache_usage_perc"
-
-
-@dataclass(frozen=True)
-class LoadReport:
-    """Load of an engine, which lags behind its real load.
-
-    Attributes
-    ----------
-    running : float
-        Requests in the batch.
-    waiting : float
-        Requests that the engine queues.
-    cache_usage : float
-        Part of the KV cache in use, from 0 to 1.
-    """
-
-    running: float
-    waiting: float
-    cache_usage: float
-
-
-def parse_load(text: str) -> LoadReport:
-    """Read a load report in the Prometheus text format with vLLM names.
-
-    Values of several models on one engine are added, their cache usage is the largest.
-
-    Raises
-    ------
-    ValueError
-        If the text is malformed or lacks a metric.
-    """
-    values: dict[str, list[float]] = {}
-    for family in text_string_to_metric_families(text):
-        for sample in family.samples:
-            values.setdefault(sample.name, []).append(sample.value)
-    try:
-        return LoadReport(
-            running=sum(values[_RUNNING]),
-            waiting=sum(values[_WAITING]),
-            cache_usage=max(values[_CACHE_USAGE]),
-        )
-    except KeyError as error:
-        raise ValueError(f"load report lacks {error.args[0]}") from None
 
 
 class LoadPoll:
@@ -80,7 +33,7 @@
         url: str,
         poll_ms: float,
         clock: Clock,
-        on_report: Callable[[LoadReport], None],
+        on_report: Callable[[EngineLoad], None],
     ):
         self._url = url
         self._poll_ms = poll_ms
@@ -102,11 +55,17 @@
                 connect_timeout=_POLL_TIMEOUT_S,
                 request_timeout=_POLL_TIMEOUT_S,
             )
-            report = parse_load(response.body.decode())
+            load = parse_load(response.body.decode())
         except (HTTPClientError, OSError, ValueError) as error:
-            if not self._failing:
-                _log.warning("load report %s cannot be read: %s", self._url, error)
-            self._failing = True
+            self._note_failure(str(error))
+            return
+        if load is None:
+            self._note_failure("no number of waiting requests")
             return
         self._failing = False
-        self._on_report(report)
+        self._on_report(load)
+
+    def _note_failure(self, reason: str) -> None:
+        if not self._failing:
+            _log.warning("load report %s cannot be read: %s", self._url, reason)
+        self._failing = True
