Repeat changed backlog numbers once and end a drain after the last byte

An agent counts a claimed request off when its POST arrives. Numbers that overtake the POST lack it already, so it is counted off twice and the last waiting request can be forgotten. Changed numbers are repeated with the next heartbeat. Ruled out: counting granted requests into the numbers, since the router learns of the acceptance only with the answer's headers.

A drain counts a request as in progress until its answer has left, so that a slow caller does not lose the end of its answer.

--- a/libs/router/src/bulrushbend/router/attempt.py
+++ b/libs/router/src/bulrushbend/router/attempt.py
@@ -164,7 +164,7 @@
             quiet_ms = now_ms - self._progress_ms
             return link.down_ms() >= link.silence_ms <= quiet_ms
         report = link.progress(self._grant.attempt_id)
-        if report is None:
+        if report is None or now_ms - report.seen_ms > self._settings.stall_ms:
             # Not known to the agent, or no longer: the look-up tells.
             return True
         if report.finished or report.produced_bytes > self._received_bytes:
@@ -224,9 +224,9 @@
         if exchange.status == 409 and HEADER_REFUSED in headers:
             self._write(EventKind.ATTEMPT_REFUSED)
             raise NotRun("refused before start", step="claim", peer=self._peer)
-        if exchange.status in (404, 410):
-            await self._prove_not_started("the agent does not hold the answer")
-        raise _failure_of(headers, self._peer)
+        if exchange.status == 502 and HEADER_FAILURE in headers:
+            raise _failure_of(headers, self._peer)
+        await self._prove_not_started(f"the agent answered {exchange.status}")
 
     async def _deliver(self, sink: AnswerSink) -> None:
         exchange = self._exchange
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -168,13 +168,12 @@
         error = self._lack_of_endpoints(request.service)
         if error is not None:
             raise error
-        with self._drain.track():
-            if request.key is None:
-                await self._run(request, place, sink)
-                return
-            await self._keys.serve(
-                request, sink, lambda held: self._run(request, place, held)
-            )
+        if request.key is None:
+            await self._run(request, place, sink)
+            return
+        await self._keys.serve(
+            request, sink, lambda held: self._run(request, place, held)
+        )
 
     async def _run(
         self, request: CallerRequest, place: Place, sink: AnswerSink
@@ -182,6 +181,10 @@
         self._write(EventKind.REQUEST_QUEUED, request)
         await self._dispatcher.serve(request, place, sink)
 
+    def track(self) -> contextlib.AbstractContextManager[None]:
+        """Keep the process from ending while the context is open."""
+        return self._drain.track()
+
     def abandon(self, request: CallerRequest) -> bool:
         """End the waiting of a request whose caller is gone; False if it runs."""
         self._write(EventKind.REQUEST_ABANDONED, request)
--- a/libs/router/src/bulrushbend/router/dispatch.py
+++ b/libs/router/src/bulrushbend/router/dispatch.py
@@ -22,6 +22,8 @@
 _REMEMBERED_CLAIMS = 10_000
 # One request that breaks endpoints must not break them one after the other.
 _MOST_RETRIES = 2
+# An agent and a router that disagree for long must not exchange a request for ever.
+_MOST_REQUEUES = 100
 # Checks of each running attempt within one stall deadline.
 _CHECKS_PER_STALL = 4
 
@@ -89,7 +91,7 @@
             The request ended without an endpoint's complete answer.
         """
         self._budget.earn()
-        retries = 0
+        retries = requeues = 0
         at_head = False
         while True:
             grant = await self._queues.wait(request, place, at_head=at_head)
@@ -101,6 +103,12 @@
                 return
             except NotRun as error:
                 self._note_requeue(request, grant, error)
+                requeues += 1
+                if requeues > _MOST_REQUEUES:
+                    delay_ms = self._queues.retry_after_ms(
+                        request.service, request.team
+                    )
+                    raise not_run(503, "not-started", error.message, delay_ms) from None
             except (OutcomeUnknown, RunFailed) as error:
                 if sink.started or not self._may_retry(request, retries, error):
                     raise _final(error) from None
--- a/libs/router/src/bulrushbend/router/http.py
+++ b/libs/router/src/bulrushbend/router/http.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 from typing import Protocol
@@ -62,6 +63,10 @@
         """Run `request` and pass its answer to `sink`, or raise `CallEnded`."""
         ...
 
+    def track(self) -> contextlib.AbstractContextManager[None]:
+        """Keep the process from ending while the context is open."""
+        ...
+
     def abandon(self, request: CallerRequest) -> bool:
         """End the waiting of a request whose caller is gone; False if it runs."""
         ...
@@ -121,7 +126,7 @@
         if self._gone:
             return
         self._send_head()
-        self._handler.finish()
+        await self._leave(self._handler.finish())
 
     async def break_off(self, error: BulrushbendError) -> None:
         """Close the connection without the last chunk.
@@ -150,8 +155,11 @@
             self._handler.set_header(HEADER_OUTCOME, str(Outcome.ANSWERED))
 
     async def _flush(self) -> None:
+        await self._leave(self._handler.flush())
+
+    async def _leave(self, future: asyncio.Future[None]) -> None:
+        """Wait until what was written has left, or the caller counts as gone."""
         try:
-            future = self._handler.flush()
             if not future.done():
                 async with asyncio.timeout(_CALLER_STALL_S):
                     await future
@@ -238,6 +246,10 @@
         self._body += chunk
 
     async def _serve(self) -> None:
+        with self._desk.track():
+            await self._serve_tracked()
+
+    async def _serve_tracked(self) -> None:
         if self._refusal is not None:
             self._answer(self._refusal)
             return
--- a/libs/router/src/bulrushbend/router/link.py
+++ b/libs/router/src/bulrushbend/router/link.py
@@ -114,6 +114,8 @@
         self._cursor = 0
         self._misses: list[str] = []
         self._changed_teams: set[str] = set()
+        self._repeated_teams: set[str] = set()
+        self._repeat_due_ms = 0.0
         self._complete_backlog = True
         self._paused_until_ms = 0.0
         self._due_ms = 0.0
@@ -311,7 +313,7 @@
         else:
             backlogs = {
                 team: queues.team_backlog(self.service, team)
-                for team in self._changed_teams
+                for team in self._teams_to_send(now_ms)
             }
         batch.backlog_is_complete = self._complete_backlog
         self._complete_backlog = False
@@ -320,6 +322,22 @@
             _describe(team, backlog, now_ms) for team, backlog in backlogs.items()
         )
 
+    def _teams_to_send(self, now_ms: float) -> set[str]:
+        """Return the changed teams, and once per heartbeat those changed before.
+
+        The agent counts a claimed request off when its POST arrives. Numbers that
+        overtake the POST already lack it, so it is counted off twice, and the last
+        waiting request would be forgotten if the numbers were not repeated.
+        """
+        teams = set(self._changed_teams)
+        if now_ms < self._repeat_due_ms:
+            self._repeated_teams |= teams
+            return teams
+        teams |= self._repeated_teams
+        self._repeated_teams = set(self._changed_teams)
+        self._repeat_due_ms = now_ms + self._context.settings.heartbeat_ms
+        return teams
+
     def _take_batch(self, batch: AgentBatch) -> None:
         self._count(batch, "received")
         if not self._is_up:
--- a/libs/router/tests/test_link.py
+++ b/libs/router/tests/test_link.py
@@ -94,3 +94,16 @@
     agent.claim("no-such-team", "att-x")
     await fleet.until(lambda: "att-x" in agent.misses)
     assert (await fleet.ask()).status == 200
+
+
+async def test_numbers_are_repeated_once_after_a_change(fleet, agent):
+    # Guards against a waiting request that the agent counts off twice and forgets.
+    agent.claiming = False
+    await fleet.start(agent)
+    call = fleet.ask_soon()
+    await fleet.until_waiting()
+    await asyncio.sleep(0.3)
+    sent = [e.waiting for b in agent.batches for e in b.backlog if e.team == "crew-a"]
+    assert sent == [1, 1]
+    agent.claim("crew-a")
+    await call
