Never report not-run after a lost run, and prove that the tests can fail

A retried request whose first attempt may have run was answered not-run when its deadline passed in the queue.

Each mechanism was taken out once on a scratch copy and its test run. Two tests passed without theirs and were made stricter: the loss of an agent was noticed through stale reports before the link's silence, and the drain test did not look at the moment at which the drain ends.

--- a/libs/router/src/bulrushbend/router/dispatch.py
+++ b/libs/router/src/bulrushbend/router/dispatch.py
@@ -24,6 +24,7 @@
 _MOST_RETRIES = 2
 # An agent and a router that disagree for long must not exchange a request for ever.
 _MOST_REQUEUES = 100
+_NOT_STARTED = AttemptState.NOT_STARTED
 # Checks of each running attempt within one stall deadline.
 _CHECKS_PER_STALL = 4
 
@@ -93,8 +94,15 @@
         self._budget.earn()
         retries = requeues = 0
         at_head = False
+        lost: OutcomeUnknown | RunFailed | None = None
         while True:
-            grant = await self._queues.wait(request, place, at_head=at_head)
+            try:
+                grant = await self._queues.wait(request, place, at_head=at_head)
+            except CallEnded:
+                # What an earlier attempt may have run is not "not run" any more.
+                if lost is not None:
+                    raise _final(lost) from None
+                raise
             waited_ms = self._context.clock.now_ms() - request.queued_ms
             metrics.WAIT_SECONDS.observe(waited_ms / 1000.0)
             at_head = True
@@ -105,13 +113,11 @@
                 self._note_requeue(request, grant, error)
                 requeues += 1
                 if requeues > _MOST_REQUEUES:
-                    delay_ms = self._queues.retry_after_ms(
-                        request.service, request.team
-                    )
-                    raise not_run(503, "not-started", error.message, delay_ms) from None
+                    raise self._not_started(request, lost, error) from None
             except (OutcomeUnknown, RunFailed) as error:
                 if sink.started or not self._may_retry(request, retries, error):
                     raise _final(error) from None
+                lost = error
                 retries += 1
                 metrics.RETRIES.labels(type(error).__name__).inc()
 
@@ -131,7 +137,8 @@
         try:
             await attempt.run(sink)
         except DeadlinePassed:
-            await self._end_late(attempt)
+            if await attempt.settle(cancel=request.idempotent) is _NOT_STARTED:
+                raise NotRun("the deadline passed before the start") from None
             raise
         except OutcomeUnknown:
             if request.idempotent:
@@ -144,11 +151,6 @@
         finally:
             self._running.discard(attempt)
 
-    async def _end_late(self, attempt: Attempt) -> None:
-        state = await attempt.settle(cancel=attempt.request.idempotent)
-        if state is AttemptState.NOT_STARTED:
-            raise not_run(504, "deadline", "the deadline passed before the start")
-
     def _clean_up(self, attempt: Attempt) -> None:
         """Cancel an abandoned attempt at its agent without holding the caller back."""
         task = asyncio.create_task(attempt.cancel())
@@ -162,6 +164,17 @@
             return False
         return retries < _MOST_RETRIES and self._budget.take()
 
+    def _not_started(
+        self,
+        request: CallerRequest,
+        lost: OutcomeUnknown | RunFailed | None,
+        error: NotRun,
+    ) -> CallEnded:
+        if lost is not None:
+            return _final(lost)
+        delay_ms = self._queues.retry_after_ms(request.service, request.team)
+        return not_run(503, "not-started", error.message, delay_ms)
+
     def _note_requeue(
         self, request: CallerRequest, grant: Grant, error: NotRun
     ) -> None:
--- a/libs/router/tests/test_dispatch.py
+++ b/libs/router/tests/test_dispatch.py
@@ -250,7 +250,7 @@
 async def test_agent_lost_with_the_answer_is_retried_elsewhere(fleet, agent):
     # Guards against callers that wait for an agent that is gone.
     agent.answers["POST"] = stay_silent
-    await fleet.start(agent)
+    await fleet.start(agent, stall_ms=600)
     call = fleet.ask_soon()
     await fleet.until(lambda: agent.count("POST") == 1)
     agent.beating = False
@@ -261,7 +261,7 @@
 
 async def test_agent_lost_with_a_non_idempotent_request_is_unknown(fleet, app_agent):
     app_agent.answers["POST"] = stay_silent
-    await fleet.start(app_agent)
+    await fleet.start(app_agent, stall_ms=600)
     call = fleet.ask_soon(APP)
     await fleet.until(lambda: app_agent.count("POST") == 1)
     app_agent.beating = False
@@ -328,3 +328,16 @@
     exchange = await fleet.open()
     with pytest.raises(TruncatedAnswer):
         await exchange.body()
+
+
+async def test_lost_run_is_not_reported_as_not_run_after_a_retry(fleet, agent):
+    # Guards against "not run" for a request of which an earlier attempt may have run.
+    agent.claiming = False
+    agent.answers["POST"] = fail_as("unknown")
+    await fleet.start(agent)
+    call = fleet.ask_soon(Bulrushbend_Deadline_Ms="400")
+    await fleet.until_waiting()
+    agent.claim("crew-a")
+    answer = await call
+    assert (answer.status, answer.outcome) == (502, "unknown")
+    assert agent.count("POST") == 1
--- a/libs/router/tests/test_drain.py
+++ b/libs/router/tests/test_drain.py
@@ -33,18 +33,22 @@
 
 async def test_running_requests_finish_after_the_drain_deadline(fleet, agent):
     # Guards against a shutdown that interrupts a request in progress.
+    ended = asyncio.Event()
+
     async def slow(exchange):
         await exchange.head()
         await exchange.chunk("a")
         await asyncio.sleep(0.8)
         await exchange.chunk("b")
         await exchange.end()
+        ended.set()
 
     agent.answers["POST"] = slow
     await fleet.start(agent, drain_ms=100)
     call = fleet.ask_soon()
     await fleet.until(lambda: agent.count("POST"))
     await fleet.router.drain()
+    assert ended.is_set()
     assert (await call).body == b"ab"
 
 
