--- a/libs/cli/tests/test_main.py
+++ b/libs/cli/tests/test_main.py
@@ -2,6 +2,7 @@
 import sys
 
 import pytest
+import tomli_w
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -99,6 +100,26 @@
     assert capsys.readouterr().err.count("\n") == (1 if code else 0)
 
 
+@QUIET
+@given(
+    key=st.sampled_from(["name", "vm", "http_address", "control", "drain_ms", "x"]),
+    value=values.filter(lambda value: value is not None),
+)
+def test_any_wrong_setting_gives_one_line(tmp_path, capsys, key, value):
+    replica = {"name": "c1", "address": "127.0.0.1:1"}
+    good = {"name": "r1", "vm": "v", "data_centre": "d", "control": [replica]}
+    path = tmp_path / "router.toml"
+    try:
+        text = tomli_w.dumps(good | {"http_address": "127.0.0.1:1", key: value})
+        path.write_text(text)
+    except (TypeError, ValueError):
+        # TOML has no null and no lone surrogates.
+        return
+    code = run(["check-settings", "router", str(path)])
+    assert code in (0, 2)
+    assert capsys.readouterr().err.count("\n") == (1 if code else 0)
+
+
 def test_closed_pipe_does_not_raise(monkeypatch):
     class Closed:
         def write(self, text):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -92,6 +92,12 @@
         self.start(name)
         self.wait_for("/healthz", [name])
 
+    def voters(self, change: str, name: str, *options: str) -> None:
+        """Change the voters of control through the command line."""
+        control = ("--control", self.control_addresses)
+        result = self.command("voters", change, name, *control, *options)
+        assert result.returncode == 0, result.stderr
+
     def wipe(self, name: str) -> None:
         """Delete the data of a control replica that does not run."""
         folder = Path(self.units[name].settings["data_folder"])
--- /dev/null
+++ b/tests/test_control_loss.py
@@ -0,0 +1,71 @@
+import json
+
+from fleet import Fleet
+from localfleet import APPLICATION_SERVICE, MODEL_SERVICE, FleetPlan
+
+PLAN = FleetPlan(engines=1, applications=1)
+REPLICAS = ("control-1", "control-2", "control-3")
+BOOKINGS = f"/services/{APPLICATION_SERVICE}/bookings"
+
+
+def ask(fleet):
+    document = {"model": MODEL_SERVICE, "x_nonce": "n", "x_tokens": 2}
+    return fleet.request("/v1/chat/completions", document)[0]
+
+
+def book(fleet, key):
+    return fleet.request(BOOKINGS, {"x_nonce": key}, **{"Idempotency-Key": key})
+
+
+def test_traffic_goes_on_without_control_and_keyed_requests_do_not_run(tmp_path):
+    with Fleet(tmp_path, PLAN) as fleet:
+        fleet.boot(version=3)
+        for name in REPLICAS:
+            fleet.kill(name)
+        assert ask(fleet) == 200
+        status, headers, body = book(fleet, "k1")
+        assert (status, headers["Bulrushbend-Outcome"]) == (503, "not-run")
+        assert json.loads(body)["error"]["code"] == "key-unavailable"
+        assert fleet.runs("application-1")["total"] == 0
+        result = fleet.command("status", "--control", fleet.control_addresses)
+        assert result.returncode == 4
+        fleet.start(*REPLICAS)
+        fleet.wait_for("/readyz", REPLICAS)
+        assert fleet.status()["manifest_version"] == 3
+        fleet.wait_until(lambda: book(fleet, "k1")[0] == 200, "the key is recorded")
+        assert fleet.runs("application-1", "?key=k1")["runs"] == 1
+
+
+def test_racing_and_old_manifests_are_refused_with_the_winner(tmp_path):
+    with Fleet(tmp_path, PLAN) as fleet:
+        fleet.boot(version=3)
+        assert fleet.publish(fleet.manifest(3)).returncode == 0
+        conflict = fleet.publish(fleet.manifest(3, retry_share=0.2))
+        stale = fleet.publish(fleet.manifest(2))
+        assert (conflict.returncode, stale.returncode) == (3, 3)
+        assert fleet.status()["manifest_digest"] in conflict.stderr
+        assert "version 3 is in force" in stale.stderr
+        assert {p["manifest_version"] for p in fleet.status()["processes"]} == {3}
+
+
+def test_replica_that_lost_its_disk_votes_only_after_its_repair(tmp_path):
+    with Fleet(tmp_path, PLAN) as fleet:
+        fleet.boot(version=3)
+        fleet.kill("control-3")
+        fleet.wipe("control-3")
+        fleet.start("control-3")
+        fleet.wait_for("/healthz", ["control-3"])
+        fleet.pause("control-1")
+        path = fleet.write_toml("alone", fleet.manifest(4))
+        target = ("--control", fleet.control_addresses, "--timeout-ms", "4000")
+        assert fleet.command("publish", str(path), *target).returncode == 4
+        fleet.resume("control-1")
+        address = fleet.units["control-3"].settings["link_address"]
+        fleet.voters("remove", "control-3")
+        fleet.voters("add-learner", "control-3", f"--address={address}")
+        assert fleet.status()["learners"] == ["control-3"]
+        fleet.voters("promote", "control-3")
+        assert sorted(fleet.status()["voters"]) == list(REPLICAS)
+        fleet.kill("control-1")
+        fleet.wait_until(lambda: fleet.publish(fleet.manifest(5)).returncode == 0, "5")
+        assert fleet.status()["manifest_version"] == 5
