Count a claimed request off only once at the agent

Numbers of a router that overtake a claimed request lack it already. The agent counted it off again at its arrival, took the backlog for empty and left the last waiting request of a router beside free slots until its deadline. Seen in tests/test_leaving.py: two requests waited for 57 s while all slots of the other engine were free; their events are request-queued and nothing else. A request is now counted off only if no numbers came since its claim, and a claim that turns into a request lets the agent look for work again. Ruled out: a count of seen claims in each router batch, which is exact too but changes the protocol; repeating the numbers with the heartbeat bounds the wait to 500 ms and stays as a second guard in the router.

--- a/libs/agent/src/bulrushbend/agent/backlog.py
+++ b/libs/agent/src/bulrushbend/agent/backlog.py
@@ -26,6 +26,7 @@
     waiting: int
     since_ms: float
     claimed: int = 0
+    updates: int = 0
 
     @property
     def available(self) -> bool:
@@ -37,7 +38,12 @@
 
     A router's numbers are absolute and may be older than a claim that it has not
     seen yet. Counting claims in flight keeps one waiting request from being claimed
-    twice by this agent; a wrong count costs a missed claim, never a request.
+    twice by this agent.
+
+    A request that arrives is counted off only if no numbers came since its claim.
+    Numbers that overtake it lack it already; counting it off again would hide the
+    last waiting request until the next numbers. A count that is too high costs a
+    missed claim, one that is too low costs idle slots.
 
     Parameters
     ----------
@@ -81,6 +87,7 @@
         """
         entries = self._teams.setdefault(team, {})
         entry = entries.setdefault(link, _Entry(0, 0.0))
+        entry.updates += 1
         entry.since_ms = self._clock.now_ms() - oldest_age_ms
         self._set_waiting(team, link, entry, waiting)
 
@@ -98,13 +105,23 @@
             entry.claimed = 0
             self._set_waiting(team, link, entry, 0)
 
-    def claim(self, link: ClaimTarget, team: str) -> None:
-        """Count a claim that was sent to `link`."""
+    def claim(self, link: ClaimTarget, team: str) -> int:
+        """Count a claim that was sent to `link`.
+
+        Returns
+        -------
+        int
+            Number of updates so far, to be given to `settle`.
+        """
         entry = self._teams.get(team, {}).get(link)
-        if entry is not None:
-            entry.claimed += 1
+        if entry is None:
+            return 0
+        entry.claimed += 1
+        return entry.updates
 
-    def settle(self, link: ClaimTarget, team: str, *, taken: bool, empty: bool) -> None:
+    def settle(
+        self, link: ClaimTarget, team: str, updates: int, *, taken: bool, empty: bool
+    ) -> None:
         """Count a claim that ended.
 
         Parameters
@@ -113,6 +130,8 @@
             Link over which the claim was sent.
         team : str
             Team of the claim.
+        updates : int
+            What `claim` returned.
         taken : bool
             Whether a request was handed over.
         empty : bool
@@ -125,7 +144,7 @@
         waiting = entry.waiting
         if empty:
             waiting = 0
-        elif taken:
+        elif taken and entry.updates == updates:
             waiting = max(0, waiting - 1)
         self._set_waiting(team, link, entry, waiting)
 
--- a/libs/agent/src/bulrushbend/agent/gate.py
+++ b/libs/agent/src/bulrushbend/agent/gate.py
@@ -25,6 +25,7 @@
     link: ClaimTarget
     charge: Charge
     sent_ms: float
+    updates: int
 
 
 class Gate:
@@ -143,9 +144,10 @@
         del self._claims[attempt_id]
         claim.charge.start()
         self._running += 1
-        self._backlog.settle(claim.link, claim.team, taken=True, empty=False)
+        self._settle(claim, taken=True)
         metrics.CLAIM_LATENCY.observe((self._clock.now_ms() - claim.sent_ms) / 1000.0)
-        self._observe()
+        # The claim may have hidden a request that waits beside a free slot.
+        self.fill()
         return claim
 
     def finish(self, claim: SlotClaim, *, ran: bool) -> float:
@@ -218,13 +220,13 @@
 
     def _send_claim(self, team: str, link: ClaimTarget, ledger: Ledger) -> None:
         attempt_id = new_id("att")
+        updates = self._backlog.claim(link, team)
         claim = SlotClaim(
-            attempt_id, team, link, ledger.hold(team), self._clock.now_ms()
+            attempt_id, team, link, ledger.hold(team), self._clock.now_ms(), updates
         )
         self._claims[attempt_id] = claim
         self._expiry.append(claim)
         self._claim_sent.set()
-        self._backlog.claim(link, team)
         link.send_claim(attempt_id, team)
         metrics.CLAIMS.labels("sent").inc()
         self._events.write(
@@ -239,7 +241,7 @@
     ) -> None:
         del self._claims[claim.attempt_id]
         claim.charge.release()
-        self._backlog.settle(claim.link, claim.team, taken=False, empty=empty)
+        self._settle(claim, empty=empty)
         self._on_unused(claim.attempt_id)
         metrics.CLAIMS.labels("missed" if empty else "expired").inc()
         self._events.write(
@@ -249,6 +251,13 @@
             peer=claim.link.identity.name,
         )
 
+    def _settle(
+        self, claim: SlotClaim, *, taken: bool = False, empty: bool = False
+    ) -> None:
+        self._backlog.settle(
+            claim.link, claim.team, claim.updates, taken=taken, empty=empty
+        )
+
     def _mark_waiting(self, team: str, waiting: bool) -> None:
         if self._ledger is not None:
             self._ledger.set_waiting(team, waiting)
