--- a/examples/localfleet.py
+++ b/examples/localfleet.py
@@ -159,6 +159,7 @@
         self.program = program or source_program()
         self.environment = None if program else source_environment()
         self.units: dict[str, Unit] = {}
+        self._commands: list[subprocess.Popen] = []
         self._ports = iter(pick_ports(64))
         for name in ("settings", "events", "logs", "data"):
             (self.folder / name).mkdir(parents=True, exist_ok=True)
@@ -264,13 +265,15 @@
 
     def popen(self, *arguments: str) -> subprocess.Popen:
         """Start an operator's command without waiting for its end."""
-        return subprocess.Popen(
+        command = subprocess.Popen(
             [*self.program, *arguments],
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
             env=self.environment,
         )
+        self._commands.append(command)
+        return command
 
     def publish(self, manifest: Mapping[str, Any], *, wait: bool = True):
         """Publish a manifest through the command line."""
@@ -306,8 +309,13 @@
             unit.process.wait()
 
     def kill_all(self) -> None:
+        """End everything that this fleet has started and that still runs."""
         for name in self.units:
             self.kill(name)
+        for command in self._commands:
+            if command.poll() is None:
+                command.kill()
+            command.communicate()
 
     def log_tail(self, name: str) -> str:
         path = self.folder / "logs" / f"{name}.log"
