Wait for the follower in the test of the full disk

The test stopped writes before the follower had learnt that version 1 is committed, and then expected version 1 there: 6 of 48 runs failed under load.

--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -188,12 +188,14 @@
     async with Cluster(tmp_path) as cluster:
         full, stopped = cluster.others(cluster.leader_name)
         await cluster.publish(cluster.leader_name, 1)
+        state = cluster.replicas[full].state
+        await wait_until(lambda: state.manifest_version == 1)
         await cluster.stop(stopped)
         cluster.files[full].free_bytes = 20
         with pytest.raises(NoQuorum):
             await cluster.publish(cluster.leader_name, 2, timeout_ms=500)
         assert cluster.replicas[full].has_failed
-        assert cluster.replicas[full].state.manifest_version == 1
+        assert state.manifest_version == 1
 
 
 async def test_second_voter_change_waits_for_the_first(tmp_path):
