Add the measuring library and tests of the service gap, start level and merging

Cause: the bound on the gap, the costs of the accounting and the merge rules need runs that show them.

--- /dev/null
+++ b/libs/bench/src/bulrushbend/bench/accounting_costs.py
@@ -0,0 +1,145 @@
+"""Costs of the accounting: bytes, memory and CPU of real ledgers and row messages."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+
+from bulrushbend.bench.policy import HeapClock
+from bulrushbend.bench.registry import command
+from bulrushbend.bench.sweep import DEFAULT_FOLDER, run_sweep
+from bulrushbend.core.identity import Identity
+from bulrushbend.share.estimator import BalancedMean
+from bulrushbend.share.ledger import Ledger
+from bulrushbend.share.picker import ProportionalPicker
+from bulrushbend.share.row import Row
+from bulrushbend.wire.fleet_pb2 import AccountRow, AgentBatch
+
+AGENT_COUNTS = (5, 10, 20, 50, 100)
+TEAM_COUNTS = (17, 35, 70, 120, 170)
+_SLOTS = 8
+_INCARNATION = 115_000_000_000_000_000
+_WARM_MS = 1000.0
+
+
+def build_rows(agents: int, teams: int, round_number: int = 1) -> list[Row]:
+    """Return the rows of `agents` agents for `teams` backlogged teams."""
+    return [
+        Row(
+            service="flor-llm",
+            agent=f"flor-{agent}",
+            incarnation=_INCARNATION + agent,
+            team=f"crew-{team}",
+            sequence=round_number,
+            served_ms=1000.125 * round_number * (agent + 1),
+            reserve_ms=3000.5,
+            running=1,
+            waiting=True,
+            start_level=1234.5,
+            weighted_ms=1000.125 * round_number * (agent + 1),
+        )
+        for agent in range(agents)
+        for team in range(teams)
+    ]
+
+
+def build_ledger(teams: int) -> tuple[Ledger, HeapClock]:
+    """Return the ledger of one agent with all slots in use by `teams` teams."""
+    clock = HeapClock()
+    identity = Identity("flor-own", _INCARNATION)
+    ledger = Ledger("flor-llm", identity, clock, BalancedMean())
+    for number in range(teams):
+        ledger.set_waiting(f"crew-{number}", True)
+    for number in range(_SLOTS):
+        ledger.hold(f"crew-{number % teams}").start()
+    clock.value_ms = _WARM_MS
+    return ledger, clock
+
+
+def measure_accounting(agents: int, teams: int) -> dict[str, float]:
+    """Measure one ledger that knows `agents` agents with `teams` teams each."""
+    bytes_per_row, batch_bytes = _measure_bytes(teams)
+    ledger, clock = build_ledger(teams)
+    first, second = build_rows(agents, teams), build_rows(agents, teams, 2)
+    memory_bytes = _memory_of(lambda: ledger.merge(first))
+    merge_us = _cpu_us(lambda: ledger.merge(second))
+    cursor, _ = ledger.rows()
+
+    def stamp():
+        clock.value_ms += 100.0
+        ledger.rows(cursor)
+
+    waiting = {f"crew-{number}": 1.0 for number in range(teams)}
+    picker = ProportionalPicker()
+
+    def pick():
+        ledger._freed.append("crew-0")
+        picker.pick(waiting, ledger)
+
+    def flip():
+        ledger.set_waiting("crew-new", True)
+        ledger.set_waiting("crew-new", False)
+
+    return {
+        "bytes per row": bytes_per_row,
+        "bytes of a batch of own changed rows": batch_bytes,
+        "memory bytes per row": memory_bytes / len(first),
+        "memory MB": memory_bytes / 1e6,
+        "merge us per row": merge_us / len(second),
+        "stamp own rows us": _cpu_us(stamp, 20),
+        "pick us": _cpu_us(pick, 50),
+        "become backlogged us": _cpu_us(flip, 20),
+    }
+
+
+def _measure_bytes(teams: int) -> tuple[float, float]:
+    rows = build_rows(1, teams, 1000)
+    sizes = [len(AccountRow(**asdict(row)).SerializeToString()) for row in rows]
+    ledger, clock = build_ledger(teams)
+    cursor, _ = ledger.rows()
+    clock.value_ms += 100.0
+    changed = [AccountRow(**asdict(row)) for row in ledger.rows(cursor)[1]]
+    batch = AgentBatch(rows=changed).SerializeToString()
+    return sum(sizes) / len(sizes), float(len(batch))
+
+
+def _memory_of(action: Callable[[], object]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        action()
+        gc.collect()
+        return float(tracemalloc.get_traced_memory()[0] - before)
+    finally:
+        tracemalloc.stop()
+
+
+def _cpu_us(action: Callable[[], object], times: int = 1) -> float:
+    begin_ns = time.process_time_ns()
+    for _ in range(times):
+        action()
+    return (time.process_time_ns() - begin_ns) / 1000.0 / times
+
+
+@command("accounting")
+def accounting(repeats: int = 3, folder: str = str(DEFAULT_FOLDER)) -> str:
+    """Sweep the accounting over agents (170 teams) and over teams (50 agents)."""
+    target = Path(folder)
+    by_agents = run_sweep(
+        "accounting-agents",
+        "agents",
+        AGENT_COUNTS,
+        lambda agents: measure_accounting(int(agents), TEAM_COUNTS[-1]),
+        repeats,
+    )
+    by_teams = run_sweep(
+        "accounting-teams",
+        "backlogged teams",
+        TEAM_COUNTS,
+        lambda teams: measure_accounting(50, int(teams)),
+        repeats,
+    )
+    return f"{by_agents.save(target)}\n{by_teams.save(target)}"
--- /dev/null
+++ b/libs/bench/src/bulrushbend/bench/registry.py
@@ -0,0 +1,33 @@
+"""Registry of the measuring commands.
+
+A module adds a command with ``@command("name")`` and its name to `MODULES`. The
+function takes keyword options, writes its files under the folder it is given and
+returns the text to print.
+"""
+
+import importlib
+import importlib.util
+from collections.abc import Callable
+
+MODULES = ("policy_sweeps", "accounting_costs", "control_costs", "data_costs")
+
+_commands: dict[str, Callable[..., str]] = {}
+
+
+def command(name: str) -> Callable[[Callable[..., str]], Callable[..., str]]:
+    """Return a decorator that registers a function as the command `name`."""
+
+    def register(function: Callable[..., str]) -> Callable[..., str]:
+        _commands[name] = function
+        return function
+
+    return register
+
+
+def load_commands() -> dict[str, Callable[..., str]]:
+    """Import the modules that are present and return their commands by name."""
+    for module in MODULES:
+        path = f"bulrushbend.bench.{module}"
+        if importlib.util.find_spec(path) is not None:
+            importlib.import_module(path)
+    return dict(_commands)
--- /dev/null
+++ b/libs/bench/tests/test_sweep.py
@@ -0,0 +1,34 @@
+import math
+
+import pytest
+
+from bulrushbend.bench.registry import load_commands
+from bulrushbend.bench.sweep import run_sweep
+
+
+def test_slope_table_and_files(tmp_path):
+    # Guards against a fit or a table that drops repeats.
+    noise = iter([0.5, -0.5] * 4)
+    sweep = run_sweep(
+        "bytes", "agents", [1, 2, 5, 10], lambda n: {"b": 3 * n + next(noise)}, 2
+    )
+    slope = sweep.slope("b")
+    assert slope.per_unit == pytest.approx(3.0)
+    assert 0.0 < slope.spread < 0.2
+    table = sweep.save(tmp_path)
+    assert "| 10 | 30 ± 0.5 |" in table
+    assert {path.name for path in tmp_path.iterdir()} == {
+        "bytes.md",
+        "bytes.csv",
+        "bytes.png",
+    }
+    assert len((tmp_path / "bytes.csv").read_text().splitlines()) == 9
+
+
+def test_slope_of_two_values_has_no_spread():
+    sweep = run_sweep("x", "n", [1, 2], lambda n: {"v": n}, repeats=1)
+    assert math.isnan(sweep.slope("v").spread)
+
+
+def test_commands_are_registered():
+    assert {"policy", "accounting"} <= load_commands().keys()
--- a/libs/share/tests/builders.py
+++ b/libs/share/tests/builders.py
@@ -1,6 +1,6 @@
 """Builders of ledgers and rows for tests."""
 
-from bulrushbend.core.clock import ManualClock
+from bulrushbend.core.clock import Clock, ManualClock
 from bulrushbend.core.identity import Identity
 from bulrushbend.share.estimator import RunningMean
 from bulrushbend.share.ledger import Ledger
@@ -28,3 +28,24 @@
     }
     values.update(fields)
     return Row(agent=agent, team=team, sequence=sequence, served_ms=served_ms, **values)
+
+
+class StepClock(Clock):
+    """Clock that moves by `step` without an event loop."""
+
+    def __init__(self):
+        self.value_ms = 0.0
+
+    def now_ms(self):
+        return self.value_ms
+
+    def step(self, duration_ms):
+        self.value_ms += duration_ms
+
+
+def serve(ledger, clock, team, cost_ms):
+    """Run one request of `team` from claim to end."""
+    charge = ledger.hold(team)
+    charge.start()
+    clock.step(cost_ms)
+    return charge.end()
