Make new versions of own rows only for changed, running and due teams

Cause: each call of rows() went over all teams, and each team that became backlogged over all waiting teams; hundreds of links and light teams make both calls often. Change: OwnRows keeps the changed and running teams and the order of renewals; accrued time makes a new version at most every 10 ms; the floor is kept for 20 ms.

--- a/libs/share/src/bulrushbend/share/account.py
+++ b/libs/share/src/bulrushbend/share/account.py
@@ -37,6 +37,11 @@
         self.waiting = False
         self.start_level = 0.0
 
+    @property
+    def team(self) -> str:
+        """Name of the team."""
+        return self._team
+
     @property
     def running(self) -> int:
         """Claims and running requests."""
@@ -62,8 +67,7 @@
         """Remove `charge` and return its cost."""
         self._settle(charge, now_ms)
         self._charges.discard(charge)
-        cost_ms = charge.elapsed_ms(now_ms)
-        return cost_ms
+        return charge.elapsed_ms(now_ms)
 
     def set_share(self, share: float, now_ms: float) -> None:
         """Weigh service from now on by `share`."""
@@ -83,6 +87,8 @@
 
     def reserve_ms(self, estimator: Estimator, now_ms: float) -> float:
         """Return the slot time held for claims and running requests."""
+        if not self._charges:
+            return 0.0
         return sum(
             estimator.reserve_ms(self._team, charge.elapsed_ms(now_ms))
             for charge in self._charges
@@ -97,6 +103,8 @@
         self._weighted_ms += passed_ms / self._share
 
     def _unsettled_ms(self, now_ms: float) -> float:
+        if not self._charges:
+            return 0.0
         return sum(
             now_ms - charge.mark_ms
             for charge in self._charges
--- a/libs/share/src/bulrushbend/share/ledger.py
+++ b/libs/share/src/bulrushbend/share/ledger.py
@@ -11,15 +11,16 @@
 from bulrushbend.core.identity import Identity
 from bulrushbend.share.account import OpenCharge, TeamAccount
 from bulrushbend.share.estimator import Estimator
+from bulrushbend.share.own import OwnRows
 from bulrushbend.share.peers import PeerRows
 from bulrushbend.share.row import Row
 
 __all__ = ["Charge", "Ledger", "Row"]
 
 _DEFAULT_SHARE = 1.0
-# Active rows are renewed at this interval even if nothing changed, so that readers
-# can tell an agent that is silent from a team that only waits.
-RENEW_MS = 1000.0
+# The floor for teams that become backlogged costs a pass over all waiting teams, and
+# light teams become backlogged hundreds of times a second. An old floor is a bit low.
+_FLOOR_MS = 20.0
 # Freed slots that nobody asked about, such as those above a lowered slot limit.
 _FREED_KEPT = 64
 
@@ -93,8 +94,9 @@
         self._estimator = estimator
         self._peers = peers or PeerRows()
         self._shares: Mapping[str, float] = {}
-        self._accounts: dict[str, TeamAccount] = {}
-        self._sent: dict[str, tuple[Row, float]] = {}
+        self._own = OwnRows(service, identity, estimator)
+        self._floor_level = 0.0
+        self._floor_due_ms = float("-inf")
         self._cursor = 0
         self._freed: deque[str] = deque(maxlen=_FREED_KEPT)
         self._changes: dict[tuple[str, int, str], int] = {}
@@ -109,8 +111,8 @@
         """
         self._shares = dict(shares)
         now_ms = self._clock.now_ms()
-        for team, account in self._accounts.items():
-            account.set_share(self.share(team), now_ms)
+        for account in self._own:
+            account.set_share(self.share(account.team), now_ms)
 
     def set_waiting(self, team: str, waiting: bool) -> None:
         """Note whether linked routers hold waiting requests of `team`."""
@@ -120,10 +122,14 @@
         if waiting:
             self._raise(team, account)
         account.waiting = waiting
+        self._own.note_change(account)
 
     def hold(self, team: str) -> Charge:
         """Hold the reserve for a claim of `team`."""
-        return Charge(self, team, self._account(team).open())
+        account = self._account(team)
+        charge = account.open()
+        self._own.note_change(account)
+        return Charge(self, team, charge)
 
     def merge(self, rows: Iterable[Row]) -> list[Row]:
         """Take in rows and return those that changed something.
@@ -148,9 +154,10 @@
             Cursor for the next call.
         rows : list of Row
             Changed rows, the latest change first. Time of running requests is
-            counted up to now.
+            counted up to now, or up to `ACCRUAL_MS` before if nothing else changed.
         """
-        self._stamp_own_rows()
+        for row in self._own.renew(self._clock.now_ms()):
+            self._note_change(row)
         changed = []
         for key, cursor in reversed(self._changes.items()):
             if cursor <= changed_after:
@@ -169,7 +176,7 @@
     def running(self, team: str) -> int:
         """Return the claims and running requests of `team` fleet-wide."""
         totals = self._peers.totals.get(team)
-        account = self._accounts.get(team)
+        account = self._own.find(team)
         elsewhere = totals.running if totals else 0
         return elsewhere + (account.running if account else 0)
 
@@ -195,15 +202,12 @@
     def served_ms(self, team: str) -> float:
         """Return the slot time served to `team` fleet-wide, as known here."""
         totals = self._peers.totals.get(team)
-        account = self._accounts.get(team)
+        account = self._own.find(team)
         served_ms = totals.served_ms if totals else 0.0
         return served_ms + (account.served_ms(self._clock.now_ms()) if account else 0.0)
 
     def _account(self, team: str) -> TeamAccount:
-        account = self._accounts.get(team)
-        if account is None:
-            account = self._accounts[team] = TeamAccount(team, self.share(team))
-        return account
+        return self._own.open(team, self.share(team))
 
     def _level(self, team: str, now_ms: float) -> float:
         return self._served_level(team, now_ms) + self._held_level(team, now_ms)
@@ -211,7 +215,7 @@
     def _served_level(self, team: str, now_ms: float) -> float:
         """Return the level without the reserve."""
         totals = self._peers.totals.get(team)
-        account = self._accounts.get(team)
+        account = self._own.find(team)
         start = weighted_ms = 0.0
         if totals is not None:
             start = totals.start_level
@@ -224,7 +228,7 @@
     def _held_level(self, team: str, now_ms: float) -> float:
         """Return the reserve over the share."""
         totals = self._peers.totals.get(team)
-        account = self._accounts.get(team)
+        account = self._own.find(team)
         reserve_ms = totals.reserve_ms if totals is not None else 0.0
         if account is not None:
             reserve_ms += account.reserve_ms(self._estimator, now_ms)
@@ -243,26 +247,35 @@
         if team in self._peers.waiting:
             return  # backlogged elsewhere: it was raised there
         credit = max(0.0, self._held_level(team, now_ms))
-        missing = self._floor(team, now_ms) - credit - self._served_level(team, now_ms)
+        missing = self._floor(now_ms) - credit - self._served_level(team, now_ms)
         if missing <= 0.0:
             return
         totals = self._peers.totals.get(team)
         known_start = totals.start_level if totals else 0.0
         account.start_level = max(known_start, account.start_level) + missing
 
-    def _floor(self, team: str, now_ms: float) -> float:
-        waiting = [name for name, own in self._accounts.items() if own.waiting]
-        waiting.extend(self._peers.waiting)
+    def _floor(self, now_ms: float) -> float:
+        if now_ms >= self._floor_due_ms:
+            self._floor_level = self._compute_floor(now_ms)
+            self._floor_due_ms = now_ms + _FLOOR_MS
+        return self._floor_level
+
+    def _compute_floor(self, now_ms: float) -> float:
+        waiting = self._own.waiting | self._peers.waiting
         if waiting:
             return min(self._served_level(name, now_ms) for name in waiting)
-        known = self._accounts.keys() | self._peers.totals.keys()
+        known = self._own.teams | self._peers.totals.keys()
         return max(self._served_level(name, now_ms) for name in known)
 
     def _start(self, team: str, charge: OpenCharge) -> None:
-        self._account(team).start(charge, self._clock.now_ms())
+        account = self._account(team)
+        account.start(charge, self._clock.now_ms())
+        self._own.note_change(account)
 
     def _close(self, team: str, charge: OpenCharge) -> float:
-        cost_ms = self._account(team).close(charge, self._clock.now_ms())
+        account = self._account(team)
+        cost_ms = account.close(charge, self._clock.now_ms())
+        self._own.note_change(account)
         if charge.start_ms is not None:
             self._freed.append(team)
             self._estimator.observe(team, cost_ms)
@@ -286,34 +299,5 @@
     def _row(self, key: tuple[str, int, str]) -> Row | None:
         agent, incarnation, team = key
         if (agent, incarnation) == (self._identity.name, self._identity.incarnation):
-            return self._sent[team][0]
+            return self._own.get(team)
         return self._peers.get(agent, incarnation, team)
-
-    def _stamp_own_rows(self) -> None:
-        now_ms = self._clock.now_ms()
-        for team, account in self._accounts.items():
-            sent, sent_ms = self._sent.get(team, (None, 0.0))
-            row = self._own_row(team, account, sent.sequence if sent else 0, now_ms)
-            due = account.is_active and now_ms - sent_ms >= RENEW_MS
-            if row == sent and not due:
-                continue
-            row = self._own_row(team, account, row.sequence + 1, now_ms)
-            self._sent[team] = (row, now_ms)
-            self._note_change(row)
-
-    def _own_row(
-        self, team: str, account: TeamAccount, sequence: int, now_ms: float
-    ) -> Row:
-        return Row(
-            service=self._service,
-            agent=self._identity.name,
-            incarnation=self._identity.incarnation,
-            team=team,
-            sequence=sequence,
-            served_ms=account.served_ms(now_ms),
-            reserve_ms=account.reserve_ms(self._estimator, now_ms),
-            running=account.running,
-            waiting=account.waiting,
-            start_level=account.start_level,
-            weighted_ms=account.weighted_ms(now_ms),
-        )
--- /dev/null
+++ b/libs/share/src/bulrushbend/share/own.py
@@ -0,0 +1,131 @@
+"""Rows of this agent: which accounts changed, and the versions that were sent."""
+
+from collections.abc import Iterator
+
+from bulrushbend.core.identity import Identity
+from bulrushbend.share.account import TeamAccount
+from bulrushbend.share.estimator import Estimator
+from bulrushbend.share.row import Row
+
+# Active rows are renewed at this interval even if nothing changed, so that readers
+# can tell an agent that is silent from a team that only waits.
+RENEW_MS = 1000.0
+# Accrued time alone makes a new version at most this often. Every link asks for rows;
+# with hundreds of links each of them would otherwise make its own versions.
+ACCRUAL_MS = 10.0
+
+
+class OwnRows:
+    """Accounts of this agent and the newest version of the row of each.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    identity : Identity
+        Name and incarnation of this agent.
+    estimator : Estimator
+        Says how much to hold for requests that have not ended.
+    """
+
+    def __init__(self, service: str, identity: Identity, estimator: Estimator):
+        self._service = service
+        self._identity = identity
+        self._estimator = estimator
+        self._accounts: dict[str, TeamAccount] = {}
+        self._waiting: set[str] = set()
+        self._running: set[str] = set()
+        self._changed: set[str] = set()
+        self._sent: dict[str, Row] = {}
+        self._renewals: dict[str, float] = {}
+        self._accrual_due_ms = float("-inf")
+
+    @property
+    def waiting(self) -> set[str]:
+        """Teams that wait here."""
+        return self._waiting
+
+    @property
+    def teams(self) -> set[str]:
+        """Teams that have an account here."""
+        return set(self._accounts)
+
+    def __iter__(self) -> Iterator[TeamAccount]:
+        return iter(self._accounts.values())
+
+    def find(self, team: str) -> TeamAccount | None:
+        """Return the account of `team`, None if it has none."""
+        return self._accounts.get(team)
+
+    def open(self, team: str, share: float) -> TeamAccount:
+        """Return the account of `team`, a new one if needed."""
+        account = self._accounts.get(team)
+        if account is None:
+            account = self._accounts[team] = TeamAccount(team, share)
+        return account
+
+    def note_change(self, account: TeamAccount) -> None:
+        """Note that `account` changed other than by accrued time."""
+        _set_member(self._waiting, account.team, account.waiting)
+        _set_member(self._running, account.team, account.running > 0)
+        self._changed.add(account.team)
+
+    def get(self, team: str) -> Row:
+        """Return the newest version of the row of `team`."""
+        return self._sent[team]
+
+    def renew(self, now_ms: float) -> list[Row]:
+        """Return new versions of the rows that changed or are due.
+
+        Parameters
+        ----------
+        now_ms : float
+            Monotonic time in milliseconds up to which running requests are counted.
+        """
+        due = self._changed
+        self._changed = set()
+        if now_ms >= self._accrual_due_ms:
+            due |= self._running
+            self._accrual_due_ms = now_ms + ACCRUAL_MS
+        due |= self._due_renewals(now_ms)
+        # Sorted, so that equal runs send equal batches.
+        return [self._renew_one(self._accounts[team], now_ms) for team in sorted(due)]
+
+    def _due_renewals(self, now_ms: float) -> set[str]:
+        # The dictionary is in order of the times, so the scan ends at the first row
+        # that is not due.
+        due = set()
+        for team, sent_ms in self._renewals.items():
+            if now_ms - sent_ms < RENEW_MS:
+                break
+            due.add(team)
+        return due
+
+    def _renew_one(self, account: TeamAccount, now_ms: float) -> Row:
+        team = account.team
+        sent = self._sent.get(team)
+        row = Row(
+            service=self._service,
+            agent=self._identity.name,
+            incarnation=self._identity.incarnation,
+            team=team,
+            sequence=sent.sequence + 1 if sent else 1,
+            served_ms=account.served_ms(now_ms),
+            reserve_ms=account.reserve_ms(self._estimator, now_ms),
+            running=account.running,
+            waiting=account.waiting,
+            start_level=account.start_level,
+            weighted_ms=account.weighted_ms(now_ms),
+        )
+        self._sent[team] = row
+        self._renewals.pop(team, None)
+        if account.is_active:
+            self._renewals[team] = now_ms
+        return row
+
+
+def _set_member(teams: set[str], team: str, is_member: bool) -> None:
+    if is_member:
+        teams.add(team)
+    else:
+        teams.discard(team)
--- a/libs/share/src/bulrushbend/share/picker.py
+++ b/libs/share/src/bulrushbend/share/picker.py
@@ -1,8 +1,8 @@
 """Choice of the team that is served next."""
 
 import random
-from collections.abc import Mapping
-from typing import Protocol
+from collections.abc import Collection, Mapping
+from typing import NamedTuple, Protocol
 
 from bulrushbend.share.ledger import Ledger
 
@@ -11,6 +11,9 @@
 _GOLDEN_PART = 0.6180339887498949
 # Two rounds bring the centre within a few per cent of its fixed point.
 _CENTRE_ROUNDS = 2
+# Keep divisions defined for instant requests and for estimators that hold nothing.
+_SMALLEST_COST_MS = 1.0
+_SMALLEST_STEP = 1e-6
 
 
 class TeamPicker(Protocol):
@@ -84,61 +87,69 @@
         freed = ledger.take_freed()
         if not waiting:
             return None
-        levels = {team: ledger.level(team) for team in waiting}
-        if freed not in levels:
-            return self._pick_lowest(levels, ledger)
-        centre = self._centre(levels, ledger)
-        surplus = (levels[freed] - centre) / ledger.claim_step(freed)
-        moves = self._gain * max(0.0, surplus)
-        if self._random.random() * self._ends(freed, ledger) >= moves:
+        if freed not in waiting:
+            return self._pick_lowest(waiting, ledger)
+        states = {team: self._state(team, ledger) for team in waiting}
+        centre = _find_centre(states.values())
+        state = states[freed]
+        moves = self._gain * max(0.0, state.level - centre) / state.step
+        if self._random.random() * state.ends >= moves:
             return freed
-        return self._draw_below(centre, levels, ledger) or freed
+        return self._draw_below(centre, states) or freed
 
-    def _pick_lowest(self, levels: Mapping[str, float], ledger: Ledger) -> str:
+    def _pick_lowest(self, waiting: Mapping[str, float], ledger: Ledger) -> str:
         offset = self._position * _GOLDEN_PART
         dithered = {
-            team: levels[team]
-            + (rank / len(levels) + offset) % 1.0 * ledger.claim_step(team)
-            for rank, team in enumerate(sorted(levels))
+            team: ledger.level(team)
+            + (rank / len(waiting) + offset) % 1.0 * ledger.claim_step(team)
+            for rank, team in enumerate(sorted(waiting))
         }
         return min(dithered, key=dithered.__getitem__)
 
-    def _centre(self, levels: Mapping[str, float], ledger: Ledger) -> float:
-        """Return the mean level by share.
-
-        A team counts only as far above the centre as its slots can be moved within
-        the horizon: one that holds its slots for long would lift the centre above
-        all others, and none of them would give up a slot.
-        """
-        shares = {team: ledger.share(team) for team in levels}
-        total = sum(shares.values())
-        reach = {
-            team: self._ends(team, ledger) * ledger.claim_step(team) for team in levels
-        }
-        centre = sum(shares[team] * levels[team] for team in levels) / total
-        for _ in range(_CENTRE_ROUNDS):
-            centre = (
-                sum(
-                    shares[team] * min(levels[team], centre + reach[team])
-                    for team in levels
-                )
-                / total
-            )
-        return centre
-
-    def _ends(self, team: str, ledger: Ledger) -> float:
-        """Return how many slots `team` frees fleet-wide within the horizon."""
-        running = ledger.running(team)
-        return running * self._horizon_ms / max(1.0, ledger.mean_cost_ms(team))
+    def _state(self, team: str, ledger: Ledger) -> "_State":
+        mean_ms = max(_SMALLEST_COST_MS, ledger.mean_cost_ms(team))
+        return _State(
+            ledger.level(team),
+            ledger.share(team),
+            max(_SMALLEST_STEP, ledger.claim_step(team)),
+            ledger.running(team) * self._horizon_ms / mean_ms,
+        )
 
-    def _draw_below(
-        self, centre: float, levels: Mapping[str, float], ledger: Ledger
-    ) -> str | None:
+    def _draw_below(self, centre: float, states: Mapping[str, "_State"]) -> str | None:
         lacks = {
-            team: (centre - level) / ledger.claim_step(team)
-            for team, level in levels.items()
-            if level < centre
+            team: (centre - state.level) / state.step
+            for team, state in states.items()
+            if state.level < centre
         }
         if not lacks:
             return None
         return self._random.choices(list(lacks), list(lacks.values()))[0]
+
+
+class _State(NamedTuple):
+    """State of a waiting team: `ends` is how many slots it frees in the horizon."""
+
+    level: float
+    share: float
+    step: float
+    ends: float
+
+
+def _find_centre(states: Collection[_State]) -> float:
+    """Return the mean level by share.
+
+    A team counts only as far above the centre as its slots can be moved within the
+    horizon: one that holds its slots for long would lift the centre above all others,
+    and none of them would give up a slot.
+    """
+    total = sum(state.share for state in states)
+    centre = sum(state.share * state.level for state in states) / total
+    for _ in range(_CENTRE_ROUNDS):
+        centre = (
+            sum(
+                share * min(level, centre + ends * step)
+                for level, share, step, ends in states
+            )
+            / total
+        )
+    return centre
