--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/attempt.py
@@ -0,0 +1,291 @@
+"""One attempt: a request that runs at the endpoint, and its answer."""
+
+import asyncio
+import contextlib
+import enum
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders
+
+from bulrushbend.agent import metrics
+from bulrushbend.agent.endpoint import Endpoint
+from bulrushbend.agent.errors import ReaderStalled
+from bulrushbend.agent.replay import ReplayBuffer
+from bulrushbend.agent.resume import ResumingStream, is_event_stream
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import (
+    ConnectFailed,
+    PeerError,
+    ProtocolFault,
+    RunFailed,
+)
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.identity import Identity
+from bulrushbend.core.logs import part_logger
+from bulrushbend.wire.exchange import Exchange, ExchangeRequest
+from bulrushbend.wire.names import AttemptState
+
+_log = part_logger("agent.attempt")
+
+
+class FailureKind(enum.StrEnum):
+    """What is known about a request whose answer has no headers."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True)
+class AttemptRequest:
+    """What a router asks to run.
+
+    Attributes
+    ----------
+    attempt_id : str
+        Id of the claim that the request answers; names the stream at the endpoint.
+    request_id : str
+        Id of the caller's request, for the event log.
+    team : str
+        Team that is charged.
+    router : Identity
+        Router that holds the caller.
+    idempotent : bool
+        Whether the request may be cancelled and repeated.
+    resumable : bool
+        Whether the service resumes event streams.
+    deadline_ms : float
+        Remaining time in milliseconds.
+    forward : ExchangeRequest
+        Request to the endpoint.
+    """
+
+    attempt_id: str
+    request_id: str
+    team: str
+    router: Identity
+    idempotent: bool
+    resumable: bool
+    deadline_ms: float
+    forward: ExchangeRequest
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Status and headers of the endpoint's answer."""
+
+    status: int
+    headers: HTTPHeaders
+
+
+@dataclass(frozen=True)
+class Failure:
+    """Why an attempt ended without headers."""
+
+    kind: FailureKind
+    reason: str
+
+
+class Attempt:
+    """Runs one request at the endpoint, apart from the router's connections.
+
+    Parameters
+    ----------
+    request : AttemptRequest
+        What to run.
+    endpoint : Endpoint
+        Where to run it.
+    body : ReplayBuffer
+        Receives the body of the answer.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Receives resumes and the end of the attempt.
+    """
+
+    def __init__(
+        self,
+        request: AttemptRequest,
+        endpoint: Endpoint,
+        body: ReplayBuffer,
+        clock: Clock,
+        events: EventLog,
+    ):
+        self._request = request
+        self._endpoint = endpoint
+        self._body = body
+        self._clock = clock
+        self._events = events
+        self._state = AttemptState.RUNNING
+        self._head: AnswerHead | None = None
+        self._failure: Failure | None = None
+        self._head_known = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._cancel_reason = ""
+
+    @property
+    def request(self) -> AttemptRequest:
+        """What runs."""
+        return self._request
+
+    @property
+    def body(self) -> ReplayBuffer:
+        """Body of the answer."""
+        return self._body
+
+    @property
+    def state(self) -> AttemptState:
+        """Running, finished or cancelled."""
+        return self._state
+
+    @property
+    def failure(self) -> Failure | None:
+        """Why the attempt ended without headers, or None."""
+        return self._failure
+
+    async def head(self) -> AnswerHead | None:
+        """Wait for the headers; None means that `failure` is set."""
+        await self._head_known.wait()
+        return self._head
+
+    def start(self) -> asyncio.Task[None]:
+        """Start to run the request; the task ends when the slot is free."""
+        self._task = asyncio.create_task(self._run())
+        self._task.add_done_callback(self._note_never_run)
+        return self._task
+
+    def cancel(self, reason: str) -> None:
+        """Stop the request at the endpoint; what follows is not its answer."""
+        if self._state is AttemptState.RUNNING and self._task is not None:
+            self._cancel_reason = reason
+            self._task.cancel()
+
+    async def wait(self) -> None:
+        """Wait until the attempt has ended."""
+        if self._task is not None:
+            await asyncio.wait({self._task})
+
+    async def _run(self) -> None:
+        try:
+            async with asyncio.timeout(self._request.deadline_ms / 1000.0):
+                await self._forward()
+        except asyncio.CancelledError:
+            reason = self._cancel_reason or "agent stops"
+            self._end(AttemptState.CANCELLED, FailureKind.UNKNOWN, reason)
+            self._endpoint.cancel(self._request.attempt_id)
+        except TimeoutError:
+            self._end(AttemptState.CANCELLED, FailureKind.UNKNOWN, "deadline passed")
+            self._endpoint.cancel(self._request.attempt_id)
+        except ReaderStalled as error:
+            self._end(AttemptState.CANCELLED, FailureKind.UNKNOWN, str(error))
+            self._endpoint.cancel(self._request.attempt_id)
+        except ConnectFailed as error:
+            kind = FailureKind.UNKNOWN if self._head else FailureKind.NOT_RUN
+            self._end(AttemptState.FINISHED, kind, str(error))
+        except PeerError as error:
+            self._end(AttemptState.FINISHED, FailureKind.UNKNOWN, str(error))
+        except RunFailed as error:
+            self._end(AttemptState.FINISHED, FailureKind.FAILED, str(error))
+        except Exception as error:
+            self._end(AttemptState.FINISHED, FailureKind.UNKNOWN, repr(error))
+            raise
+        else:
+            self._succeed()
+
+    async def _forward(self) -> None:
+        exchange = await self._endpoint.open(self._request.forward)
+        try:
+            self._check_identity(exchange)
+            self._check_framing(exchange)
+            self._head = AnswerHead(exchange.status, exchange.headers)
+            self._head_known.set()
+            async with contextlib.aclosing(self._pieces(exchange)) as pieces:
+                async for piece in pieces:
+                    await self._store(piece)
+        finally:
+            exchange.close()
+
+    def _check_identity(self, exchange: Exchange) -> None:
+        """Refuse an answer that the endpoint itself marks as another request's."""
+        named = exchange.headers.get("X-Request-Id")
+        if named is not None and named != self._request.attempt_id:
+            raise ProtocolFault("answer to another request", step="headers")
+
+    def _check_framing(self, exchange: Exchange) -> None:
+        """Refuse an answer that ends with the connection: a cut would look whole."""
+        has_no_body = self._request.forward.method == "HEAD" or exchange.status in (
+            204,
+            304,
+        )
+        headers = exchange.headers
+        if has_no_body or "Content-Length" in headers or "Transfer-Encoding" in headers:
+            return
+        raise RunFailed("answer has neither a length nor chunks", step="headers")
+
+    def _pieces(self, exchange: Exchange) -> AsyncGenerator[bytes, None]:
+        if not (self._request.resumable and is_event_stream(exchange)):
+            return exchange.chunks()
+        stream = ResumingStream(
+            self._endpoint,
+            self._request.attempt_id,
+            self._check_identity,
+            self._note_resume,
+            self._clock,
+        )
+        return stream.pieces(exchange)
+
+    async def _store(self, piece: bytes) -> None:
+        try:
+            await self._body.put(piece)
+        except ReaderStalled as error:
+            if self._request.idempotent:
+                raise
+            # The request must not be repeated, so it runs to its end; its answer
+            # is given up, since no memory is left for it.
+            _log.warning(
+                "answer of %s is discarded: %s", self._request.request_id, error
+            )
+            self._body.discard()
+
+    def _note_resume(self, last_event_id: str, cause: PeerError) -> None:
+        self._events.write(
+            EventKind.ATTEMPT_RESUMED,
+            attempt_id=self._request.attempt_id,
+            request_id=self._request.request_id,
+            last_event_id=last_event_id,
+            reason=str(cause),
+        )
+
+    def _note_never_run(self, task: asyncio.Task[None]) -> None:
+        """End an attempt that was cancelled before its task took the first step."""
+        if self._state is AttemptState.RUNNING:
+            reason = self._cancel_reason or "agent stops"
+            self._end(AttemptState.CANCELLED, FailureKind.NOT_RUN, reason)
+
+    def _succeed(self) -> None:
+        self._state = AttemptState.FINISHED
+        self._body.finish(complete=True)
+        self._write_end(EventKind.ATTEMPT_FINISHED, "finished")
+
+    def _end(self, state: AttemptState, kind: FailureKind, reason: str) -> None:
+        self._state = state
+        if self._head is None:
+            self._failure = Failure(kind, reason)
+        self._head_known.set()
+        self._body.finish(complete=False)
+        if state is AttemptState.CANCELLED:
+            self._write_end(EventKind.ATTEMPT_CANCELLED, "cancelled", reason=reason)
+        else:
+            self._write_end(EventKind.ATTEMPT_FAILED, str(kind), reason=reason)
+
+    def _write_end(self, kind: EventKind, outcome: str, **fields: str) -> None:
+        metrics.ATTEMPTS.labels(outcome).inc()
+        self._events.write(
+            kind,
+            attempt_id=self._request.attempt_id,
+            request_id=self._request.request_id,
+            team=self._request.team,
+            produced=self._body.produced,
+            **fields,
+        )
