--- a/libs/agent/src/bulrushbend/agent/daemon.py
+++ b/libs/agent/src/bulrushbend/agent/daemon.py
@@ -51,6 +51,8 @@
 # The kernel may hold twice the size that is set, beside one piece in the process, and
 # all of it must fit into the replay buffer.
 _SEND_BUFFERS_PER_REPLAY = 4
+# A row waits for the next batch of this agent, then for that of the relaying router.
+_SPREADS_PER_ROW = 2
 
 
 class Agent:
@@ -87,6 +89,9 @@
         self._row_cursor = 0
         self._leaving = Leaving(self._events, self._adjust)
         self._endpoint = Endpoint(settings, self._clock, self._adjust)
+        self._picker = ProportionalPicker(
+            horizon_ms=_SPREADS_PER_ROW * settings.spread_ms
+        )
         self._gate = Gate(
             self._clock,
             self._events,
@@ -285,14 +290,10 @@
             self._member.service = service
             self._row_cursor = 0
             self._ledger = Ledger(service, self._identity, self._clock, BalancedMean())
-            self._gate.use_ledger(self._ledger, self._build_picker(service, manifest))
+            self._gate.use_ledger(self._ledger, self._picker)
         self._ledger.set_shares({team.name: team.share for team in manifest.teams})
-
-    def _build_picker(self, service: str, manifest: Manifest) -> ProportionalPicker:
-        names = sorted(e.name for e in manifest.endpoints if e.service == service)
-        position = names.index(self._settings.endpoint)
-        # A row waits for the next spread here and once more at the router.
-        return ProportionalPicker(position, 2.0 * self._settings.spread_ms)
+        peers = sorted(e.name for e in manifest.endpoints if e.service == service)
+        self._picker.set_position(peers.index(self._settings.endpoint))
 
     def _set_slots(self, slots: int) -> None:
         if self._slot_limit is None:
