Let the pause between member messages grow with the members

A start of 300 members in one process did not settle within 60 s, because each replica sent each member a message every 20 ms. The pause is now 0.5 ms for each member and at least 20 ms, so that telling the members of changes leaves CPU for the other work.

--- a/libs/bench/src/bulrushbend/bench/control_costs.py
+++ b/libs/bench/src/bulrushbend/bench/control_costs.py
@@ -43,6 +43,7 @@
 TEAMS = 16
 KEYS_AT_ONCE = 16
 WATCH_SECONDS = 5.0
+JOINING_AT_ONCE = 20
 
 
 @dataclass(frozen=True)
@@ -196,11 +197,9 @@
     """Let `count` members watch three replicas, then publish one manifest."""
     async with running_replicas() as replicas, asyncio.TaskGroup() as group:
         watches = [_new_watch(replicas, number) for number in range(count)]
-        tasks = [group.create_task(watch.run()) for watch, _ in watches]
         with _stub(replicas.address(replicas.leader)) as stub:
             await stub.Publish(_manifest(1))
-            await wait_until(lambda: all(f.version == 1 for _, f in watches))
-            await wait_until(lambda: all(len(w.members) == count for w, _ in watches))
+            tasks = await _start_watches(group, watches)
             await asyncio.sleep(1.0)
             cpu, sent = _cpu_ms(), sum(watch.control_bytes for watch, _ in watches)
             await asyncio.sleep(WATCH_SECONDS)
@@ -215,6 +214,24 @@
         return WatchCost(count, cpu_share, moved / WATCH_SECONDS / count, in_force_ms)
 
 
+async def _start_watches(
+    group: asyncio.TaskGroup, watches: list[tuple[FleetWatch, ManifestInForce]]
+) -> list[asyncio.Task[None]]:
+    """Start the members in groups, since all of them share the CPU of one process."""
+    tasks = []
+    for end in range(JOINING_AT_ONCE, len(watches) + JOINING_AT_ONCE, JOINING_AT_ONCE):
+        started = watches[:end]
+        for watch, _ in started[len(tasks) :]:
+            tasks.append(group.create_task(watch.run()))
+        await wait_until(
+            lambda members=started: all(
+                in_force.version == 1 and len(watch.members) == len(members)
+                for watch, in_force in members
+            )
+        )
+    return tasks
+
+
 def _new_watch(
     replicas: ControlReplicas, number: int
 ) -> tuple[FleetWatch, ManifestInForce]:
--- a/libs/control/src/bulrushbend/control/membership.py
+++ b/libs/control/src/bulrushbend/control/membership.py
@@ -39,6 +39,9 @@
         """Whether every live member has had the time to report since the start."""
         return self._clock.now_ms() - self._started_ms >= self._timeout_ms
 
+    def __len__(self) -> int:
+        return len(self._entries)
+
     def listen(self, listener: MemberChange) -> Callable[[], None]:
         """Call `listener` with each name that joined, changed or was dropped.
 
--- a/libs/control/src/bulrushbend/control/watcher.py
+++ b/libs/control/src/bulrushbend/control/watcher.py
@@ -12,8 +12,11 @@
 from bulrushbend.wire.fleet_pb2 import FleetState, MemberReport
 
 # Members that join together are told together; without this pause a start of 1,000
-# processes would send each of them 1,000 messages.
+# processes would send each of them 1,000 messages. A message costs about 0.3 ms of CPU,
+# so that telling all members of one change takes 0.3 ms for each; the pause grows with
+# them and leaves the replica time for its other work.
 MEMBER_PAUSE_MS = 20
+MEMBER_PAUSE_EACH_MS = 0.5
 CONFIRM_TIMEOUT_MS = 1000
 # A peer that has not adopted a manifest by then may have lost it with a connection.
 RESEND_MS = 2000
@@ -140,7 +143,10 @@
             async with asyncio.timeout(self._options.heartbeat_ms / 1000.0):
                 await self._wake.wait()
         if self._dirty and not receiver.done() and not self._needs_manifest():
-            await asyncio.sleep(MEMBER_PAUSE_MS / 1000.0)
+            pause_ms = max(
+                MEMBER_PAUSE_MS, MEMBER_PAUSE_EACH_MS * len(self._membership)
+            )
+            await asyncio.sleep(pause_ms / 1000.0)
         self._wake.clear()
 
     async def _send_first(self) -> None:
