End the reading of an exchange that is closed while its buffer is full

Cause: a closed exchange whose pieces nobody took left its reading task, and up to 1 MiB of pieces, behind for good; Tornado logged the cancel as an uncaught exception. Change: after a close the reading task waits for no room. Figures: the new test fails without the change: "assert False" on the task's end and "Uncaught exception" in the log.

--- a/libs/bench/src/bulrushbend/bench/agent_rig.py
+++ b/libs/bench/src/bulrushbend/bench/agent_rig.py
@@ -273,6 +273,7 @@
         await asyncio.wait_for(process.wait(), 10)
     except TimeoutError:
         process.kill()
+        await process.wait()
 
 
 def _build_manifest(teams: int) -> Manifest:
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -77,13 +77,20 @@
         )
         self.pieces: asyncio.Queue[bytes | None] = asyncio.Queue(_BUFFERED_CHUNKS)
         self.complete = False
+        self.closed = False
 
     def headers_received(self, start_line, headers):
         if start_line.code >= 200 and not self.start.done():
             self.start.set_result((start_line, headers))
 
     async def data_received(self, chunk: bytes) -> None:
-        await self.pieces.put(chunk)
+        try:
+            await self.pieces.put(chunk)
+        except asyncio.CancelledError:
+            # Tornado would log the cancel of a closed exchange as an error of the
+            # delegate; without it the read ends at the closed stream.
+            if not self.closed:
+                raise
 
     def finish(self) -> None:
         self.complete = True
@@ -250,6 +257,7 @@
 
     def close(self) -> None:
         """Close the connection; an unfinished exchange is abandoned."""
+        self._collector.closed = True
         if self._reader is not None:
             self._reader.cancel()
         self._stream.close()
@@ -291,7 +299,9 @@
                     )
                 )
                 collector.start.exception()
-        await collector.pieces.put(None)
+        # Nobody may be left to make room after a close.
+        if not collector.closed:
+            await collector.pieces.put(None)
 
     async def _receive_headers(self) -> None:
         try:
--- a/libs/wire/tests/test_exchange.py
+++ b/libs/wire/tests/test_exchange.py
@@ -78,3 +78,16 @@
         await Exchange.open(address, REQUEST, TIMEOUTS)
     assert caught.value.step == "connect"
     assert caught.value.peer == address
+
+
+async def test_close_ends_the_reading_although_nobody_takes_the_pieces(caplog):
+    # Guards against a task and its buffer that stay for each abandoned exchange.
+    piece = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+    server, address = await serve_raw(CHUNKED + piece * 64)
+    async with server:
+        exchange = await Exchange.open(address, REQUEST, TIMEOUTS)
+        await asyncio.sleep(0.1)
+        exchange.close()
+        await asyncio.wait({exchange._reader}, timeout=1)
+        assert exchange._reader.done()
+        assert "Uncaught" not in caplog.text
