--- a/libs/bench/src/bulrushbend/bench/variants.py
+++ b/libs/bench/src/bulrushbend/bench/variants.py
@@ -183,14 +183,11 @@
 
     def pick(self, waiting: Mapping[str, float], ledger: Ledger) -> str | None:
         """Return the team with the lowest level after the addition."""
-        return min(
-            waiting,
-            key=lambda team: (
-                ledger.level(team) + self._random.random() * ledger.claim_step(team),
-                team,
-            ),
-            default=None,
-        )
+        dithered = {
+            team: state.level + self._random.random() * state.claim_step
+            for team, state in ledger.states(waiting).items()
+        }
+        return min(dithered, key=dithered.__getitem__, default=None)
 
 
 PickerBuilder = Callable[[int, float], TeamPicker]
--- a/libs/share/src/bulrushbend/share/ledger.py
+++ b/libs/share/src/bulrushbend/share/ledger.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.identity import Identity
@@ -15,7 +16,7 @@
 from bulrushbend.share.peers import PeerRows
 from bulrushbend.share.row import Row
 
-__all__ = ["Charge", "Ledger", "Row"]
+__all__ = ["Charge", "Ledger", "Row", "TeamState"]
 
 _DEFAULT_SHARE = 1.0
 # The floor for teams that become backlogged costs a pass over all waiting teams, and
@@ -27,6 +28,30 @@
 _FREED_KEPT = 64
 
 
+class TeamState(NamedTuple):
+    """What a picker needs to know of one team.
+
+    Attributes
+    ----------
+    level : float
+        Fleet-wide level in slot ms per unit of share.
+    share : float
+        Weight of the team.
+    claim_step : float
+        How far one more claim raises the level.
+    running : int
+        Claims and running requests, fleet-wide.
+    mean_cost_ms : float
+        Mean cost of recent requests at this agent.
+    """
+
+    level: float
+    share: float
+    claim_step: float
+    running: int
+    mean_cost_ms: float
+
+
 class Charge:
     """One claim or running request. Ends exactly once, by `end` or `release`."""
 
@@ -114,7 +139,7 @@
         self._shares = dict(shares)
         now_ms = self._clock.now_ms()
         for account in self._own:
-            account.set_share(self.share(account.team), now_ms)
+            account.set_share(self._share(account.team), now_ms)
 
     def set_waiting(self, team: str, waiting: bool) -> None:
         """Note whether linked routers hold waiting requests of `team`."""
@@ -175,20 +200,11 @@
         self._peers.expire(now_ms)
         return self._level(team, now_ms)
 
-    def running(self, team: str) -> int:
-        """Return the claims and running requests of `team` fleet-wide."""
-        totals = self._peers.totals.get(team)
-        account = self._own.find(team)
-        elsewhere = totals.running if totals else 0
-        return elsewhere + (account.running if account else 0)
-
-    def share(self, team: str) -> float:
-        """Return the weight of `team`."""
-        return self._shares.get(team, _DEFAULT_SHARE)
-
-    def mean_cost_ms(self, team: str) -> float:
-        """Return the mean cost of recent requests of `team` at this agent."""
-        return self._estimator.mean_cost_ms(team)
+    def states(self, teams: Iterable[str]) -> dict[str, TeamState]:
+        """Return the state of each of `teams`, all at the same time."""
+        now_ms = self._clock.now_ms()
+        self._peers.expire(now_ms)
+        return {team: self._state(team, now_ms) for team in teams}
 
     def take_freed(self) -> str | None:
         """Return the team whose request ended first since the last call, if any.
@@ -202,10 +218,6 @@
                 return team
         return None
 
-    def claim_step(self, team: str) -> float:
-        """Return how far one more claim raises the level of `team`."""
-        return self._estimator.reserve_ms(team, 0.0) / self.share(team)
-
     def served_ms(self, team: str) -> float:
         """Return the slot time served to `team` fleet-wide, as known here."""
         totals = self._peers.totals.get(team)
@@ -213,11 +225,36 @@
         served_ms = totals.served_ms if totals else 0.0
         return served_ms + (account.served_ms(self._clock.now_ms()) if account else 0.0)
 
+    def _share(self, team: str) -> float:
+        return self._shares.get(team, _DEFAULT_SHARE)
+
     def _account(self, team: str) -> TeamAccount:
-        return self._own.open(team, self.share(team))
+        return self._own.open(team, self._share(team))
+
+    def _state(self, team: str, now_ms: float) -> TeamState:
+        totals = self._peers.totals.get(team)
+        account = self._own.find(team)
+        share = self._share(team)
+        start = weighted_ms = reserve_ms = 0.0
+        running = 0
+        if totals is not None:
+            start, weighted_ms = totals.start_level, totals.weighted_ms
+            reserve_ms, running = totals.reserve_ms, totals.running
+        if account is not None:
+            start = max(start, account.start_level)
+            weighted_ms += account.weighted_ms(now_ms)
+            reserve_ms += account.reserve_ms(self._estimator, now_ms)
+            running += account.running
+        return TeamState(
+            start + weighted_ms + reserve_ms / share,
+            share,
+            self._estimator.reserve_ms(team, 0.0) / share,
+            running,
+            self._estimator.mean_cost_ms(team),
+        )
 
     def _level(self, team: str, now_ms: float) -> float:
-        return self._served_level(team, now_ms) + self._held_level(team, now_ms)
+        return self._state(team, now_ms).level
 
     def _served_level(self, team: str, now_ms: float) -> float:
         """Return the level without the reserve."""
@@ -239,7 +276,7 @@
         reserve_ms = totals.reserve_ms if totals is not None else 0.0
         if account is not None:
             reserve_ms += account.reserve_ms(self._estimator, now_ms)
-        return reserve_ms / self.share(team)
+        return reserve_ms / self._share(team)
 
     def _raise(self, team: str, account: TeamAccount) -> None:
         """Raise the service of a team that becomes backlogged.
--- a/libs/share/src/bulrushbend/share/picker.py
+++ b/libs/share/src/bulrushbend/share/picker.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Mapping
 from typing import NamedTuple, Protocol
 
-from bulrushbend.share.ledger import Ledger
+from bulrushbend.share.ledger import Ledger, TeamState
 
 # Multiples of the golden ratio spread evenly over the unit interval, however many
 # agents there are.
@@ -93,7 +93,8 @@
             return None
         if freed not in waiting:
             return self._pick_lowest(waiting, ledger)
-        states = {team: self._state(team, ledger) for team in waiting}
+        known = ledger.states(waiting)
+        states = {team: self._weigh(state) for team, state in known.items()}
         centre = _find_centre(states.values())
         state = states[freed]
         moves = self._gain * max(0.0, state.level - centre) / state.step
@@ -103,23 +104,23 @@
 
     def _pick_lowest(self, waiting: Mapping[str, float], ledger: Ledger) -> str:
         offset = self._position * _GOLDEN_PART
+        states = ledger.states(sorted(waiting))
         dithered = {
-            team: ledger.level(team)
-            + (rank / len(waiting) + offset) % 1.0 * ledger.claim_step(team)
-            for rank, team in enumerate(sorted(waiting))
+            team: state.level + (rank / len(states) + offset) % 1.0 * state.claim_step
+            for rank, (team, state) in enumerate(states.items())
         }
         return min(dithered, key=dithered.__getitem__)
 
-    def _state(self, team: str, ledger: Ledger) -> "_State":
-        mean_ms = max(_SMALLEST_COST_MS, ledger.mean_cost_ms(team))
-        return _State(
-            ledger.level(team),
-            ledger.share(team),
-            max(_SMALLEST_STEP, ledger.claim_step(team)),
-            ledger.running(team) * self._horizon_ms / mean_ms,
+    def _weigh(self, state: TeamState) -> "_Weight":
+        mean_ms = max(_SMALLEST_COST_MS, state.mean_cost_ms)
+        return _Weight(
+            state.level,
+            state.share,
+            max(_SMALLEST_STEP, state.claim_step),
+            state.running * self._horizon_ms / mean_ms,
         )
 
-    def _draw_below(self, centre: float, states: Mapping[str, "_State"]) -> str | None:
+    def _draw_below(self, centre: float, states: Mapping[str, "_Weight"]) -> str | None:
         lacks = {
             team: (centre - state.level) / state.step
             for team, state in states.items()
@@ -130,7 +131,7 @@
         return self._random.choices(list(lacks), list(lacks.values()))[0]
 
 
-class _State(NamedTuple):
+class _Weight(NamedTuple):
     """State of a waiting team: `ends` is how many slots it frees in the horizon."""
 
     level: float
@@ -139,7 +140,7 @@
     ends: float
 
 
-def _find_centre(states: Collection[_State]) -> float:
+def _find_centre(states: Collection[_Weight]) -> float:
     """Return the mean level by share.
 
     A team counts only as far above the centre as its slots can be moved within the
