Measure the gap and the waits over a partition of the agents

Cause: the rejoin after a partition was not measured. Change: the driver cuts agents with even numbers off from those with odd ones for a third of the run; all rows are sent again afterwards.

--- a/libs/bench/src/bulrushbend/bench/policy.py
+++ b/libs/bench/src/bulrushbend/bench/policy.py
@@ -117,6 +117,8 @@
         self._serve_all()
         for restart in self._scenario.restarts:
             self._after(restart.at_ms, lambda restart=restart: self._crash(restart))
+        for partition in self._scenario.partitions:
+            self._after(partition.end_ms, self._rejoin)
         self._after(_SAMPLE_MS, self._sample)
         while self._events[0][0] <= self._scenario.duration_ms:
             self._clock.value_ms, _, action = heapq.heappop(self._events)
@@ -247,9 +249,20 @@
             return
         rows = agent.take_rows()
         for peer in self._agents:
-            if peer is not agent:
+            if peer is not agent and not self._is_cut(agent, peer):
                 self._send(peer, rows)
 
+    def _is_cut(self, agent: _Agent, peer: _Agent) -> bool:
+        if agent.number % 2 == peer.number % 2:
+            return False
+        now_ms = self._clock.value_ms
+        return any(p.begin_ms <= now_ms < p.end_ms for p in self._scenario.partitions)
+
+    def _rejoin(self) -> None:
+        # A new link starts with all rows.
+        for agent in self._agents:
+            agent.cursor = 0
+
     def _send(self, peer: _Agent, rows: list[Row]) -> None:
         faults = self._scenario.faults
         if not faults.any:
--- a/libs/bench/src/bulrushbend/bench/policy_sweeps.py
+++ b/libs/bench/src/bulrushbend/bench/policy_sweeps.py
@@ -9,6 +9,7 @@
 from bulrushbend.bench.registry import command
 from bulrushbend.bench.scenario import (
     Faults,
+    Partition,
     Restart,
     Scenario,
     TeamLoad,
@@ -20,7 +21,7 @@
 from bulrushbend.bench.variants import CHOSEN
 
 SPREADS_MS = (50.0, 100.0, 250.0, 1000.0, 4000.0)
-KINDS = ("flood", "shares", "skew", "light", "return", "restart", "faults")
+KINDS = ("flood", "shares", "skew", "light", "return", "restart", "faults", "partition")
 _COLUMNS = (
     "scenario",
     "agents",
@@ -80,6 +81,10 @@
         fifth_ms = duration_ms / 5.0
         restarts = [Restart(n % agents, fifth_ms * (n + 1)) for n in range(4)]
         teams, options = floods, {"restarts": tuple(restarts)}
+    elif kind == "partition":
+        third_ms = duration_ms / 3.0
+        teams = floods + light_teams(3, 0.04 * agents)
+        options = {"partitions": (Partition(third_ms, 2.0 * third_ms),)}
     elif kind == "faults":
         teams, options = floods, {"faults": Faults(0.3, 0.3, 3.0 * spread_ms)}
     else:
--- a/libs/bench/src/bulrushbend/bench/scenario.py
+++ b/libs/bench/src/bulrushbend/bench/scenario.py
@@ -59,6 +59,14 @@
     down_ms: float = 2000.0
 
 
+@dataclass(frozen=True)
+class Partition:
+    """Period in which agents with even and odd numbers do not hear of each other."""
+
+    begin_ms: float
+    end_ms: float
+
+
 @dataclass(frozen=True)
 class Faults:
     """Faults of the exchange of rows.
@@ -110,6 +118,7 @@
     hop_ms: float = 1.5
     claim_ms: float = 3.0
     restarts: tuple[Restart, ...] = ()
+    partitions: tuple[Partition, ...] = ()
     faults: Faults = field(default_factory=Faults)
     push: bool = False
 
--- a/libs/bench/tests/test_policy.py
+++ b/libs/bench/tests/test_policy.py
@@ -22,7 +22,8 @@
 
 
 @pytest.mark.parametrize(
-    "kind", ["flood", "shares", "skew", "light", "return", "restart", "faults"]
+    "kind",
+    ["flood", "shares", "skew", "light", "return", "restart", "faults", "partition"],
 )
 def test_gap_stays_under_the_cost_of_one_largest_request(kind):
     # Guards against every loss of fairness that the scenarios can show.
