--- /dev/null
+++ b/libs/bench/src/bulrushbend/bench/router_costs.py
@@ -0,0 +1,214 @@
+"""What one router adds to a request, and its processor time.
+
+Run as ``python -m bulrushbend.bench.router_costs`` to print all sweeps as JSON lines.
+"""
+
+import asyncio
+import json
+import statistics
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+import numpy
+
+from bulrushbend.bench.router_rig import HEARTBEAT_MS, RouterRig, running_rig
+
+CHUNK_COUNTS = (1, 16, 64, 256)
+CLAIM_COUNTS = (1, 4, 16, 64)
+LINK_COUNTS = (1, 32, 64, 128, 256)
+_PAUSE_MS = 2.0
+_WARM_UP_REQUESTS = 10
+_SETTLE_S = 2.0
+
+
+@dataclass(frozen=True)
+class RequestCost:
+    """Cost of requests with `chunks` chunks each, medians over `requests` requests.
+
+    Attributes
+    ----------
+    direct_first_ms, first_ms : float
+        Time to the first byte without and with the router.
+    direct_lag_ms, lag_ms : float
+        Time from the write of a chunk to its arrival, without and with the router.
+    cpu_ms : float
+        Processor time of the router per request.
+    """
+
+    chunks: int
+    requests: int
+    direct_first_ms: float
+    first_ms: float
+    direct_lag_ms: float
+    lag_ms: float
+    cpu_ms: float
+
+
+@dataclass(frozen=True)
+class ClaimCost:
+    """Cost of claims that miss, `batch` of them in one message.
+
+    Attributes
+    ----------
+    cpu_ms : float
+        Processor time of the router per batch.
+    """
+
+    batch: int
+    batches: int
+    cpu_ms: float
+
+
+@dataclass(frozen=True)
+class LinkCost:
+    """Cost of idle links.
+
+    Attributes
+    ----------
+    cpu_ms_per_s : float
+        Processor time of the router per second with `links` links.
+    heartbeats_per_s : float
+        Heartbeats in both directions together.
+    """
+
+    links: int
+    cpu_ms_per_s: float
+    heartbeats_per_s: float
+
+
+@dataclass(frozen=True)
+class CostLine:
+    """Straight line through the costs of a sweep: ``base + per_unit * size``."""
+
+    base_ms: float
+    per_unit_ms: float
+
+
+async def measure_requests(
+    chunk_counts: Sequence[int] = CHUNK_COUNTS, requests: int = 60
+) -> list[RequestCost]:
+    """Measure the latency and processor time that the router adds.
+
+    Parameters
+    ----------
+    chunk_counts : sequence of int
+        Chunks of each answer, one row of the result for each.
+    requests : int, default=60
+        Requests for each row, one after the other.
+    """
+    async with running_rig(1, _PAUSE_MS) as rig:
+        for _ in range(_WARM_UP_REQUESTS):
+            await rig.ask(4)
+        idle_share = await _measure_idle(rig)
+        rows = []
+        for chunks in chunk_counts:
+            row = await _measure_row(rig, chunks, requests, idle_share)
+            rows.append(row)
+        return rows
+
+
+async def measure_claims(
+    claim_counts: Sequence[int] = CLAIM_COUNTS, batches: int = 300
+) -> list[ClaimCost]:
+    """Measure claims that miss, for several numbers of claims in one message.
+
+    Parameters
+    ----------
+    claim_counts : sequence of int
+        Claims in one message, one row of the result for each.
+    batches : int, default=300
+        Messages for each row.
+    """
+    async with running_rig(1, _PAUSE_MS) as rig:
+        await asyncio.sleep(_SETTLE_S)
+        rows = []
+        for count in claim_counts:
+            before_ms = rig.cpu_ms()
+            for _ in range(batches):
+                await rig.agent.miss(count)
+            used_ms = rig.cpu_ms() - before_ms
+            rows.append(ClaimCost(count, batches, used_ms / batches))
+        return rows
+
+
+async def measure_links(
+    link_counts: Sequence[int] = LINK_COUNTS, seconds: float = 5.0
+) -> list[LinkCost]:
+    """Measure idle links that exchange heartbeats.
+
+    Parameters
+    ----------
+    link_counts : sequence of int
+        Links, one row of the result for each.
+    seconds : float, default=5.0
+        Measured time for each row.
+    """
+    rows = []
+    for links in link_counts:
+        async with running_rig(links, _PAUSE_MS) as rig:
+            await asyncio.sleep(_SETTLE_S)
+            before_ms = rig.cpu_ms()
+            await asyncio.sleep(seconds)
+            used_ms = rig.cpu_ms() - before_ms
+        rate = 2 * links * 1000.0 / HEARTBEAT_MS
+        rows.append(LinkCost(links, used_ms / seconds, rate))
+    return rows
+
+
+def fit_line(sizes: Sequence[float], costs_ms: Sequence[float]) -> CostLine:
+    """Return the least-squares line through the costs of a sweep."""
+    slope, base = numpy.polyfit(sizes, costs_ms, 1)
+    return CostLine(float(base), float(slope))
+
+
+async def _measure_row(
+    rig: RouterRig, chunks: int, requests: int, idle_share: float
+) -> RequestCost:
+    direct = [await rig.ask_directly(chunks) for _ in range(requests)]
+    loop = asyncio.get_running_loop()
+    started_s, before_ms = loop.time(), rig.cpu_ms()
+    through = [await rig.ask(chunks) for _ in range(requests)]
+    elapsed_ms = (loop.time() - started_s) * 1000.0
+    used_ms = rig.cpu_ms() - before_ms - idle_share * elapsed_ms
+    return RequestCost(
+        chunks,
+        requests,
+        statistics.median(first for first, _ in direct),
+        statistics.median(first for first, _ in through),
+        statistics.median(lag for _, lag in direct),
+        statistics.median(lag for _, lag in through),
+        used_ms / requests,
+    )
+
+
+async def _measure_idle(rig: RouterRig) -> float:
+    """Return the share of a processor that the idle router uses."""
+    before_ms = rig.cpu_ms()
+    await asyncio.sleep(_SETTLE_S)
+    return (rig.cpu_ms() - before_ms) / (_SETTLE_S * 1000.0)
+
+
+async def _main() -> None:
+    requests = await measure_requests()
+    claims = await measure_claims()
+    links = await measure_links()
+    for row in (*requests, *claims, *links):
+        print(json.dumps(asdict(row)))
+    lines = {
+        "cpu per request and chunk": fit_line(
+            [row.chunks for row in requests], [row.cpu_ms for row in requests]
+        ),
+        "cpu per message and claim": fit_line(
+            [row.batch for row in claims], [row.cpu_ms for row in claims]
+        ),
+        "cpu per second and heartbeat": fit_line(
+            [row.heartbeats_per_s for row in links],
+            [row.cpu_ms_per_s for row in links],
+        ),
+    }
+    for name, line in lines.items():
+        print(json.dumps({"line": name, **asdict(line)}))
+
+
+if __name__ == "__main__":
+    asyncio.run(_main())
