Do not give up a flowing exchange for lagging reports

The stall watch counted the time since the agent's report first differed from the bytes received, also while pieces kept arriving. An answer of more than stall_ms from an agent whose reports lag was interrupted, and truncated when the replay was not held. Every piece now starts the count again. The new test fails without the change (TruncatedAnswer).

--- a/libs/bench/src/bulrushbend/bench/router_costs.py
+++ b/libs/bench/src/bulrushbend/bench/router_costs.py
@@ -14,9 +14,12 @@
 from bulrushbend.bench.router_rig import HEARTBEAT_MS, RouterRig, running_rig
 
 CHUNK_COUNTS = (1, 16, 64, 256)
+STREAM_COUNTS = (4, 8, 16, 32)
 CLAIM_COUNTS = (1, 4, 16, 64)
 LINK_COUNTS = (1, 32, 64, 128, 256)
 _PAUSE_MS = 2.0
+# 32 streams with this pause come close to the 3,850 tokens/s planned for one router.
+_STREAM_PAUSE_MS = 8.0
 _WARM_UP_REQUESTS = 10
 _SETTLE_S = 2.0
 
@@ -44,6 +47,23 @@
     cpu_ms: float
 
 
+@dataclass(frozen=True)
+class StreamCost:
+    """Cost of chunks while `streams` answers run at the same time.
+
+    Attributes
+    ----------
+    chunks_per_s : float
+        Chunks that the router passed on.
+    cpu_us_per_chunk : float
+        Processor time of the router per chunk, with its share of the request.
+    """
+
+    streams: int
+    chunks_per_s: float
+    cpu_us_per_chunk: float
+
+
 @dataclass(frozen=True)
 class ClaimCost:
     """Cost of claims that miss, `batch` of them in one message.
@@ -107,6 +127,33 @@
         return rows
 
 
+async def measure_streams(
+    stream_counts: Sequence[int] = STREAM_COUNTS, chunks: int = 256
+) -> list[StreamCost]:
+    """Measure chunks of answers that run at the same time.
+
+    Parameters
+    ----------
+    stream_counts : sequence of int
+        Answers at the same time, one row of the result for each.
+    chunks : int, default=256
+        Chunks of each answer.
+    """
+    async with running_rig(1, _STREAM_PAUSE_MS) as rig:
+        for _ in range(_WARM_UP_REQUESTS):
+            await rig.ask(4)
+        loop = asyncio.get_running_loop()
+        rows = []
+        for streams in stream_counts:
+            started_s, before_ms = loop.time(), rig.cpu_ms()
+            await asyncio.gather(*[rig.ask(chunks) for _ in range(streams)])
+            elapsed_s, used_ms = loop.time() - started_s, rig.cpu_ms() - before_ms
+            number = streams * chunks
+            row = StreamCost(streams, number / elapsed_s, used_ms * 1000.0 / number)
+            rows.append(row)
+        return rows
+
+
 async def measure_claims(
     claim_counts: Sequence[int] = CLAIM_COUNTS, batches: int = 300
 ) -> list[ClaimCost]:
@@ -190,9 +237,10 @@
 
 async def _main() -> None:
     requests = await measure_requests()
+    streams = await measure_streams()
     claims = await measure_claims()
     links = await measure_links()
-    for row in (*requests, *claims, *links):
+    for row in (*requests, *streams, *claims, *links):
         print(json.dumps(asdict(row)))
     lines = {
         "cpu per request and chunk": fit_line(
--- a/libs/bench/src/bulrushbend/bench/router_rig.py
+++ b/libs/bench/src/bulrushbend/bench/router_rig.py
@@ -168,8 +168,10 @@
         """Answer with as many stamped chunks as the body asks for."""
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             head = await reader.readuntil(b"\r\n\r\n")
-            length = int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
-            chunks = int(await reader.readexactly(length))
+            fields = head.lower().split(b"content-length: ")
+            if len(fields) < 2:
+                raise ConnectionError("the bench's agents only take POST")
+            chunks = int(await reader.readexactly(int(fields[1].split(b"\r")[0])))
             writer.write(
                 b"HTTP/1.1 200 OK\r\nBulrushbend-Status: 200\r\n"
                 b"Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/libs/router/src/bulrushbend/router/attempt.py
+++ b/libs/router/src/bulrushbend/router/attempt.py
@@ -135,7 +135,7 @@
         """Interrupt the exchange if it has been silent against the agent's reports.
 
         Called by the stall watch. Time during which a slow caller holds the reading
-        back does not count.
+        back does not count, and every piece that arrives starts the count again.
 
         Parameters
         ----------
@@ -145,9 +145,11 @@
         if not self._reading or not self._is_suspect(now_ms):
             self._suspect_since_ms = None
             return
-        if self._suspect_since_ms is None:
-            self._suspect_since_ms = now_ms
-        if now_ms - self._suspect_since_ms < self._settings.stall_ms:
+        suspect_since_ms = self._suspect_since_ms
+        if suspect_since_ms is None or self._progress_ms > suspect_since_ms:
+            suspect_since_ms = now_ms
+        self._suspect_since_ms = suspect_since_ms
+        if now_ms - suspect_since_ms < self._settings.stall_ms:
             return
         self._suspect_since_ms = None
         if self._exchange is not None:
--- a/libs/router/tests/test_dispatch.py
+++ b/libs/router/tests/test_dispatch.py
@@ -189,6 +189,22 @@
     assert agent.count("GET") == 0
 
 
+async def test_flowing_answer_is_not_interrupted_for_lagging_reports(fleet, agent):
+    # Guards against working connections that are given up.
+    async def flow(exchange):
+        await exchange.head()
+        for _ in range(10):
+            await exchange.chunk("a")
+            await asyncio.sleep(0.06)
+        await exchange.end()
+
+    agent.answers["POST"] = flow
+    await fleet.start(agent)
+    agent.running = NoReports()
+    assert (await fleet.ask()).body == b"a" * 10
+    assert agent.count("GET") == 0
+
+
 async def test_truncated_answer_does_not_look_complete(fleet, agent):
     # Guards against a cut answer that its caller takes for a whole one.
     async def cut(exchange):
