--- a/libs/agent/src/bulrushbend/agent/gate.py
+++ b/libs/agent/src/bulrushbend/agent/gate.py
@@ -25,6 +25,7 @@
     link: ClaimTarget
     charge: Charge
     sent_ms: float
+    updates: int
 
 
 class Gate:
@@ -36,8 +37,6 @@
         Source of time.
     events : EventLog
         Receives claims and their outcome.
-    picker : TeamPicker
-        Chooses the next team.
     claim_timeout_ms : float
         Age at which an unanswered claim expires.
     on_unused : callable
@@ -48,16 +47,15 @@
         self,
         clock: Clock,
         events: EventLog,
-        picker: TeamPicker,
         claim_timeout_ms: float,
         on_unused: Callable[[str], None],
     ):
         self._clock = clock
         self._events = events
-        self._picker = picker
         self._claim_timeout_ms = claim_timeout_ms
         self._on_unused = on_unused
         self._ledger: Ledger | None = None
+        self._picker: TeamPicker | None = None
         self._backlog = Backlog(clock, self._mark_waiting)
         self._account = SlotAccount(clock)
         self._limit = 0
@@ -92,9 +90,18 @@
         """Whether new work may start."""
         return self._open
 
-    def use_ledger(self, ledger: Ledger) -> None:
-        """Account in `ledger` from now on; running requests keep theirs."""
+    def use_ledger(self, ledger: Ledger, picker: TeamPicker) -> None:
+        """Account in `ledger` from now on; running requests keep theirs.
+
+        Parameters
+        ----------
+        ledger : Ledger
+            Account of the service.
+        picker : TeamPicker
+            Chooses the next team.
+        """
         self._ledger = ledger
+        self._picker = picker
         for team in self._backlog.waiting_teams:
             ledger.set_waiting(team, True)
 
@@ -117,13 +124,8 @@
 
     def fill(self) -> None:
         """Claim requests for the free slots while routers advertise work."""
-        while self._open and self._ledger is not None and self.in_use < self._limit:
-            ages = self._backlog.ages()
-            team = self._picker.pick(ages, self._ledger) if ages else None
-            link = self._backlog.oldest(team) if team is not None else None
-            if team is None or link is None:
-                break
-            self._send_claim(team, link, self._ledger)
+        while self._open and self.in_use < self._limit and self._claim_next():
+            pass
         self._observe()
 
     def take(self, attempt_id: str) -> SlotClaim | None:
@@ -143,9 +145,10 @@
         del self._claims[attempt_id]
         claim.charge.start()
         self._running += 1
-        self._backlog.settle(claim.link, claim.team, taken=True, empty=False)
+        self._settle(claim, taken=True)
         metrics.CLAIM_LATENCY.observe((self._clock.now_ms() - claim.sent_ms) / 1000.0)
-        self._observe()
+        # The claim may have hidden a request that waits beside a free slot.
+        self.fill()
         return claim
 
     def finish(self, claim: SlotClaim, *, ran: bool) -> float:
@@ -216,15 +219,27 @@
                 self._release(claim, EventKind.CLAIM_EXPIRED)
                 self.fill()
 
+    def _claim_next(self) -> bool:
+        """Claim one request; return False if no team waits."""
+        if self._ledger is None or self._picker is None:
+            return False
+        # Asked also when no team waits: the picker takes note of freed slots.
+        team = self._picker.pick(self._backlog.ages(), self._ledger)
+        link = self._backlog.oldest(team) if team is not None else None
+        if team is None or link is None:
+            return False
+        self._send_claim(team, link, self._ledger)
+        return True
+
     def _send_claim(self, team: str, link: ClaimTarget, ledger: Ledger) -> None:
         attempt_id = new_id("att")
+        updates = self._backlog.claim(link, team)
         claim = SlotClaim(
-            attempt_id, team, link, ledger.hold(team), self._clock.now_ms()
+            attempt_id, team, link, ledger.hold(team), self._clock.now_ms(), updates
         )
         self._claims[attempt_id] = claim
         self._expiry.append(claim)
         self._claim_sent.set()
-        self._backlog.claim(link, team)
         link.send_claim(attempt_id, team)
         metrics.CLAIMS.labels("sent").inc()
         self._events.write(
@@ -239,7 +254,7 @@
     ) -> None:
         del self._claims[claim.attempt_id]
         claim.charge.release()
-        self._backlog.settle(claim.link, claim.team, taken=False, empty=empty)
+        self._settle(claim, empty=empty)
         self._on_unused(claim.attempt_id)
         metrics.CLAIMS.labels("missed" if empty else "expired").inc()
         self._events.write(
@@ -249,6 +264,13 @@
             peer=claim.link.identity.name,
         )
 
+    def _settle(
+        self, claim: SlotClaim, *, taken: bool = False, empty: bool = False
+    ) -> None:
+        self._backlog.settle(
+            claim.link, claim.team, claim.updates, taken=taken, empty=empty
+        )
+
     def _mark_waiting(self, team: str, waiting: bool) -> None:
         if self._ledger is not None:
             self._ledger.set_waiting(team, waiting)
