Start failed links again and end a router whose tasks have failed

A fault in a link's task ended the link for ever, and a fault in another task left a process that answered its pages and did nothing else. Without the restart the new test fails (until: TimeoutError).

--- a/libs/router/src/bulrushbend/router/attempt.py
+++ b/libs/router/src/bulrushbend/router/attempt.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import re
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders
@@ -39,6 +40,7 @@
 
 # The stall watch ends silent exchanges; the exchange's own timeouts are a last resort.
 _LAST_RESORT_MS = 3_600_000.0
+_STATUS = re.compile(r"[2-5][0-9][0-9]")
 _RESUME_PAUSE_MS = 100.0
 # New connections without a single new byte before an attempt counts as lost.
 _FRUITLESS_RESUMES = 5
@@ -220,7 +222,7 @@
             raise OutcomeUnknown(
                 "answer to another request", step="headers", peer=self._peer
             )
-        if exchange.status == 200 and headers.get(HEADER_STATUS, "").isdigit():
+        if exchange.status == 200 and _STATUS.fullmatch(headers.get(HEADER_STATUS, "")):
             self._started = True
             return
         if exchange.status == 409 and HEADER_REFUSED in headers:
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -319,12 +319,26 @@
         listen_http(server, settings.http_bind)
         stack.callback(server.stop)
         events.write(EventKind.PROCESS_STARTED)
-        running = asyncio.create_task(router.run())
-        try:
-            await run_until_signal(router.drain)
-        finally:
-            running.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await running
+        await _run_until_stopped(router)
         await server.close_all_connections()
         events.write(EventKind.PROCESS_STOPPED)
+
+
+async def _run_until_stopped(router: Router) -> None:
+    """Run the router until a signal has drained it.
+
+    A fault in one of its tasks ends the process, so that a supervisor starts it again;
+    a router that only answers its pages would look healthy.
+    """
+    running = asyncio.create_task(router.run())
+    stopping = asyncio.create_task(run_until_signal(router.drain))
+    try:
+        done, _ = await asyncio.wait(
+            {running, stopping}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            task.result()
+    finally:
+        running.cancel()
+        stopping.cancel()
+        await asyncio.gather(running, stopping, return_exceptions=True)
--- a/libs/router/src/bulrushbend/router/link.py
+++ b/libs/router/src/bulrushbend/router/link.py
@@ -230,6 +230,7 @@
                 await stream.send_request()
             self._restart()
             sender = asyncio.create_task(self._send_batches(stream))
+            sender.add_done_callback(_ignore_error)
             stack.callback(sender.cancel)
             while not sender.done():
                 async with asyncio.timeout(self._silence_ms / 1000.0):
@@ -370,6 +371,12 @@
         metrics.LINK_BYTES.labels(direction).inc(size)
 
 
+def _ignore_error(sender: asyncio.Task[None]) -> None:
+    """Take the error of a sender; the receiver notices the same loss."""
+    if not sender.cancelled():
+        sender.exception()
+
+
 def _describe(team: str, backlog: Backlog, now_ms: float) -> TeamBacklog:
     age_ms = max(0, round(now_ms - backlog.oldest_ms)) if backlog.waiting else 0
     return TeamBacklog(team=team, waiting=backlog.waiting, oldest_age_ms=age_ms)
--- a/libs/router/src/bulrushbend/router/links.py
+++ b/libs/router/src/bulrushbend/router/links.py
@@ -1,6 +1,7 @@
 """The links to all agents, from the members that control reports."""
 
 import asyncio
+import functools
 from collections.abc import Iterable
 
 from bulrushbend.core.logs import part_logger
@@ -67,7 +68,13 @@
         self.drop_lost()
 
     def drop_lost(self) -> None:
-        """End the links that are down and whose agents are no members any more."""
+        """End the links to lost agents and start those whose task has failed.
+
+        An agent is lost when its link is down and it is no member any more.
+        """
+        for member in self._members.values():
+            if member.name not in self._links:
+                self._start(member)
         lost = self._links.keys() - self._members.keys()
         for name in lost:
             if not self._links[name].is_up:
@@ -91,8 +98,14 @@
         self._links[member.name] = link
         self._by_service.setdefault(member.service, {})[member.name] = link
         task = asyncio.create_task(link.run(), name=f"link-{member.name}")
+        task.add_done_callback(functools.partial(self._drop_failed, member.name))
         self._tasks[member.name] = task
 
+    def _drop_failed(self, name: str, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and self._tasks.get(name) is task:
+            _log.error("the link to %s failed: %r", name, task.exception())
+            self._end(name)
+
     def _end(self, name: str) -> None:
         link = self._links.pop(name)
         del self._by_service[link.service][name]
--- a/libs/router/tests/test_link.py
+++ b/libs/router/tests/test_link.py
@@ -1,5 +1,6 @@
 import asyncio
 
+from bulrushbend.router.link import AgentLink
 from bulrushbend.wire.documents import pack_manifest
 from bulrushbend.wire.fleet_pb2 import AgentBatch
 
@@ -107,3 +108,17 @@
     assert sent == [1, 1]
     agent.claim("crew-a")
     await call
+
+
+async def test_failed_link_task_is_started_again(fleet, agent, monkeypatch):
+    # Guards against one fault in a link that cuts an agent off for ever.
+    take_batch = AgentLink._take_batch
+
+    def fail_once(link, batch):
+        monkeypatch.setattr(AgentLink, "_take_batch", take_batch)
+        raise RuntimeError("fault")
+
+    await fleet.start(agent)
+    monkeypatch.setattr(AgentLink, "_take_batch", fail_once)
+    await fleet.until(lambda: agent.links == 2)
+    assert (await fleet.ask()).status == 200
