--- a/libs/cli/src/bulrushbend/cli/daemons.py
+++ b/libs/cli/src/bulrushbend/cli/daemons.py
@@ -6,9 +6,10 @@
 
 import asyncio
 from collections.abc import Mapping
+from logging import WARNING, getLogger
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 from pydantic import ValidationError
 
 from bulrushbend.cli.exits import UsageError
@@ -22,6 +23,7 @@
 )
 from bulrushbend.core.validation import explain_validation
 
+_QUIET_LOGGERS = ("tornado.access", "grpclib")
 STAND_IN_KINDS = ("engine", "application", "platform")
 
 
@@ -85,9 +87,16 @@
 
 
 def start_logging(level: str) -> None:
-    """Write log lines of at least `level` to standard error."""
+    """Write log lines of at least `level` to standard error.
+
+    Tornado and grpclib log each request that they serve; only their warnings count.
+    """
+    # absl warns of lines written before its own flags are read; there are none here.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     set_verbosity(level)
+    for name in _QUIET_LOGGERS:
+        getLogger(name).setLevel(WARNING)
 
 
 def _stand_in(kind: str) -> tuple[Any, Any]:
