--- a/libs/router/tests/test_link.py
+++ b/libs/router/tests/test_link.py
@@ -1,5 +1,6 @@
 import asyncio
 
+from bulrushbend.router.link import AgentLink
 from bulrushbend.wire.documents import pack_manifest
 from bulrushbend.wire.fleet_pb2 import AgentBatch
 
@@ -94,3 +95,30 @@
     agent.claim("no-such-team", "att-x")
     await fleet.until(lambda: "att-x" in agent.misses)
     assert (await fleet.ask()).status == 200
+
+
+async def test_numbers_are_repeated_once_after_a_change(fleet, agent):
+    # Guards against a waiting request that the agent counts off twice and forgets.
+    agent.claiming = False
+    await fleet.start(agent)
+    call = fleet.ask_soon()
+    await fleet.until_waiting()
+    await asyncio.sleep(0.3)
+    sent = [e.waiting for b in agent.batches for e in b.backlog if e.team == "crew-a"]
+    assert sent == [1, 1]
+    agent.claim("crew-a")
+    await call
+
+
+async def test_failed_link_task_is_started_again(fleet, agent, monkeypatch):
+    # Guards against one fault in a link that cuts an agent off for ever.
+    take_batch = AgentLink._take_batch
+
+    def fail_once(link, batch):
+        monkeypatch.setattr(AgentLink, "_take_batch", take_batch)
+        raise RuntimeError("fault")
+
+    await fleet.start(agent)
+    monkeypatch.setattr(AgentLink, "_take_batch", fail_once)
+    await fleet.until(lambda: agent.links == 2)
+    assert (await fleet.ask()).status == 200
