Claim requests ahead while much work waits

Cause: a slot is idle from the end of a request until the next one arrives, one claim round trip of about 4 ms. Change: while more requests wait than the agent has slots, it claims a few beyond its slots, sized by round trip over mean cost, and holds them until a slot is free. A held request has not run; it goes back after 250 ms, when no other work waits, when it is withdrawn and when its connection closes. Ruled out: a timeout around the wait for the slot, which can cancel the wait after the request has started; claims ahead at costs of seconds, where the gap is 0.1 %.

--- /dev/null
+++ b/libs/agent/src/bulrushbend/agent/ahead.py
@@ -0,0 +1,55 @@
+"""How many requests an agent claims before a slot is free for them."""
+
+import math
+
+# Weight of the newest value in the running means.
+_NEWEST_PART = 1.0 / 16.0
+# Below this share of a request's cost the claim round trip costs less idle time than
+# an early choice of the team costs fairness. Idle time has to stay below 1 %.
+_TOLERATED_IDLE_PART = 0.0025
+# Slots end unevenly: one more claim than the expected number is at hand.
+_SPARE_CLAIMS = 1
+
+
+class ClaimAhead:
+    """Sizes the claims ahead from the claim round trip and the cost of requests.
+
+    A slot is idle from the end of a request until the next one arrives, which takes a
+    claim round trip. With costs of 170 ms and a round trip of 4 ms that is 2 % of the
+    slot time. A request that is already here when the slot ends leaves no gap. It is
+    held for a short time only, and only while so much work waits that no other agent
+    can be idle for lack of it.
+    """
+
+    def __init__(self) -> None:
+        self._trip_ms = 0.0
+        self._cost_ms = 0.0
+
+    def observe_trip(self, trip_ms: float) -> None:
+        """Learn that a request arrived `trip_ms` after its claim."""
+        self._trip_ms = _move(self._trip_ms, trip_ms)
+
+    def observe_cost(self, cost_ms: float) -> None:
+        """Learn that a request ended with a cost of `cost_ms` slot milliseconds."""
+        self._cost_ms = _move(self._cost_ms, cost_ms)
+
+    def depth(self, limit: int, claimable: int) -> int:
+        """Return the number of claims beyond the slots.
+
+        Parameters
+        ----------
+        limit : int
+            Number of slots.
+        claimable : int
+            Advertised requests that this agent has not claimed.
+        """
+        if claimable <= limit or self._cost_ms <= 0.0:
+            return 0
+        idle_part = self._trip_ms / self._cost_ms
+        if idle_part < _TOLERATED_IDLE_PART:
+            return 0
+        return min(limit, math.ceil(limit * idle_part) + _SPARE_CLAIMS)
+
+
+def _move(mean: float, value: float) -> float:
+    return value if mean == 0.0 else mean + (value - mean) * _NEWEST_PART
--- a/libs/agent/src/bulrushbend/agent/attempts.py
+++ b/libs/agent/src/bulrushbend/agent/attempts.py
@@ -24,7 +24,7 @@
 class AttemptTable:
     """Starts attempts for pending claims and keeps their answers for a while.
 
-    An id can start only while its claim is pending, and `Gate.take` removes the claim.
+    An id can start only while its claim is pending, and `Gate.admit` removes the claim.
     So no id runs twice, also not after a restart, since a new process has no claims.
 
     Parameters
--- a/libs/agent/src/bulrushbend/agent/backlog.py
+++ b/libs/agent/src/bulrushbend/agent/backlog.py
@@ -64,6 +64,15 @@
         """Whether any linked router advertises work."""
         return bool(self._waiting_entries)
 
+    @property
+    def claimable(self) -> int:
+        """Number of advertised requests that are not claimed yet."""
+        return sum(
+            max(0, entry.waiting - entry.claimed)
+            for team in self._waiting_entries
+            for entry in self._teams[team].values()
+        )
+
     @property
     def waiting_teams(self) -> list[str]:
         """Teams with advertised work."""
--- a/libs/agent/src/bulrushbend/agent/dataport.py
+++ b/libs/agent/src/bulrushbend/agent/dataport.py
@@ -120,9 +120,11 @@
         self._body.append(chunk)
 
     def on_connection_close(self) -> None:
-        """Stop reading the answer; the attempt goes on."""
+        """Stop reading the answer; a running attempt goes on, a held one does not."""
         if self._reader is not None:
             self._reader.drop()
+        elif self.request.method == "POST":
+            self._port.attempts.withdraw(self.path_args[0], cancel=False)
 
     async def post(self, attempt_id: str) -> None:
         """Start the attempt and stream its answer, or refuse it before its start."""
@@ -132,7 +134,7 @@
         except BadAttempt as error:
             self._refuse(attempt_id, 400, str(error))
             return
-        claim = self._port.gate.take(attempt_id)
+        claim = await self._port.gate.admit(attempt_id)
         if claim is None:
             state = self._port.attempts.state_of(attempt_id)
             self._refuse(attempt_id, 409, f"claim is {state or 'not known'}")
--- a/libs/agent/src/bulrushbend/agent/gate.py
+++ b/libs/agent/src/bulrushbend/agent/gate.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from bulrushbend.agent import metrics
+from bulrushbend.agent.ahead import ClaimAhead
 from bulrushbend.agent.backlog import Backlog, ClaimTarget
 from bulrushbend.agent.slots import SlotAccount
 from bulrushbend.core.clock import Clock
@@ -15,6 +16,10 @@
 from bulrushbend.share.picker import TeamPicker
 from bulrushbend.wire.fleet_pb2 import SlotReport
 
+# A request that was claimed ahead goes back to its router after this time, so that a
+# long request in every slot does not hold it away from other agents.
+_HOLD_S = 0.25
+
 
 @dataclass(eq=False)
 class SlotClaim:
@@ -26,6 +31,7 @@
     charge: Charge
     sent_ms: float
     updates: int
+    held: asyncio.Future[bool] | None = None
 
 
 class Gate:
@@ -64,6 +70,8 @@
         self._claims: dict[str, SlotClaim] = {}
         self._expiry: deque[SlotClaim] = deque()
         self._claim_sent = asyncio.Event()
+        self._ahead = ClaimAhead()
+        self._held: deque[SlotClaim] = deque()
 
     @property
     def backlog(self) -> Backlog:
@@ -83,7 +91,7 @@
     @property
     def in_use(self) -> int:
         """Number of slots that are claimed or run."""
-        return self._running + len(self._claims)
+        return max(self._running, min(self._limit, self._running + len(self._claims)))
 
     @property
     def is_open(self) -> bool:
@@ -124,29 +132,37 @@
 
     def fill(self) -> None:
         """Claim requests for the free slots while routers advertise work."""
-        while self._open and self.in_use < self._limit and self._claim_next():
+        self._start_held()
+        if not self._backlog.any_waiting:
+            self._release_held()
+        while self._open and self._has_room() and self._claim_next():
             pass
         self._observe()
 
-    def take(self, attempt_id: str) -> SlotClaim | None:
-        """Turn a claim into a running request.
+    async def admit(self, attempt_id: str) -> SlotClaim | None:
+        """Turn a claim into a running request, as soon as a slot is free.
+
+        A request that was claimed ahead is held until then. It has not run while it
+        is held, and `withdraw` gives it up.
 
         Returns
         -------
         SlotClaim or None
-            None if the claim is unknown, expired, used or withdrawn.
+            None if the claim is unknown, expired, used or withdrawn, or if no slot
+            became free in time.
         """
         claim = self._claims.get(attempt_id)
-        if claim is None:
+        if claim is None or claim.held is not None:
             return None
-        if self._clock.now_ms() - claim.sent_ms >= self._claim_timeout_ms:
+        trip_ms = self._clock.now_ms() - claim.sent_ms
+        if trip_ms >= self._claim_timeout_ms:
             self._release(claim, EventKind.CLAIM_EXPIRED)
             return None
-        del self._claims[attempt_id]
-        claim.charge.start()
-        self._running += 1
-        self._settle(claim, taken=True)
-        metrics.CLAIM_LATENCY.observe((self._clock.now_ms() - claim.sent_ms) / 1000.0)
+        self._ahead.observe_trip(trip_ms)
+        metrics.CLAIM_LATENCY.observe(trip_ms / 1000.0)
+        if self._running >= self._limit:
+            return claim if await self._hold(claim) else None
+        self._start(claim)
         # The claim may have hidden a request that waits beside a free slot.
         self.fill()
         return claim
@@ -157,7 +173,7 @@
         Parameters
         ----------
         claim : SlotClaim
-            What `take` returned.
+            What `admit` returned.
         ran : bool
             False if the request provably did not run; the team is not charged.
 
@@ -169,6 +185,7 @@
         cost_ms = 0.0
         if ran:
             cost_ms = claim.charge.end()
+            self._ahead.observe_cost(cost_ms)
         else:
             claim.charge.release()
         self._running -= 1
@@ -219,6 +236,43 @@
                 self._release(claim, EventKind.CLAIM_EXPIRED)
                 self.fill()
 
+    def _has_room(self) -> bool:
+        ahead = self._ahead.depth(self._limit, self._backlog.claimable)
+        return self._running + len(self._claims) < self._limit + ahead
+
+    async def _hold(self, claim: SlotClaim) -> bool:
+        """Wait for a slot; return False if the claim was given up."""
+        loop = asyncio.get_running_loop()
+        claim.held = loop.create_future()
+        self._held.append(claim)
+        # Not a timeout around the wait: that could cancel it after the start.
+        loop.call_later(_HOLD_S, self._give_up, claim)
+        return await claim.held
+
+    def _give_up(self, claim: SlotClaim) -> None:
+        """Give up a held request unless it has started."""
+        if self._claims.get(claim.attempt_id) is claim:
+            self._release(claim, EventKind.CLAIM_EXPIRED)
+            self.fill()
+
+    def _start(self, claim: SlotClaim) -> None:
+        del self._claims[claim.attempt_id]
+        claim.charge.start()
+        self._running += 1
+        self._settle(claim, taken=True)
+
+    def _start_held(self) -> None:
+        """Give free slots to the requests that are held, the oldest first."""
+        while self._open and self._held and self._running < self._limit:
+            claim = self._held.popleft()
+            self._start(claim)
+            claim.held.set_result(True)
+
+    def _release_held(self) -> None:
+        """Give up held requests, so that an idle agent can claim them."""
+        for claim in list(self._held):
+            self._release(claim, EventKind.CLAIM_EXPIRED)
+
     def _claim_next(self) -> bool:
         """Claim one request; return False if no team waits."""
         if self._ledger is None or self._picker is None:
@@ -254,6 +308,9 @@
     ) -> None:
         del self._claims[claim.attempt_id]
         claim.charge.release()
+        if claim.held is not None:
+            self._held.remove(claim)
+            claim.held.set_result(False)
         self._settle(claim, empty=empty)
         self._on_unused(claim.attempt_id)
         metrics.CLAIMS.labels("missed" if empty else "expired").inc()
--- /dev/null
+++ b/libs/agent/tests/test_ahead.py
@@ -0,0 +1,135 @@
+import asyncio
+
+import pytest
+
+from bulrushbend.agent.ahead import ClaimAhead
+
+from .builders import (
+    CHUNKED,
+    LAST_CHUNK,
+    build_manifest,
+    chunk,
+    eventually,
+    running_agent,
+    until_refused,
+    whole,
+)
+
+
+def ahead(trip_ms, cost_ms):
+    policy = ClaimAhead()
+    policy.observe_trip(trip_ms)
+    policy.observe_cost(cost_ms)
+    return policy
+
+
+@pytest.mark.parametrize(
+    ("trip_ms", "cost_ms", "claimable", "depth"),
+    [
+        (4.0, 170.0, 100, 2),
+        (4.0, 4.0, 100, 8),
+        (4.0, 2900.0, 100, 0),
+        (4.0, 170.0, 8, 0),
+    ],
+)
+def test_depth_follows_round_trip_cost_and_backlog(trip_ms, cost_ms, claimable, depth):
+    assert ahead(trip_ms, cost_ms).depth(8, claimable) == depth
+
+
+def test_nothing_is_claimed_ahead_before_a_cost_is_known():
+    assert ClaimAhead().depth(8, 100) == 0
+
+
+async def brief_answer(request, writer):
+    await asyncio.sleep(0.02)
+    writer.write(whole(b"done"))
+
+
+class SlowAfterWarmUp:
+    """Endpoint script: brief answers first, then one that lasts until `go_on`."""
+
+    def __init__(self, brief):
+        self._brief = brief
+        self.go_on = asyncio.Event()
+
+    async def __call__(self, request, writer):
+        if self._brief > 0:
+            self._brief -= 1
+            await brief_answer(request, writer)
+            return
+        writer.write(CHUNKED + chunk(b"begin "))
+        await writer.drain()
+        await self.go_on.wait()
+        writer.write(chunk(b"end") + LAST_CHUNK)
+
+
+async def hold_one(agent, router):
+    """Bring about one running and one held request; return their parts."""
+    router.advertise(waiting=50)
+    exchange = await router.post(await router.next_claim())
+    await exchange.body()
+    running = await router.post(await router.next_claim())
+    held_id = await router.next_claim()
+    posting = asyncio.create_task(router.post(held_id))
+    await eventually(lambda: agent._gate._held)
+    return running, held_id, posting
+
+
+async def test_request_claimed_ahead_starts_when_the_slot_is_free():
+    # Guards against a slot that is idle for a claim round trip after each request.
+    script = SlowAfterWarmUp(brief=1)
+    async with running_agent(script, build_manifest(slots=1)) as parts:
+        _, agent, endpoint, router = parts
+        running, _, posting = await hold_one(agent, router)
+        assert len(endpoint.runs()) == 2
+        script.go_on.set()
+        assert await running.body() == b"begin end"
+        assert await (await posting).body() == b"begin end"
+        assert len(endpoint.runs()) == 3
+
+
+async def test_held_request_goes_back_in_time_and_has_not_run():
+    # Guards against a request that is held away from idle agents by a long one.
+    script = SlowAfterWarmUp(brief=1)
+    async with running_agent(script, build_manifest(slots=1)) as parts:
+        _, agent, endpoint, router = parts
+        _, _, posting = await hold_one(agent, router)
+        async with asyncio.timeout(1):
+            assert await until_refused(await posting) == (409, "not-started")
+        assert len(endpoint.runs()) == 2
+
+
+async def test_held_request_goes_back_when_no_other_work_waits():
+    # Guards against an agent that keeps the only waiting request for itself.
+    script = SlowAfterWarmUp(brief=1)
+    async with running_agent(script, build_manifest(slots=1)) as parts:
+        _, agent, _, router = parts
+        _, _, posting = await hold_one(agent, router)
+        router.advertise(waiting=0)
+        async with asyncio.timeout(0.2):
+            assert await until_refused(await posting) == (409, "not-started")
+
+
+async def test_held_request_that_is_withdrawn_never_runs():
+    script = SlowAfterWarmUp(brief=1)
+    async with running_agent(script, build_manifest(slots=1)) as parts:
+        _, agent, endpoint, router = parts
+        running, held_id, posting = await hold_one(agent, router)
+        assert b"not-started" in await (await router.delete(held_id)).body()
+        assert await until_refused(await posting) == (409, "not-started")
+        script.go_on.set()
+        await running.body()
+        assert len(endpoint.runs()) == 2
+
+
+async def test_held_request_of_a_closed_connection_never_runs():
+    script = SlowAfterWarmUp(brief=1)
+    async with running_agent(script, build_manifest(slots=1)) as parts:
+        _, agent, endpoint, router = parts
+        running, held_id, posting = await hold_one(agent, router)
+        posting.cancel()
+        await eventually(lambda: not agent._gate._held)
+        script.go_on.set()
+        await running.body()
+        assert len(endpoint.runs()) == 2
+        assert b"not-started" in await (await router.delete(held_id)).body()
