--- a/libs/bench/src/bulrushbend/bench/variants.py
+++ b/libs/bench/src/bulrushbend/bench/variants.py
@@ -214,6 +214,7 @@
     "fixed-1s": lambda: FixedReserve(1000.0),
     "fixed-10s": lambda: FixedReserve(10_000.0),
     "balanced": BalancedMean,
+    "balanced-third": lambda: BalancedMean(part=1.0 / 3.0),
     "balanced-1s": lambda: BalancedMean(1000.0),
     "balanced-10s": lambda: BalancedMean(10_000.0),
 }
--- a/libs/share/src/bulrushbend/share/estimator.py
+++ b/libs/share/src/bulrushbend/share/estimator.py
@@ -103,11 +103,21 @@
     weight : int, default=16
         Number of requests of a team for which the initial value counts. Short requests
         end first, so the first ends alone would give far too low a mean.
+    part : float, default=1.0
+        Part of the mean that is held. At 5 agents a third lets single requests sway
+        the levels, see docs/fairness.md.
     """
 
-    def __init__(self, initial_ms: float = 3000.0, memory: int = 256, weight: int = 16):
+    def __init__(
+        self,
+        initial_ms: float = 3000.0,
+        memory: int = 256,
+        weight: int = 16,
+        part: float = 1.0,
+    ):
         super().__init__(initial_ms, memory)
         self._weight = weight
+        self._part = part
         self._weighted: dict[str, _Mean] = {}
         self._sum_ms = 0.0
 
@@ -121,6 +131,7 @@
 
     def reserve_ms(self, team: str, elapsed_ms: float) -> float:
         """Return the mean over the teams."""
-        if not self._weighted:
-            return self._initial_ms
-        return max(_SMALLEST_RESERVE_MS, self._sum_ms / len(self._weighted))
+        mean_ms = self._initial_ms
+        if self._weighted:
+            mean_ms = self._sum_ms / len(self._weighted)
+        return max(_SMALLEST_RESERVE_MS, self._part * mean_ms)
