Bound the credit of a team that returns by the service under way

Cause: a team that became backlogged while its old requests still ran could lag by their reserve, up to 20 s for each. Change: the credit is 250 ms for each request that runs elsewhere, the service whose rows may be under way. The test of the return at 50 agents uses the target of 40 s again, not only the formula. Conclusion: the target holds for a team that returns.

--- a/libs/bench/tests/test_policy.py
+++ b/libs/bench/tests/test_policy.py
@@ -33,18 +33,12 @@
     assert result.gap_ms < formula_ms(scenario)
 
 
-@pytest.mark.parametrize("kind", ["flood", "shares"])
+@pytest.mark.parametrize("kind", ["flood", "shares", "return"])
 def test_gap_at_fifty_agents_stays_under_two_largest_requests(kind):
     result = run_policy(build_scenario(kind, agents=50, duration_ms=12_000.0))
     assert result.gap_ms < TARGET_MS[50]
 
 
-def test_gap_at_fifty_agents_follows_the_formula_when_a_team_returns():
-    # The target of two largest requests is missed here by some seeds, see the page.
-    scenario = build_scenario("return", agents=50, duration_ms=12_000.0)
-    assert run_policy(scenario).gap_ms < formula_ms(scenario)
-
-
 @pytest.mark.parametrize("spread_ms", [50.0, 1000.0, 4000.0])
 def test_gap_follows_the_formula_at_other_spreads(spread_ms):
     # Guards against a policy that is tuned to one dissemination delay.
--- a/libs/share/src/bulrushbend/share/ledger.py
+++ b/libs/share/src/bulrushbend/share/ledger.py
@@ -22,6 +22,8 @@
 # The floor for teams that become backlogged costs a pass over all waiting teams, and
 # light teams become backlogged hundreds of times a second. An old floor is a bit low.
 _FLOOR_MS = 20.0
+# Time that the newest service of a running request may take to get here.
+_UNSEEN_MS = 250.0
 # A picker is asked at once about a freed slot. Slots that stay free, for lack of work
 # or above a lowered slot limit, belong to no team any more.
 _FREED_MS = 50.0
@@ -269,32 +271,24 @@
             weighted_ms += account.weighted_ms(now_ms)
         return start + weighted_ms
 
-    def _held_level(self, team: str, now_ms: float) -> float:
-        """Return the reserve over the share."""
-        totals = self._peers.totals.get(team)
-        account = self._own.find(team)
-        reserve_ms = totals.reserve_ms if totals is not None else 0.0
-        if account is not None:
-            reserve_ms += account.reserve_ms(self._estimator, now_ms)
-        return reserve_ms / self._share(team)
-
     def _raise(self, team: str, account: TeamAccount) -> None:
         """Raise the service of a team that becomes backlogged.
 
         The reserves stay out of the comparison: requests that run now become service
         of their teams after this moment, as those of the raised team will.
-        A team that runs may lag by its reserve, because the newest service of its
-        running requests may not have arrived here and would count twice.
+        A team that runs elsewhere may lag by the service whose rows can still be under
+        way, which would count twice.
         """
         now_ms = self._clock.now_ms()
         self._peers.expire(now_ms)
         if team in self._peers.waiting:
             return  # backlogged elsewhere: it was raised there
-        credit = max(0.0, self._held_level(team, now_ms))
+        totals = self._peers.totals.get(team)
+        elsewhere = totals.running if totals else 0
+        credit = elsewhere * _UNSEEN_MS / self._share(team)
         missing = self._floor(now_ms) - credit - self._served_level(team, now_ms)
         if missing <= 0.0:
             return
-        totals = self._peers.totals.get(team)
         known_start = totals.start_level if totals else 0.0
         account.start_level = max(known_start, account.start_level) + missing
 
--- a/libs/share/tests/test_start_level.py
+++ b/libs/share/tests/test_start_level.py
@@ -57,13 +57,14 @@
     assert ledger.level("crew-c") == 0.0
 
 
-def test_team_that_runs_elsewhere_may_lag_by_its_reserve():
-    # Guards against counting service twice whose rows are still under way.
+def test_team_that_runs_elsewhere_may_lag_by_service_under_way():
+    # Guards against counting service twice whose rows are still under way, and against
+    # a credit as large as the reserve of long requests that outlast a pause.
     clock, ledger = build_active(("crew-a",))
     serve(ledger, clock, "crew-a", 5000.0)
-    ledger.merge([build_row("crew-c", running=2, reserve_ms=800.0)])
+    ledger.merge([build_row("crew-c", running=2, reserve_ms=8000.0)])
     ledger.set_waiting("crew-c", True)
-    assert ledger.level("crew-c") == 5000.0
+    assert ledger.level("crew-c") == 5000.0 - 2 * 250.0 + 8000.0
 
 
 def test_flags_of_a_silent_agent_are_ignored():
