--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -14,6 +14,7 @@
 from bulrushbend.control.journal import Journal
 from bulrushbend.control.membership import Membership
 from bulrushbend.control.service import FleetService
+from bulrushbend.control.watcher import WatchOptions
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import NoQuorum, SettingsError
 from bulrushbend.core.events import EventKind, EventLog
@@ -32,7 +33,7 @@
 from bulrushbend.store.replica import Replica
 from bulrushbend.store.service import ConsensusService
 from bulrushbend.store.stores import Stores, open_stores
-from bulrushbend.store.transport import GrpcTransport
+from bulrushbend.store.transport import GrpcTransport, PeerTransport
 from bulrushbend.store.vote import FOUNDING_DISK
 from bulrushbend.wire.control_pb2 import Command, ExpireKeys
 
@@ -56,6 +57,8 @@
         File system of the store.
     events : EventLog, optional
         Event log in place of the one that the settings name.
+    transport : PeerTransport, optional
+        Calls to the other replicas, in place of gRPC.
     """
 
     def __init__(
@@ -66,12 +69,14 @@
         clock: Clock | None = None,
         files: Files | None = None,
         events: EventLog | None = None,
+        transport: PeerTransport | None = None,
     ):
         self._settings = settings
         self._bootstrap = bootstrap
         self._clock = clock or Clock()
         self._files = files
         self._events = events
+        self._transport = transport or GrpcTransport()
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -142,13 +147,20 @@
         self._replica = Replica(
             _replica_options(settings, self._bootstrap),
             stores,
-            GrpcTransport(),
+            self._transport,
             self._clock,
             self._events,
         )
         self._replica.listen(Journal(self._events).write)
         self._membership = Membership(self._clock, settings.member_timeout_ms)
-        self._service = FleetService(self._replica, self._membership, self._clock)
+        options = WatchOptions(
+            name=settings.name,
+            heartbeat_ms=settings.silence_between_regions_ms / 3,
+            silence_ms=settings.member_timeout_ms,
+        )
+        self._service = FleetService(
+            self._replica, self._membership, self._clock, options
+        )
 
     async def _start_grpc(self) -> None:
         server = Server([self._service, ConsensusService(self._replica)])
--- a/libs/router/src/bulrushbend/router/attempt.py
+++ b/libs/router/src/bulrushbend/router/attempt.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import re
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders
@@ -39,6 +40,7 @@
 
 # The stall watch ends silent exchanges; the exchange's own timeouts are a last resort.
 _LAST_RESORT_MS = 3_600_000.0
+_STATUS = re.compile(r"[2-5][0-9][0-9]")
 _RESUME_PAUSE_MS = 100.0
 # New connections without a single new byte before an attempt counts as lost.
 _FRUITLESS_RESUMES = 5
@@ -135,7 +137,7 @@
         """Interrupt the exchange if it has been silent against the agent's reports.
 
         Called by the stall watch. Time during which a slow caller holds the reading
-        back does not count.
+        back does not count, and every piece that arrives starts the count again.
 
         Parameters
         ----------
@@ -145,9 +147,11 @@
         if not self._reading or not self._is_suspect(now_ms):
             self._suspect_since_ms = None
             return
-        if self._suspect_since_ms is None:
-            self._suspect_since_ms = now_ms
-        if now_ms - self._suspect_since_ms < self._settings.stall_ms:
+        suspect_since_ms = self._suspect_since_ms
+        if suspect_since_ms is None or self._progress_ms > suspect_since_ms:
+            suspect_since_ms = now_ms
+        self._suspect_since_ms = suspect_since_ms
+        if now_ms - suspect_since_ms < self._settings.stall_ms:
             return
         self._suspect_since_ms = None
         if self._exchange is not None:
@@ -164,7 +168,7 @@
             quiet_ms = now_ms - self._progress_ms
             return link.down_ms() >= link.silence_ms <= quiet_ms
         report = link.progress(self._grant.attempt_id)
-        if report is None:
+        if report is None or now_ms - report.seen_ms > self._settings.stall_ms:
             # Not known to the agent, or no longer: the look-up tells.
             return True
         if report.finished or report.produced_bytes > self._received_bytes:
@@ -218,15 +222,15 @@
             raise OutcomeUnknown(
                 "answer to another request", step="headers", peer=self._peer
             )
-        if exchange.status == 200 and headers.get(HEADER_STATUS, "").isdigit():
+        if exchange.status == 200 and _STATUS.fullmatch(headers.get(HEADER_STATUS, "")):
             self._started = True
             return
         if exchange.status == 409 and HEADER_REFUSED in headers:
             self._write(EventKind.ATTEMPT_REFUSED)
             raise NotRun("refused before start", step="claim", peer=self._peer)
-        if exchange.status in (404, 410):
-            await self._prove_not_started("the agent does not hold the answer")
-        raise _failure_of(headers, self._peer)
+        if exchange.status == 502 and HEADER_FAILURE in headers:
+            raise _failure_of(headers, self._peer)
+        await self._prove_not_started(f"the agent answered {exchange.status}")
 
     async def _deliver(self, sink: AnswerSink) -> None:
         exchange = self._exchange
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -168,13 +168,12 @@
         error = self._lack_of_endpoints(request.service)
         if error is not None:
             raise error
-        with self._drain.track():
-            if request.key is None:
-                await self._run(request, place, sink)
-                return
-            await self._keys.serve(
-                request, sink, lambda held: self._run(request, place, held)
-            )
+        if request.key is None:
+            await self._run(request, place, sink)
+            return
+        await self._keys.serve(
+            request, sink, lambda held: self._run(request, place, held)
+        )
 
     async def _run(
         self, request: CallerRequest, place: Place, sink: AnswerSink
@@ -182,6 +181,10 @@
         self._write(EventKind.REQUEST_QUEUED, request)
         await self._dispatcher.serve(request, place, sink)
 
+    def track(self) -> contextlib.AbstractContextManager[None]:
+        """Keep the process from ending while the context is open."""
+        return self._drain.track()
+
     def abandon(self, request: CallerRequest) -> bool:
         """End the waiting of a request whose caller is gone; False if it runs."""
         self._write(EventKind.REQUEST_ABANDONED, request)
@@ -316,12 +319,26 @@
         listen_http(server, settings.http_bind)
         stack.callback(server.stop)
         events.write(EventKind.PROCESS_STARTED)
-        running = asyncio.create_task(router.run())
-        try:
-            await run_until_signal(router.drain)
-        finally:
-            running.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await running
+        await _run_until_stopped(router)
         await server.close_all_connections()
         events.write(EventKind.PROCESS_STOPPED)
+
+
+async def _run_until_stopped(router: Router) -> None:
+    """Run the router until a signal has drained it.
+
+    A fault in one of its tasks ends the process, so that a supervisor starts it again;
+    a router that only answers its pages would look healthy.
+    """
+    running = asyncio.create_task(router.run())
+    stopping = asyncio.create_task(run_until_signal(router.drain))
+    try:
+        done, _ = await asyncio.wait(
+            {running, stopping}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            task.result()
+    finally:
+        running.cancel()
+        stopping.cancel()
+        await asyncio.gather(running, stopping, return_exceptions=True)
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -19,6 +20,7 @@
     ResponseStartLine,
 )
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import is_valid_ip
 from tornado.tcpclient import TCPClient
 
 from bulrushbend.core.errors import (
@@ -75,13 +77,20 @@
         )
         self.pieces: asyncio.Queue[bytes | None] = asyncio.Queue(_BUFFERED_CHUNKS)
         self.complete = False
+        self.closed = False
 
     def headers_received(self, start_line, headers):
         if start_line.code >= 200 and not self.start.done():
             self.start.set_result((start_line, headers))
 
     async def data_received(self, chunk: bytes) -> None:
-        await self.pieces.put(chunk)
+        try:
+            await self.pieces.put(chunk)
+        except asyncio.CancelledError:
+            # Tornado would log the cancel of a closed exchange as an error of the
+            # delegate; without it the read ends at the closed stream.
+            if not self.closed:
+                raise
 
     def finish(self) -> None:
         self.complete = True
@@ -248,6 +257,7 @@
 
     def close(self) -> None:
         """Close the connection; an unfinished exchange is abandoned."""
+        self._collector.closed = True
         if self._reader is not None:
             self._reader.cancel()
         self._stream.close()
@@ -289,7 +299,9 @@
                     )
                 )
                 collector.start.exception()
-        await collector.pieces.put(None)
+        # Nobody may be left to make room after a close.
+        if not collector.closed:
+            await collector.pieces.put(None)
 
     async def _receive_headers(self) -> None:
         try:
@@ -315,7 +327,17 @@
     host, port = split_address(address)
     try:
         async with asyncio.timeout(timeout_ms / 1000.0):
-            return await TCPClient().connect(host, port)
+            if not is_valid_ip(host):
+                return await TCPClient().connect(host, port)
+            # Processes know each other by IP address. Tornado's client would hand
+            # it to a resolver thread, which costs 0.2 ms of processor time.
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            stream = IOStream(socket.socket(family))
+            try:
+                return await stream.connect((host, port))
+            except BaseException:
+                stream.close()
+                raise
     except TimeoutError:
         raise ConnectFailed(
             "no connection within the connect timeout", step="connect", peer=address
