--- a/libs/agent/src/bulrushbend/agent/daemon.py
+++ b/libs/agent/src/bulrushbend/agent/daemon.py
@@ -48,8 +48,8 @@
 _log = part_logger("agent")
 
 _DRAIN_POLL_MS = 20.0
-# The kernel may hold twice the size that is set, beside one piece in the process, and
-# all of it must fit into the replay buffer.
+# The kernel may hold twice the size that is set, half a window, and the process one
+# piece; the replay buffer keeps 5/8 of a window behind its reader.
 _SEND_BUFFERS_PER_REPLAY = 4
 # A row waits for the next batch of this agent, then for that of the relaying router.
 _SPREADS_PER_ROW = 2
--- a/libs/agent/src/bulrushbend/agent/dataport.py
+++ b/libs/agent/src/bulrushbend/agent/dataport.py
@@ -184,6 +184,7 @@
 
     async def _stream(self, attempt: Attempt, reader: ReplayReader) -> None:
         self._reader = reader
+        reader.when_dropped(self.request.connection.stream.close)
         self._port.open_streams += 1
         try:
             self.set_header(names.HEADER_REQUEST, attempt.request.request_id)
--- a/libs/agent/src/bulrushbend/agent/replay.py
+++ b/libs/agent/src/bulrushbend/agent/replay.py
@@ -1,7 +1,7 @@
 """Replay buffer: the bytes of one answer that a router may ask for again."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from bulrushbend.agent.errors import (
     AnswerCut,
@@ -13,15 +13,19 @@
 from bulrushbend.core.clock import Clock
 
 _READ_BYTES = 1 << 16
+# Parts of the window: what is kept behind the reader, and the largest piece.
+_KEPT_PART = 5 / 8
+_PIECES_PER_WINDOW = 16
 
 
 class ReplayBuffer:
     """Window over the body of one answer, bounded in bytes.
 
-    The window starts at offset 0. When it is full, bytes that the current reader has
-    taken are dropped from its front. When the reader has not taken them, the writer
-    waits, which stops reading from the endpoint; it waits at most `stall_ms` without
-    any progress of the reader.
+    The window starts at offset 0. When it is full, its front is dropped, but never the
+    last 5/8 of a window before the reader's position: bytes that the reader has taken
+    may be lost in the kernel with a connection that goes silent, half a window of them.
+    When there is nothing to drop the writer waits, which stops reading from the
+    endpoint; it waits at most `stall_ms` without any progress of the reader.
 
     Parameters
     ----------
@@ -36,6 +40,8 @@
     def __init__(self, limit_bytes: int, stall_ms: float, clock: Clock):
         self._clock = clock
         self._limit_bytes = limit_bytes
+        self._kept_bytes = int(limit_bytes * _KEPT_PART)
+        self._piece_bytes = min(_READ_BYTES, max(1, limit_bytes // _PIECES_PER_WINDOW))
         self._stall_ms = stall_ms
         self._window = bytearray()
         self._start = 0
@@ -81,9 +87,9 @@
         ReaderStalled
             The reader made no progress for `stall_ms`.
         """
-        if len(data) > self._limit_bytes:
-            for start in range(0, len(data), self._limit_bytes):
-                await self.put(data[start : start + self._limit_bytes])
+        if len(data) > self._piece_bytes:
+            for start in range(0, len(data), self._piece_bytes):
+                await self.put(data[start : start + self._piece_bytes])
             return
         while not self._discarding and not self._make_room(len(data)):
             self._progress.clear()
@@ -129,6 +135,8 @@
         self._discarding = True
         self._window.clear()
         self._start = self._end + 1
+        if self._reader is not None:
+            self._reader.drop()
 
     def open_reader(self, offset: int) -> "ReplayReader":
         """Return a reader that starts at `offset`; an older reader is dropped.
@@ -153,7 +161,7 @@
     def read(self, offset: int) -> bytes:
         """Return the bytes from `offset`, empty at the end of what was produced."""
         start = offset - self._start
-        return bytes(self._window[start : start + _READ_BYTES])
+        return bytes(self._window[start : start + self._piece_bytes])
 
     def note_taken(self, reader: "ReplayReader", offset: int) -> None:
         """Record that `reader` has taken everything before `offset`."""
@@ -176,7 +184,7 @@
         excess = len(self._window) + size - self._limit_bytes
         if excess <= 0:
             return True
-        if self._start + excess > self._taken:
+        if self._start + excess > self._taken - self._kept_bytes:
             return False
         del self._window[:excess]
         self._start += excess
@@ -194,6 +202,7 @@
         self._buffer = buffer
         self._offset = offset
         self._dropped = False
+        self._on_drop: Callable[[], None] | None = None
         self._changed = asyncio.Event()
 
     @property
@@ -207,8 +216,19 @@
 
     def drop(self) -> None:
         """End the reader with `ReaderDropped`."""
+        if self._dropped:
+            return
         self._dropped = True
         self._changed.set()
+        if self._on_drop is not None:
+            self._on_drop()
+
+    def when_dropped(self, callback: Callable[[], None]) -> None:
+        """Call `callback` when the reader is dropped.
+
+        A reader that waits for its connection to take a piece does not see the drop.
+        """
+        self._on_drop = callback
 
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the bytes as they come; returning means that the answer is whole.
--- a/libs/agent/tests/test_dataport.py
+++ b/libs/agent/tests/test_dataport.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 from urllib.parse import quote
 
 import pytest
@@ -6,6 +7,7 @@
 from hypothesis import strategies as st
 
 from bulrushbend.core.errors import TruncatedAnswer
+from bulrushbend.core.settings import split_address
 
 from .builders import (
     CHUNKED,
@@ -99,6 +101,32 @@
         assert most_held <= 1 << 16
 
 
+async def test_silent_connection_is_continued_without_a_gap():
+    # Guards against bytes that the kernel took for a connection that is dead: all of
+    # them must still be in the replay buffer. A small receive buffer keeps the peer
+    # from acknowledging more than the test reads.
+    data, send = stream_of(8 << 20)
+    async with running_agent(send, orphan_ms=5000) as (settings, agent, _, router):
+        attempt_id = await router.claim()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        sock.connect(split_address(settings.http_address))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+        writer.write(
+            f"POST /attempts/{attempt_id} HTTP/1.1\r\nHost: a\r\n"
+            "Bulrushbend-Path: /\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        first = await reader.readexactly(int(await reader.readline(), 16))
+        await asyncio.sleep(0.3)
+        rest = await router.get(attempt_id, offset=len(first))
+        assert rest.status == 200
+        assert first + await rest.body() == data
+        # The older connection does not wait for ever to send its piece.
+        await eventually(lambda: agent._port.open_streams == 0)
+        writer.close()
+
+
 @pytest.mark.parametrize("idempotent", ["true", "false"])
 async def test_silent_reader_does_not_hold_the_slot_for_ever(idempotent):
     # An idempotent request is cancelled, another one runs to its end.
