Send accounting rows to four links at a time

Cause: one message for each link and spread grows with the routers: ten a second each. Change: at each spread four links get what changed since their last turn; routers relay rows to the other agents of the service. bench.agent_costs measures links.

--- a/libs/agent/src/bulrushbend/agent/daemon.py
+++ b/libs/agent/src/bulrushbend/agent/daemon.py
@@ -48,6 +48,10 @@
 _log = part_logger("agent")
 
 _DRAIN_POLL_MS = 20.0
+# Links that get accounting rows at each spread, in turn. Routers relay rows to all
+# agents of the service, so a few suffice; with all of them the cost of one message for
+# each link and spread would exceed every budget at hundreds of routers.
+_LINKS_PER_SPREAD = 4
 # The kernel may hold twice the size that is set, half a window, and the process one
 # piece; the replay buffer keeps 5/8 of a window behind its reader.
 _SEND_BUFFERS_PER_REPLAY = 4
@@ -86,7 +90,7 @@
         self._ledger: Ledger | None = None
         self._service = ""
         self._slot_limit: SlotLimit | None = None
-        self._row_cursor = 0
+        self._spread_turn = 0
         self._leaving = Leaving(self._events, self._adjust)
         self._endpoint = Endpoint(settings, self._clock, self._adjust)
         self._picker = ProportionalPicker(
@@ -222,12 +226,12 @@
         if batch.backlog or batch.backlog_is_complete:
             self._gate.fill()
 
-    def all_rows(self) -> list[AccountRow]:
-        """Return all accounting rows."""
+    def rows_after(self, cursor: int) -> tuple[int, list[AccountRow]]:
+        """Return the accounting rows that changed after a cursor, and the new one."""
         if self._ledger is None:
-            return []
-        _, rows = self._ledger.rows()
-        return pack_rows(rows)
+            return 0, []
+        cursor, rows = self._ledger.rows(cursor)
+        return cursor, pack_rows(rows)
 
     def running_of(self, router: Identity) -> list[RunningAttempt]:
         """Return the attempts of a router."""
@@ -288,7 +292,8 @@
         if self._ledger is None or service != self._service:
             self._service = service
             self._member.service = service
-            self._row_cursor = 0
+            for link in self._links.links:
+                link.reset_rows()
             self._ledger = Ledger(service, self._identity, self._clock, BalancedMean())
             self._gate.use_ledger(self._ledger, self._picker)
         self._ledger.set_shares({team.name: team.share for team in manifest.teams})
@@ -328,20 +333,24 @@
             link.send_now()
 
     async def _spread_rows(self) -> None:
-        """Send changed accounting rows to all links every `spread_ms`."""
+        """Send changed accounting rows to a few links every `spread_ms`."""
         while True:
             await self._clock.sleep_ms(self._settings.spread_ms)
             self.slot_report()
-            if self._ledger is None:
-                continue
-            self._row_cursor, rows = self._ledger.rows(self._row_cursor)
-            if rows:
-                messages = pack_rows(rows)
-                for link in self._links.links:
-                    link.send_rows(messages)
+            for link in self._next_links():
+                link.send_rows()
+
+    def _next_links(self) -> list[RouterLink]:
+        links = self._links.links
+        if len(links) <= _LINKS_PER_SPREAD:
+            return links
+        start = self._spread_turn % len(links)
+        self._spread_turn = start + _LINKS_PER_SPREAD
+        return (links + links)[start : start + _LINKS_PER_SPREAD]
 
     def _status_detail(self) -> StatusDetail:
-        own = [r for r in self.all_rows() if r.agent == self._identity.name]
+        _, rows = self.rows_after(0)
+        own = [row for row in rows if row.agent == self._identity.name]
         return StatusDetail(
             slots=self.slot_report(),
             rows=own,
--- a/libs/agent/src/bulrushbend/agent/link.py
+++ b/libs/agent/src/bulrushbend/agent/link.py
@@ -56,8 +56,8 @@
         """Handle what a router sent."""
         ...
 
-    def all_rows(self) -> list[AccountRow]:
-        """Return all accounting rows."""
+    def rows_after(self, cursor: int) -> tuple[int, list[AccountRow]]:
+        """Return the accounting rows that changed after a cursor, and the new one."""
         ...
 
     def running_of(self, router: Identity) -> list[RunningAttempt]:
@@ -109,6 +109,7 @@
         self._report_changed = False
         self._claims: list[Claim] = []
         self._rows: list[AccountRow] = []
+        self._row_cursor = 0
         self._learnt: dict[tuple[str, int, str], int] = {}
         self._bytes = 0
         self._wake = asyncio.Event()
@@ -139,12 +140,16 @@
         self._claims.append(Claim(attempt_id=attempt_id, team=team))
         self._wake.set()
 
-    def send_rows(self, rows: Iterable[AccountRow]) -> None:
+    def send_rows(self) -> None:
         """Send the accounting rows that this router does not have, at once."""
-        self._rows.extend(row for row in rows if not self._has(row))
+        self._take_rows()
         if self._rows:
             self._wake.set()
 
+    def reset_rows(self) -> None:
+        """Send all rows anew, because the service of the endpoint changed."""
+        self._row_cursor = 0
+
     def note_learnt(self, rows: Iterable[AccountRow]) -> None:
         """Remember which rows the router has sent, so that they are not echoed."""
         for row in rows:
@@ -170,8 +175,8 @@
 
     async def write(self) -> None:
         """Send batches until cancelled."""
-        hello = AgentBatch(hello=self._host.member, rows=self._host.all_rows())
-        await self._send(hello)
+        self._take_rows()
+        await self._send(AgentBatch(hello=self._host.member))
         while True:
             await self._wait_for_news()
             self._wake.clear()
@@ -181,6 +186,10 @@
         """Count a received batch."""
         self._bytes += batch.ByteSize()
 
+    def _take_rows(self) -> None:
+        self._row_cursor, rows = self._host.rows_after(self._row_cursor)
+        self._rows.extend(row for row in rows if not self._has(row))
+
     def _has(self, row: AccountRow) -> bool:
         known = self._learnt.get((row.agent, row.incarnation, row.team), -1)
         return known >= row.sequence
--- a/libs/agent/tests/test_link.py
+++ b/libs/agent/tests/test_link.py
@@ -181,6 +181,19 @@
         await behind.kill()
 
 
+async def test_rows_reach_all_routers_in_turn():
+    # Guards against a rotation that leaves some routers without rows.
+    async with running_agent(answer) as (settings, _, _, router):
+        others = [
+            await FakeRouter(settings, f"router-{i}").connect() for i in range(2, 8)
+        ]
+        exchange = await router.post(await router.claim())
+        await exchange.body()
+        for other in others:
+            await eventually(lambda o=other: any(b.rows for b in o.batches))
+            await other.kill()
+
+
 async def test_stream_without_a_hello_is_refused():
     async with running_agent(answer) as (settings, agent, _, _):
         nameless = FakeRouter(settings, name="")
--- a/libs/bench/src/bulrushbend/bench/agent_costs.py
+++ b/libs/bench/src/bulrushbend/bench/agent_costs.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import time
 from collections.abc import Sequence
@@ -22,9 +23,12 @@
 
 CHUNK_COUNTS = (1, 16, 64, 256)
 TEAM_COUNTS = (1, 16, 64, 170)
+LINK_COUNTS = (1, 4, 16, 64)
 _CHUNK_BYTES = 200
 _PAUSE_MS = 2.0
 _IDLE_MS = 2000.0
+# Long enough that a request of four chunks lasts longer than a measurement.
+_SLOW_PAUSE_MS = 700.0
 _WARM_UP_REQUESTS = 5
 
 
@@ -84,6 +88,22 @@
     cpu_ms: float
 
 
+@dataclass(frozen=True)
+class LinkCost:
+    """Cost of `links` links over which nothing but one stream is served.
+
+    Attributes
+    ----------
+    idle_core_part, busy_core_part : float
+        Part of one core that the agent uses, without and with a running request
+        whose accounting row changes all the time.
+    """
+
+    links: int
+    idle_core_part: float
+    busy_core_part: float
+
+
 @dataclass(frozen=True)
 class CostLine:
     """Straight line through the costs of a sweep: ``base + per_unit * size``."""
@@ -141,6 +161,31 @@
     return rows
 
 
+async def measure_links(link_counts: Sequence[int] = LINK_COUNTS) -> list[LinkCost]:
+    """Measure the processor time that links take.
+
+    Parameters
+    ----------
+    link_counts : sequence of int
+        Linked routers, one row of the result for each.
+    """
+    rows = []
+    for links in link_counts:
+        rig = AgentRig(PacedEndpoint(_SLOW_PAUSE_MS, _CHUNK_BYTES))
+        async with rig.running() as router, contextlib.AsyncExitStack() as stack:
+            for number in range(2, links + 1):
+                other = BenchRouter(rig.settings, 1, f"router-{number}")
+                await stack.enter_async_context(other.linked())
+            await asyncio.sleep(_IDLE_MS / 1000.0)
+            idle = await _measure_idle(rig)
+            attempt_id = await router.claim()
+            exchange = await router.post(attempt_id, b"4")
+            busy = await _measure_idle(rig)
+            await exchange.body()
+        rows.append(LinkCost(links, idle, busy))
+    return rows
+
+
 def fit_line(sizes: Sequence[float], costs_ms: Sequence[float]) -> CostLine:
     """Return the least-squares line through the costs of a sweep."""
     slope, base = np.polyfit(sizes, costs_ms, 1)
@@ -207,7 +252,8 @@
 async def _measure_all() -> None:
     requests = await measure_requests()
     claims = await measure_claims()
-    for row in (*requests, *claims):
+    links = await measure_links()
+    for row in (*requests, *claims, *links):
         print(json.dumps(asdict(row)))
     by_chunk = fit_line([r.chunks for r in requests], [r.cpu_ms for r in requests])
     by_team = fit_line([c.teams for c in claims], [c.cpu_ms for c in claims])
--- a/libs/bench/src/bulrushbend/bench/agent_rig.py
+++ b/libs/bench/src/bulrushbend/bench/agent_rig.py
@@ -117,9 +117,12 @@
         Addresses of the agent.
     teams : int
         Number of teams with waiting requests.
+    name : str, default="router-1"
+        Name of the router.
     """
 
-    def __init__(self, settings: AgentSettings, teams: int):
+    def __init__(self, settings: AgentSettings, teams: int, name: str = "router-1"):
+        self._name = name
         self._settings = settings
         self._teams = teams
         self._claims: asyncio.Queue[str] = asyncio.Queue()
@@ -130,7 +133,7 @@
         """Keep the link open while the context lasts."""
         channel = Channel(*split_address(self._settings.link_address))
         async with LinkStub(channel).Connect.open() as stream:
-            hello = Member(name="router-1", role="router", incarnation=1)
+            hello = Member(name=self._name, role="router", incarnation=1)
             await stream.send_message(RouterBatch(hello=hello, manifest_version=1))
             tasks = [
                 asyncio.create_task(self._read(stream)),
