Tell at most eight agents at once of a queue that turned non-empty

All idle agents that learn of one request claim it, and all claims but one miss. Eight agents are told at once, those with a free slot first; the others learn of what still waits within spread_ms, and nothing of a team that came and went. Numbers that did not change are not sent.

Ruled out: telling one agent only, since its slot report may be a heartbeat old. With up to eight agents nothing changes. The new test fails when all are told (12 == 8). Rows that change while a batch is being sent now go out within spread_ms; they waited for the next heartbeat.

--- a/libs/bench/src/bulrushbend/bench/router_costs.py
+++ b/libs/bench/src/bulrushbend/bench/router_costs.py
@@ -16,12 +16,14 @@
 CHUNK_COUNTS = (1, 16, 64, 256)
 STREAM_COUNTS = (4, 8, 16, 32)
 CLAIM_COUNTS = (1, 4, 16, 64)
+CLAIMING_LINK_COUNTS = (1, 8, 16, 32, 64)
 LINK_COUNTS = (1, 32, 64, 128, 256)
 _PAUSE_MS = 2.0
 # 32 streams with this pause come close to the 3,850 tokens/s planned for one router.
 _STREAM_PAUSE_MS = 8.0
 _WARM_UP_REQUESTS = 10
 _SETTLE_S = 2.0
+_BETWEEN_S = 0.15
 
 
 @dataclass(frozen=True)
@@ -96,6 +98,24 @@
     heartbeats_per_s: float
 
 
+@dataclass(frozen=True)
+class ClaimingCost:
+    """Cost of requests that `links` idle agents of one service compete for.
+
+    Attributes
+    ----------
+    misses : float
+        Claims per request that came too late.
+    cpu_ms : float
+        Processor time of the router per request, without its idle time.
+    """
+
+    links: int
+    requests: int
+    misses: float
+    cpu_ms: float
+
+
 @dataclass(frozen=True)
 class CostLine:
     """Straight line through the costs of a sweep: ``base + per_unit * size``."""
@@ -202,6 +222,39 @@
     return rows
 
 
+async def measure_claiming(
+    link_counts: Sequence[int] = CLAIMING_LINK_COUNTS, requests: int = 60
+) -> list[ClaimingCost]:
+    """Measure requests that all agents of the service compete for.
+
+    Parameters
+    ----------
+    link_counts : sequence of int
+        Agents, one row of the result for each.
+    requests : int, default=60
+        Requests of one chunk for each row, one after the other.
+    """
+    rows = []
+    for links in link_counts:
+        async with running_rig(links, _PAUSE_MS) as rig:
+            for _ in range(_WARM_UP_REQUESTS):
+                await rig.ask(1)
+            await asyncio.sleep(_SETTLE_S)
+            idle_share = await _measure_idle(rig)
+            loop = asyncio.get_running_loop()
+            started_s, before_ms = loop.time(), rig.cpu_ms()
+            misses = rig.agent.misses
+            for _ in range(requests):
+                await rig.ask(1)
+                # Longer than spread_ms, so that the numbers of each request are sent.
+                await asyncio.sleep(_BETWEEN_S)
+            elapsed_ms = (loop.time() - started_s) * 1000.0
+            used_ms = rig.cpu_ms() - before_ms - idle_share * elapsed_ms
+            missed = (rig.agent.misses - misses) / requests
+            rows.append(ClaimingCost(links, requests, missed, used_ms / requests))
+    return rows
+
+
 def fit_line(sizes: Sequence[float], costs_ms: Sequence[float]) -> CostLine:
     """Return the least-squares line through the costs of a sweep."""
     slope, base = numpy.polyfit(sizes, costs_ms, 1)
@@ -240,7 +293,8 @@
     streams = await measure_streams()
     claims = await measure_claims()
     links = await measure_links()
-    for row in (*requests, *streams, *claims, *links):
+    claiming = await measure_claiming()
+    for row in (*requests, *streams, *claims, *links, *claiming):
         print(json.dumps(asdict(row)))
     lines = {
         "cpu per request and chunk": fit_line(
@@ -253,6 +307,9 @@
             [row.heartbeats_per_s for row in links],
             [row.cpu_ms_per_s for row in links],
         ),
+        "cpu per request and competing agent": fit_line(
+            [row.links for row in claiming], [row.cpu_ms for row in claiming]
+        ),
     }
     for name, line in lines.items():
         print(json.dumps({"line": name, **asdict(line)}))
--- /dev/null
+++ b/libs/router/src/bulrushbend/router/advert.py
@@ -0,0 +1,111 @@
+"""What one agent is told of the waiting requests."""
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.router.queue import Backlog, WaitingQueues
+from bulrushbend.wire.fleet_pb2 import RouterBatch, TeamBacklog
+
+# Time without advertised backlog after the data port refused a connection. It keeps
+# claims from coming back at once and failing again.
+_PAUSE_MS = 1_000.0
+
+
+class BacklogAdvert:
+    """Chooses the backlog numbers of each batch to one agent.
+
+    Parameters
+    ----------
+    queues : WaitingQueues
+        Source of the numbers.
+    service : str
+        Service of the agent.
+    clock : Clock
+        Source of time.
+    heartbeat_ms : float
+        Pause after which changed numbers are repeated, in milliseconds.
+    """
+
+    def __init__(
+        self, queues: WaitingQueues, service: str, clock: Clock, heartbeat_ms: float
+    ):
+        self._queues = queues
+        self._service = service
+        self._clock = clock
+        self._heartbeat_ms = heartbeat_ms
+        self._changed: set[str] = set()
+        self._repeated: set[str] = set()
+        self._advertised: set[str] = set()
+        self._repeat_due_ms = 0.0
+        self._paused_until_ms = 0.0
+        self._complete = True
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether a number has changed since the last batch."""
+        return bool(self._changed)
+
+    def restart(self) -> None:
+        """Send all numbers with the next batch, because the agent knows none."""
+        self._complete = True
+
+    def change(self, team: str) -> None:
+        """Send the number of `team` with the next batch."""
+        self._changed.add(team)
+
+    def pause(self) -> None:
+        """Advertise nothing for a while."""
+        self._paused_until_ms = self._clock.now_ms() + _PAUSE_MS
+        self._complete = True
+
+    def fill(self, batch: RouterBatch) -> None:
+        """Add the numbers that are due to `batch`."""
+        now_ms = self._clock.now_ms()
+        batch.backlog_is_complete = self._complete
+        if self._complete:
+            self._advertised.clear()
+        if now_ms < self._paused_until_ms:
+            return
+        for team, backlog in self._due(now_ms).items():
+            self._add(batch, team, backlog, now_ms)
+        self._complete = False
+        self._changed.clear()
+
+    def _due(self, now_ms: float) -> dict[str, Backlog]:
+        if self._complete:
+            return self._queues.backlog(self._service)
+        return {
+            team: self._queues.team_backlog(self._service, team)
+            for team in self._teams_to_send(now_ms)
+        }
+
+    def _teams_to_send(self, now_ms: float) -> set[str]:
+        """Return the changed teams, and once per heartbeat those changed before.
+
+        The agent counts a claimed request off when its POST arrives. Numbers that
+        overtake the POST already lack it, so it is counted off twice, and the last
+        waiting request would be forgotten if the numbers were not repeated.
+        """
+        teams = set(self._changed)
+        if now_ms < self._repeat_due_ms:
+            self._repeated |= teams
+            return teams
+        teams |= self._repeated
+        self._repeated = set(self._changed)
+        self._repeat_due_ms = now_ms + self._heartbeat_ms
+        return teams
+
+    def _add(
+        self, batch: RouterBatch, team: str, backlog: Backlog, now_ms: float
+    ) -> None:
+        """Add a team's number, unless the agent never saw the team wait."""
+        if backlog.waiting:
+            self._advertised.add(team)
+        elif team in self._advertised:
+            self._advertised.discard(team)
+        else:
+            return
+        batch.backlog.append(_describe(team, backlog, now_ms))
+
+
+def _describe(team: str, backlog: Backlog, now_ms: float) -> TeamBacklog:
+    age_ms = max(0, round(now_ms - backlog.oldest_ms)) if backlog.waiting else 0
+    return TeamBacklog(team=team, waiting=backlog.waiting, oldest_age_ms=age_ms)
--- a/libs/router/src/bulrushbend/router/link.py
+++ b/libs/router/src/bulrushbend/router/link.py
@@ -17,8 +17,9 @@
 from bulrushbend.core.settings import RouterSettings, split_address
 from bulrushbend.process.inforce import ManifestInForce
 from bulrushbend.router import metrics
+from bulrushbend.router.advert import BacklogAdvert
 from bulrushbend.router.affinity import RecentPrefixes
-from bulrushbend.router.queue import Backlog, WaitingQueues
+from bulrushbend.router.queue import WaitingQueues
 from bulrushbend.router.relay import RowRelay
 from bulrushbend.router.request import Progress
 from bulrushbend.wire.fleet_grpc import LinkStub
@@ -29,7 +30,6 @@
     Member,
     RouterBatch,
     SlotReport,
-    TeamBacklog,
 )
 
 _log = part_logger("router.link")
@@ -45,9 +45,6 @@
 )
 _FIRST_BACK_OFF_MS = 100.0
 _LONGEST_BACK_OFF_MS = 5_000.0
-# Time without advertised backlog after the data port refused a connection. It keeps
-# claims from coming back at once and failing again.
-_PAUSE_MS = 1_000.0
 
 
 @dataclass(frozen=True)
@@ -113,13 +110,12 @@
         self._peer_version = 0
         self._cursor = 0
         self._misses: list[str] = []
-        self._changed_teams: set[str] = set()
-        self._repeated_teams: set[str] = set()
-        self._repeat_due_ms = 0.0
-        self._complete_backlog = True
-        self._paused_until_ms = 0.0
+        self._advert = BacklogAdvert(
+            context.queues, agent.service, context.clock, context.settings.heartbeat_ms
+        )
         self._due_ms = 0.0
         self._sent_ms = 0.0
+        self._beat_ms = 0.0
         self._urgent = False
         self._wake = asyncio.Event()
         self._control_bytes = 0
@@ -159,6 +155,11 @@
         """Whether the agent may claim requests."""
         return self._is_up and not self._slots.leaving
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether the agent's last report leaves a slot free."""
+        return self._slots.in_use < self._slots.limit
+
     @property
     def recent(self) -> RecentPrefixes:
         """Prefixes that the agent served recently."""
@@ -180,22 +181,25 @@
     def send_miss(self, attempt_id: str) -> None:
         """Tell the agent at once that no request follows its claim."""
         self._misses.append(attempt_id)
-        self._notify(urgent=True)
+        self._send_now()
 
     def pause(self) -> None:
         """Advertise no backlog for a while, because the data port is unusable."""
-        self._paused_until_ms = self._clock.now_ms() + _PAUSE_MS
-        self._complete_backlog = True
-        self._notify(urgent=True)
-
-    def backlog_changed(self, team: str, turned: bool) -> None:
-        """Advertise a team's backlog, at once if it has turned non-empty."""
-        self._changed_teams.add(team)
-        self._notify(urgent=turned)
+        self._advert.pause()
+        self._send_now()
+
+    def backlog_changed(self, team: str, at_once: bool) -> None:
+        """Advertise a team's backlog, at once or with the next periodic batch."""
+        self._advert.change(team)
+        if at_once:
+            self._send_now()
+        else:
+            spread_ms = self._context.settings.spread_ms
+            self._send_by(self._clock.now_ms() + spread_ms)
 
     def rows_changed(self) -> None:
         """Send the changed accounting rows with the next periodic batch."""
-        self._notify(urgent=False)
+        self._send_by(self._sent_ms + self._context.settings.spread_ms)
 
     async def run(self) -> None:
         """Keep the link connected until cancelled."""
@@ -244,8 +248,9 @@
         self._cursor = 0
         self._peer_version = 0
         self._misses.clear()
-        self._complete_backlog = True
+        self._advert.restart()
         self._due_ms = 0.0
+        self._beat_ms = 0.0
 
     def _set_down(self) -> None:
         if self._is_up:
@@ -261,28 +266,41 @@
             if first:
                 batch.hello.CopyFrom(self._context.member)
             first = False
-            self._count(batch, "sent")
-            await stream.send_message(batch)
+            if self._is_worth_sending(batch):
+                self._count(batch, "sent")
+                await stream.send_message(batch)
+                self._beat_ms = self._clock.now_ms()
             await self._wait_until_due()
 
+    def _is_worth_sending(self, batch: RouterBatch) -> bool:
+        """Whether the batch carries news or is due as a heartbeat."""
+        if batch.backlog or batch.misses or batch.rows or batch.backlog_is_complete:
+            return True
+        return batch.HasField("manifest") or self._clock.now_ms() >= self._beat_due_ms
+
+    @property
+    def _beat_due_ms(self) -> float:
+        return self._beat_ms + self._context.settings.heartbeat_ms
+
     async def _wait_until_due(self) -> None:
         self._sent_ms = self._clock.now_ms()
-        heartbeat_ms = float(self._context.settings.heartbeat_ms)
-        self._due_ms = self._sent_ms + heartbeat_ms
+        self._due_ms = self._beat_due_ms
         if self._urgent:
             self._due_ms = self._sent_ms
-        elif self._changed_teams:
-            self._due_ms = self._sent_ms + self._context.settings.spread_ms
+        elif self._advert.has_changes or self._relay.change > self._cursor:
+            spread_ms = self._context.settings.spread_ms
+            self._due_ms = min(self._due_ms, self._sent_ms + spread_ms)
         while (remaining_ms := self._due_ms - self._clock.now_ms()) > 0:
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining_ms / 1000.0):
                     await self._wake.wait()
 
-    def _notify(self, *, urgent: bool) -> None:
-        self._urgent = self._urgent or urgent
-        spread_ms = 0.0 if urgent else self._context.settings.spread_ms
-        due_ms = self._sent_ms + spread_ms
+    def _send_now(self) -> None:
+        self._urgent = True
+        self._send_by(0.0)
+
+    def _send_by(self, due_ms: float) -> None:
         if due_ms < self._due_ms:
             self._due_ms = due_ms
             self._wake.set()
@@ -291,7 +309,7 @@
         self._urgent = False
         in_force = self._context.in_force
         batch = RouterBatch(manifest_version=in_force.version)
-        self._add_backlog(batch)
+        self._advert.fill(batch)
         batch.misses.extend(ClaimMiss(attempt_id=name) for name in self._misses)
         self._misses.clear()
         batch.rows.extend(self._relay.changed_after(self._cursor, self.agent))
@@ -302,43 +320,6 @@
             self._peer_version = document.version
         return batch
 
-    def _add_backlog(self, batch: RouterBatch) -> None:
-        now_ms = self._clock.now_ms()
-        queues = self._context.queues
-        if now_ms < self._paused_until_ms:
-            batch.backlog_is_complete = True
-            self._complete_backlog = True
-            return
-        if self._complete_backlog:
-            backlogs = queues.backlog(self.service)
-        else:
-            backlogs = {
-                team: queues.team_backlog(self.service, team)
-                for team in self._teams_to_send(now_ms)
-            }
-        batch.backlog_is_complete = self._complete_backlog
-        self._complete_backlog = False
-        self._changed_teams.clear()
-        batch.backlog.extend(
-            _describe(team, backlog, now_ms) for team, backlog in backlogs.items()
-        )
-
-    def _teams_to_send(self, now_ms: float) -> set[str]:
-        """Return the changed teams, and once per heartbeat those changed before.
-
-        The agent counts a claimed request off when its POST arrives. Numbers that
-        overtake the POST already lack it, so it is counted off twice, and the last
-        waiting request would be forgotten if the numbers were not repeated.
-        """
-        teams = set(self._changed_teams)
-        if now_ms < self._repeat_due_ms:
-            self._repeated_teams |= teams
-            return teams
-        teams |= self._repeated_teams
-        self._repeated_teams = set(self._changed_teams)
-        self._repeat_due_ms = now_ms + self._context.settings.heartbeat_ms
-        return teams
-
     def _take_batch(self, batch: AgentBatch) -> None:
         self._count(batch, "received")
         if not self._is_up:
@@ -375,8 +356,3 @@
     """Take the error of a sender; the receiver notices the same loss."""
     if not sender.cancelled():
         sender.exception()
-
-
-def _describe(team: str, backlog: Backlog, now_ms: float) -> TeamBacklog:
-    age_ms = max(0, round(now_ms - backlog.oldest_ms)) if backlog.waiting else 0
-    return TeamBacklog(team=team, waiting=backlog.waiting, oldest_age_ms=age_ms)
--- a/libs/router/src/bulrushbend/router/links.py
+++ b/libs/router/src/bulrushbend/router/links.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable
+import random
+from collections.abc import Collection, Iterable
 
 from bulrushbend.core.logs import part_logger
 from bulrushbend.router.link import AgentLink, LinkContext
@@ -11,6 +12,11 @@
 
 _log = part_logger("router.links")
 
+# Agents that learn at once of a queue that has turned non-empty; the others learn of
+# what still waits with the next periodic batch. All idle agents that learn of it claim,
+# and all claims but one miss: 64 agents cost 20 ms of processor time per request.
+_TOLD_AT_ONCE = 8
+
 
 class AgentLinks:
     """One link task for each agent.
@@ -115,8 +121,18 @@
         return self._relays.setdefault(service, RowRelay(service))
 
     def _backlog_changed(self, service: str, team: str, turned: bool) -> None:
+        told = self._told_at_once(service) if turned else ()
         for link in self.of_service(service):
-            link.backlog_changed(team, turned)
+            link.backlog_changed(team, link in told)
+
+    def _told_at_once(self, service: str) -> Collection[AgentLink]:
+        """Choose the links that learn at once of a queue that turned non-empty."""
+        usable = [link for link in self.of_service(service) if link.is_usable]
+        if len(usable) <= _TOLD_AT_ONCE:
+            return usable
+        random.shuffle(usable)
+        usable.sort(key=lambda link: not link.has_free_slot)
+        return usable[:_TOLD_AT_ONCE]
 
 
 def _same_place(known: Member, member: Member) -> bool:
--- a/libs/router/tests/test_link.py
+++ b/libs/router/tests/test_link.py
@@ -122,3 +122,20 @@
     monkeypatch.setattr(AgentLink, "_take_batch", fail_once)
     await fleet.until(lambda: agent.links == 2)
     assert (await fleet.ask()).status == 200
+
+
+async def test_idle_agents_are_not_all_told_at_once(fleet):
+    # Guards against claims of all agents for one request; those that are not told at
+    # once must learn of what still waits, or their slots would stay idle.
+    agents = [FakeAgent(f"flor-{number}") for number in range(12)]
+    for agent in agents:
+        agent.claiming = False
+    await fleet.start(*agents, spread_ms=400, heartbeat_ms=5000, silence_ms=20_000)
+    call = fleet.ask_soon()
+    await fleet.until_waiting()
+    await asyncio.sleep(0.1)
+    told = [agent for agent in agents if agent.backlog["crew-a"]]
+    assert len(told) == 8
+    await fleet.until(lambda: all(agent.backlog["crew-a"] for agent in agents))
+    agents[0].claim("crew-a")
+    assert (await call).status == 200
