--- a/libs/bench/tests/test_policy.py
+++ b/libs/bench/tests/test_policy.py
@@ -22,7 +22,8 @@
 
 
 @pytest.mark.parametrize(
-    "kind", ["flood", "shares", "skew", "light", "return", "restart", "faults"]
+    "kind",
+    ["flood", "shares", "skew", "light", "return", "restart", "faults", "partition"],
 )
 def test_gap_stays_under_the_cost_of_one_largest_request(kind):
     # Guards against every loss of fairness that the scenarios can show.
@@ -32,7 +33,7 @@
     assert result.gap_ms < formula_ms(scenario)
 
 
-@pytest.mark.parametrize("kind", ["flood", "shares"])
+@pytest.mark.parametrize("kind", ["flood", "shares", "return"])
 def test_gap_at_fifty_agents_stays_under_two_largest_requests(kind):
     result = run_policy(build_scenario(kind, agents=50, duration_ms=12_000.0))
     assert result.gap_ms < TARGET_MS[50]
