Group accounting rows by agent and send whole units

An accounting row took 80 bytes on a link: each one repeated the service, the agent and its incarnation as text and carried four doubles.

A batch now carries one RowGroup per (service, agent, incarnation) with a list of TeamRow. Times are varints: whole milliseconds for served and reserved time, microseconds for the weighted time and the start level, because a large share makes milliseconds too coarse. They are truncated, so they stay monotone. The rows in a member's status detail have the same form.

Two tests and one builder construct the new messages; what they check is the same.

--- a/libs/agent/src/bulrushbend/agent/daemon.py
+++ b/libs/agent/src/bulrushbend/agent/daemon.py
@@ -36,7 +36,6 @@
 from bulrushbend.share.picker import ProportionalPicker
 from bulrushbend.share.slots import EngineLoad, SlotLimit
 from bulrushbend.wire.fleet_pb2 import (
-    AccountRow,
     ManifestDocument,
     Member,
     RouterBatch,
@@ -44,6 +43,7 @@
     SlotReport,
     StatusDetail,
 )
+from bulrushbend.wire.rowgroups import AgentRow, group_rows
 
 _log = part_logger("agent")
 
@@ -222,7 +222,7 @@
         if batch.backlog or batch.backlog_is_complete:
             self._gate.fill()
 
-    def all_rows(self) -> list[AccountRow]:
+    def all_rows(self) -> list[AgentRow]:
         """Return all accounting rows."""
         if self._ledger is None:
             return []
@@ -344,7 +344,7 @@
         own = [r for r in self.all_rows() if r.agent == self._identity.name]
         return StatusDetail(
             slots=self.slot_report(),
-            rows=own,
+            rows=group_rows(own),
             running=self._gate.running,
             cpu_ms=cpu_ms(),
             control_bytes=self._watch.control_bytes + self._links.control_bytes,
--- a/libs/agent/src/bulrushbend/agent/link.py
+++ b/libs/agent/src/bulrushbend/agent/link.py
@@ -18,15 +18,16 @@
 from bulrushbend.core.settings import AgentSettings, split_address
 from bulrushbend.wire.fleet_grpc import LinkBase
 from bulrushbend.wire.fleet_pb2 import (
-    AccountRow,
     AgentBatch,
     Claim,
     ManifestDocument,
     Member,
     RouterBatch,
+    RowGroup,
     RunningAttempt,
     SlotReport,
 )
+from bulrushbend.wire.rowgroups import AgentRow, group_rows, split_groups
 
 _log = part_logger("agent.link")
 
@@ -56,7 +57,7 @@
         """Handle what a router sent."""
         ...
 
-    def all_rows(self) -> list[AccountRow]:
+    def all_rows(self) -> list[AgentRow]:
         """Return all accounting rows."""
         ...
 
@@ -108,7 +109,7 @@
         self._full_due_ms = 0.0
         self._report_changed = False
         self._claims: list[Claim] = []
-        self._rows: list[AccountRow] = []
+        self._rows: list[AgentRow] = []
         self._learnt: dict[tuple[str, int, str], int] = {}
         self._bytes = 0
         self._wake = asyncio.Event()
@@ -139,16 +140,16 @@
         self._claims.append(Claim(attempt_id=attempt_id, team=team))
         self._wake.set()
 
-    def send_rows(self, rows: Iterable[AccountRow]) -> None:
+    def send_rows(self, rows: Iterable[AgentRow]) -> None:
         """Send the accounting rows that this router does not have, at once."""
         self._rows.extend(row for row in rows if not self._has(row))
         if self._rows:
             self._wake.set()
 
-    def note_learnt(self, rows: Iterable[AccountRow]) -> None:
+    def note_learnt(self, groups: Iterable[RowGroup]) -> None:
         """Remember which rows the router has sent, so that they are not echoed."""
-        for row in rows:
-            key = (row.agent, row.incarnation, row.team)
+        for row in split_groups(groups):
+            key = row.key
             self._learnt[key] = max(row.sequence, self._learnt.get(key, 0))
 
     def send_now(self) -> None:
@@ -170,7 +171,9 @@
 
     async def write(self) -> None:
         """Send batches until cancelled."""
-        hello = AgentBatch(hello=self._host.member, rows=self._host.all_rows())
+        hello = AgentBatch(
+            hello=self._host.member, rows=group_rows(self._host.all_rows())
+        )
         await self._send(hello)
         while True:
             await self._wait_for_news()
@@ -181,8 +184,8 @@
         """Count a received batch."""
         self._bytes += batch.ByteSize()
 
-    def _has(self, row: AccountRow) -> bool:
-        known = self._learnt.get((row.agent, row.incarnation, row.team), -1)
+    def _has(self, row: AgentRow) -> bool:
+        known = self._learnt.get(row.key, -1)
         return known >= row.sequence
 
     async def _wait_for_news(self) -> None:
@@ -194,7 +197,7 @@
     async def _send(self, batch: AgentBatch) -> None:
         batch.manifest_version = self._host.manifest_version
         batch.claims.extend(self._claims)
-        batch.rows.extend(self._rows)
+        batch.rows.extend(group_rows(self._rows))
         self._claims.clear()
         self._rows.clear()
         document = self._host.manifest_for(self._peer_version)
--- a/libs/agent/tests/test_link.py
+++ b/libs/agent/tests/test_link.py
@@ -6,7 +6,8 @@
 from bulrushbend.agent.link import bind_link_socket
 from bulrushbend.core.errors import PeerError
 from bulrushbend.wire.documents import pack_manifest
-from bulrushbend.wire.fleet_pb2 import AccountRow, RouterBatch
+from bulrushbend.wire.fleet_pb2 import RouterBatch, TeamRow
+from bulrushbend.wire.rowgroups import AgentRow, group_rows, split_groups
 
 from .builders import (
     CHUNKED,
@@ -170,12 +171,12 @@
         await eventually(lambda: agent.manifest_version == 3)
         await eventually(lambda: any(b.HasField("manifest") for b in behind.batches))
         assert not any(b.HasField("manifest") for b in router.batches)
-        row = AccountRow(
-            service="flor-llm", agent="agent-9", incarnation=1, team="crew-a",
-            sequence=4, served_ms=100.0, weighted_ms=100.0,
-        )  # fmt: skip
-        router.send(RouterBatch(rows=[row]))
-        await eventually(lambda: [r for b in behind.batches for r in b.rows] == [row])
+        message = TeamRow(team="crew-a", sequence=4, served_ms=100, weighted_us=100_000)
+        row = AgentRow("flor-llm", "agent-9", 1, message)
+        router.send(RouterBatch(rows=group_rows([row])))
+        await eventually(
+            lambda: [r for b in behind.batches for r in split_groups(b.rows)] == [row]
+        )
         # A row is not sent back to the router that it came from.
         assert not any(batch.rows for batch in router.batches)
         await behind.kill()
--- a/libs/bench/src/bulrushbend/bench/accounting_costs.py
+++ b/libs/bench/src/bulrushbend/bench/accounting_costs.py
@@ -4,9 +4,9 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import asdict
 from pathlib import Path
 
+from bulrushbend.agent.rows import pack_rows
 from bulrushbend.bench.policy import HeapClock
 from bulrushbend.bench.registry import command
 from bulrushbend.bench.sweep import DEFAULT_FOLDER, run_sweep
@@ -15,7 +15,8 @@
 from bulrushbend.share.ledger import Ledger
 from bulrushbend.share.picker import ProportionalPicker
 from bulrushbend.share.row import Row
-from bulrushbend.wire.fleet_pb2 import AccountRow, AgentBatch
+from bulrushbend.wire.fleet_pb2 import AgentBatch
+from bulrushbend.wire.rowgroups import group_rows
 
 AGENT_COUNTS = (5, 10, 20, 50, 100)
 TEAM_COUNTS = (17, 35, 70, 120, 170)
@@ -98,13 +99,13 @@
 
 def _measure_bytes(teams: int) -> tuple[float, float]:
     rows = build_rows(1, teams, 1000)
-    sizes = [len(AccountRow(**asdict(row)).SerializeToString()) for row in rows]
+    whole = AgentBatch(rows=group_rows(pack_rows(rows))).ByteSize()
     ledger, clock = build_ledger(teams)
     cursor, _ = ledger.rows()
     clock.value_ms += 100.0
-    changed = [AccountRow(**asdict(row)) for row in ledger.rows(cursor)[1]]
-    batch = AgentBatch(rows=changed).SerializeToString()
-    return sum(sizes) / len(sizes), float(len(batch))
+    changed = pack_rows(ledger.rows(cursor)[1])
+    batch = AgentBatch(rows=group_rows(changed))
+    return whole / len(rows), float(batch.ByteSize())
 
 
 def _memory_of(action: Callable[[], object]) -> float:
--- a/libs/cli/src/bulrushbend/cli/status.py
+++ b/libs/cli/src/bulrushbend/cli/status.py
@@ -12,10 +12,11 @@
 from bulrushbend.core.manifest import Manifest
 from bulrushbend.wire.documents import unpack_manifest
 from bulrushbend.wire.fleet_pb2 import (
-    AccountRow,
     MemberStatus,
+    RowGroup,
     StatusReply,
     StatusRequest,
+    TeamRow,
 )
 
 
@@ -147,7 +148,7 @@
         replicas=tuple(_replica(a, reply) for a, reply in replies.items()),
         processes=tuple(_process(status) for status in members),
         endpoints=tuple(_endpoint(s) for s in members if s.member.role == "agent"),
-        services=_services((r for s in members for r in s.detail.rows), shares),
+        services=_services((g for s in members for g in s.detail.rows), shares),
     )
 
 
@@ -221,11 +222,12 @@
 
 
 def _services(
-    rows: Iterable[AccountRow], shares: dict[str, float]
+    groups: Iterable[RowGroup], shares: dict[str, float]
 ) -> tuple[ServiceStatus, ...]:
-    grouped: dict[str, dict[str, list[AccountRow]]] = defaultdict(dict)
-    for row in rows:
-        grouped[row.service].setdefault(row.team, []).append(row)
+    grouped: dict[str, dict[str, list[TeamRow]]] = defaultdict(dict)
+    for group in groups:
+        for row in group.rows:
+            grouped[group.service].setdefault(row.team, []).append(row)
     services = []
     for service, teams in sorted(grouped.items()):
         sums = tuple(
@@ -236,9 +238,9 @@
     return tuple(services)
 
 
-def _team_service(team: str, rows: list[AccountRow], share: float) -> TeamService:
-    served_ms = sum(row.served_ms for row in rows)
-    start_level_ms = max(row.start_level for row in rows)
+def _team_service(team: str, rows: list[TeamRow], share: float) -> TeamService:
+    served_ms = float(sum(row.served_ms for row in rows))
+    start_level_ms = max(row.start_level_us for row in rows) / 1000.0
     return TeamService(
         team=team,
         share=share,
--- a/libs/cli/tests/cli_builders.py
+++ b/libs/cli/tests/cli_builders.py
@@ -4,12 +4,13 @@
 from bulrushbend.wire.documents import pack_manifest
 from bulrushbend.wire.fleet_grpc import FleetBase
 from bulrushbend.wire.fleet_pb2 import (
-    AccountRow,
     Member,
     MemberStatus,
     PublishReply,
+    RowGroup,
     StatusDetail,
     StatusReply,
+    TeamRow,
 )
 
 
@@ -27,9 +28,8 @@
 
 
 def build_row(team, served_ms, waiting=True, agent="a1"):
-    return AccountRow(
-        service="flor-llm", agent=agent, team=team, served_ms=served_ms, waiting=waiting
-    )
+    row = TeamRow(team=team, served_ms=int(served_ms), waiting=waiting)
+    return RowGroup(service="flor-llm", agent=agent, rows=[row])
 
 
 def build_agent(name, rows, age_ms=10):
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -35,8 +35,9 @@
 from bulrushbend.router.queue import Place, WaitingQueues
 from bulrushbend.router.request import CallerRequest
 from bulrushbend.router.sinks import AnswerSink
-from bulrushbend.wire.fleet_pb2 import AccountRow, StatusDetail
+from bulrushbend.wire.fleet_pb2 import StatusDetail
 from bulrushbend.wire.names import Outcome
+from bulrushbend.wire.rowgroups import AgentRow
 
 _log = part_logger("router.daemon")
 
@@ -267,7 +268,7 @@
         self._queues.set_limits(manifest.limits)
         self._dispatcher.budget.set_share(manifest.limits.retry_share)
 
-    def _take_rows(self, link: AgentLink, rows: Sequence[AccountRow]) -> None:
+    def _take_rows(self, link: AgentLink, rows: Sequence[AgentRow]) -> None:
         self._links.relay_rows(link, rows)
 
     def _detail(self) -> StatusDetail:
--- a/libs/router/src/bulrushbend/router/link.py
+++ b/libs/router/src/bulrushbend/router/link.py
@@ -23,7 +23,6 @@
 from bulrushbend.router.request import Progress
 from bulrushbend.wire.fleet_grpc import LinkStub
 from bulrushbend.wire.fleet_pb2 import (
-    AccountRow,
     AgentBatch,
     ClaimMiss,
     Member,
@@ -31,6 +30,7 @@
     SlotReport,
     TeamBacklog,
 )
+from bulrushbend.wire.rowgroups import AgentRow, group_rows, split_groups
 
 _log = part_logger("router.link")
 
@@ -81,7 +81,7 @@
     clock: Clock
     events: EventLog
     on_claim: Callable[["AgentLink", str, str], None]
-    on_rows: Callable[["AgentLink", Sequence[AccountRow]], None]
+    on_rows: Callable[["AgentLink", Sequence[AgentRow]], None]
 
 
 class AgentLink:
@@ -294,7 +294,8 @@
         self._add_backlog(batch)
         batch.misses.extend(ClaimMiss(attempt_id=name) for name in self._misses)
         self._misses.clear()
-        batch.rows.extend(self._relay.changed_after(self._cursor, self.agent))
+        changed = self._relay.changed_after(self._cursor, self.agent)
+        batch.rows.extend(group_rows(changed))
         self._cursor = self._relay.change
         document = in_force.document_for(self._peer_version)
         if document is not None and self._is_up:
@@ -354,7 +355,7 @@
         if batch.running:
             self._take_progress(batch)
         if batch.rows:
-            self._context.on_rows(self, batch.rows)
+            self._context.on_rows(self, list(split_groups(batch.rows)))
         for claim in batch.claims:
             self._context.on_claim(self, claim.attempt_id, claim.team)
 
--- a/libs/router/src/bulrushbend/router/links.py
+++ b/libs/router/src/bulrushbend/router/links.py
@@ -7,7 +7,8 @@
 from bulrushbend.core.logs import part_logger
 from bulrushbend.router.link import AgentLink, LinkContext
 from bulrushbend.router.relay import RowRelay
-from bulrushbend.wire.fleet_pb2 import AccountRow, Member
+from bulrushbend.wire.fleet_pb2 import Member
+from bulrushbend.wire.rowgroups import AgentRow
 
 _log = part_logger("router.links")
 
@@ -80,7 +81,7 @@
             if not self._links[name].is_up:
                 self._end(name)
 
-    def relay_rows(self, source: AgentLink, rows: Iterable[AccountRow]) -> None:
+    def relay_rows(self, source: AgentLink, rows: Iterable[AgentRow]) -> None:
         """Keep rows from an agent and announce the changed ones to the others."""
         if not self._relay(source.service).learn(rows, source.agent):
             return
--- a/libs/router/src/bulrushbend/router/relay.py
+++ b/libs/router/src/bulrushbend/router/relay.py
@@ -8,14 +8,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from bulrushbend.wire.fleet_pb2 import AccountRow
+from bulrushbend.wire.rowgroups import AgentRow
 
 _RowName = tuple[str, int, str]
 
 
 @dataclass(frozen=True)
 class _KeptRow:
-    row: AccountRow
+    row: AgentRow
     change: int
     source: str
 
@@ -42,12 +42,12 @@
     def __len__(self) -> int:
         return len(self._rows)
 
-    def learn(self, rows: Iterable[AccountRow], source: str) -> bool:
+    def learn(self, rows: Iterable[AgentRow], source: str) -> bool:
         """Keep the rows that are newer than the known ones.
 
         Parameters
         ----------
-        rows : iterable of AccountRow
+        rows : iterable of AgentRow
             Rows from an agent.
         source : str
             Name of the agent that sent them.
@@ -63,7 +63,7 @@
                 self._keep(row, source)
         return self._change > before
 
-    def changed_after(self, cursor: int, reader: str) -> list[AccountRow]:
+    def changed_after(self, cursor: int, reader: str) -> list[AgentRow]:
         """Return the rows that changed after `cursor`, oldest change first.
 
         Parameters
@@ -73,7 +73,7 @@
         reader : str
             Agent that will receive the rows; what it sent itself is left out.
         """
-        changed: list[AccountRow] = []
+        changed: list[AgentRow] = []
         for kept in reversed(self._rows.values()):
             if kept.change <= cursor:
                 break
@@ -82,8 +82,8 @@
         changed.reverse()
         return changed
 
-    def _keep(self, row: AccountRow, source: str) -> None:
-        name = (row.agent, row.incarnation, row.team)
+    def _keep(self, row: AgentRow, source: str) -> None:
+        name = row.key
         known = self._rows.get(name)
         if known is not None and known.row.sequence >= row.sequence:
             return
--- a/libs/share/src/bulrushbend/share/row.py
+++ b/libs/share/src/bulrushbend/share/row.py
@@ -6,7 +6,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """Service of one team at one agent; mirrors the message ``AccountRow``.
+    """Service of one team at one agent; mirrors the message ``TeamRow``.
 
     Attributes
     ----------
