--- a/libs/agent/src/bulrushbend/agent/daemon.py
+++ b/libs/agent/src/bulrushbend/agent/daemon.py
@@ -36,7 +36,6 @@
 from bulrushbend.share.picker import ProportionalPicker
 from bulrushbend.share.slots import EngineLoad, SlotLimit
 from bulrushbend.wire.fleet_pb2 import (
-    AccountRow,
     ManifestDocument,
     Member,
     RouterBatch,
@@ -44,6 +43,7 @@
     SlotReport,
     StatusDetail,
 )
+from bulrushbend.wire.rowgroups import AgentRow, group_rows
 
 _log = part_logger("agent")
 
@@ -226,11 +226,11 @@
         if batch.backlog or batch.backlog_is_complete:
             self._gate.fill()
 
-    def rows_after(self, cursor: int) -> tuple[int, list[AccountRow]]:
+    def rows_after(self, cursor: int) -> tuple[int, list[AgentRow]]:
         """Return the accounting rows that changed after a cursor, and the new one."""
         if self._ledger is None:
             return 0, []
-        cursor, rows = self._ledger.rows(cursor)
+        cursor, rows = self._ledger.rows(cursor, renew=cursor == 0)
         return cursor, pack_rows(rows)
 
     def running_of(self, router: Identity) -> list[RunningAttempt]:
@@ -337,6 +337,10 @@
         while True:
             await self._clock.sleep_ms(self._settings.spread_ms)
             self.slot_report()
+            if self._ledger is not None:
+                # Once for all links: rows of running requests would otherwise get a
+                # version for each link, and each version would be relayed.
+                self._ledger.renew()
             for link in self._next_links():
                 link.send_rows()
 
@@ -349,11 +353,10 @@
         return (links + links)[start : start + _LINKS_PER_SPREAD]
 
     def _status_detail(self) -> StatusDetail:
-        _, rows = self.rows_after(0)
-        own = [row for row in rows if row.agent == self._identity.name]
+        own = self._ledger.own_rows() if self._ledger is not None else []
         return StatusDetail(
             slots=self.slot_report(),
-            rows=own,
+            rows=group_rows(pack_rows(own)),
             running=self._gate.running,
             cpu_ms=cpu_ms(),
             control_bytes=self._watch.control_bytes + self._links.control_bytes,
--- a/libs/bench/src/bulrushbend/bench/accounting_costs.py
+++ b/libs/bench/src/bulrushbend/bench/accounting_costs.py
@@ -4,9 +4,9 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import asdict
 from pathlib import Path
 
+from bulrushbend.agent.rows import pack_rows, unpack_rows
 from bulrushbend.bench.policy import HeapClock
 from bulrushbend.bench.registry import command
 from bulrushbend.bench.sweep import DEFAULT_FOLDER, run_sweep
@@ -15,7 +15,8 @@
 from bulrushbend.share.ledger import Ledger
 from bulrushbend.share.picker import ProportionalPicker
 from bulrushbend.share.row import Row
-from bulrushbend.wire.fleet_pb2 import AccountRow, AgentBatch
+from bulrushbend.wire.fleet_pb2 import AgentBatch
+from bulrushbend.wire.rowgroups import group_rows
 
 AGENT_COUNTS = (5, 10, 20, 50, 100)
 TEAM_COUNTS = (17, 35, 70, 120, 170)
@@ -61,6 +62,7 @@
 def measure_accounting(agents: int, teams: int) -> dict[str, float]:
     """Measure one ledger that knows `agents` agents with `teams` teams each."""
     bytes_per_row, batch_bytes = _measure_bytes(teams)
+    pack_us, unpack_us = _measure_messages()
     ledger, clock = build_ledger(teams)
     first, second = build_rows(agents, teams), build_rows(agents, teams, 2)
     memory_bytes = _memory_of(lambda: ledger.merge(first))
@@ -89,6 +91,8 @@
         "bytes of a batch of own changed rows": batch_bytes,
         "memory bytes per row": memory_bytes / len(first),
         "memory MB": memory_bytes / 1e6,
+        "pack us per row": pack_us,
+        "unpack us per row": unpack_us,
         "merge us per row": merge_us / len(second),
         "stamp own rows us": _cpu_us(stamp, 20),
         "pick us": _cpu_us(pick, 50),
@@ -98,13 +102,27 @@
 
 def _measure_bytes(teams: int) -> tuple[float, float]:
     rows = build_rows(1, teams, 1000)
-    sizes = [len(AccountRow(**asdict(row)).SerializeToString()) for row in rows]
+    whole = AgentBatch(rows=group_rows(pack_rows(rows))).ByteSize()
     ledger, clock = build_ledger(teams)
     cursor, _ = ledger.rows()
     clock.value_ms += 100.0
-    changed = [AccountRow(**asdict(row)) for row in ledger.rows(cursor)[1]]
-    batch = AgentBatch(rows=changed).SerializeToString()
-    return sum(sizes) / len(sizes), float(len(batch))
+    changed = pack_rows(ledger.rows(cursor)[1])
+    batch = AgentBatch(rows=group_rows(changed))
+    return whole / len(rows), float(batch.ByteSize())
+
+
+def _measure_messages() -> tuple[float, float]:
+    """Return the CPU per row of a batch with one row for each slot, both ways."""
+    rows = build_rows(1, _SLOTS, 1000)
+    data = AgentBatch(rows=group_rows(pack_rows(rows))).SerializeToString()
+
+    def pack():
+        AgentBatch(rows=group_rows(pack_rows(rows))).SerializeToString()
+
+    def unpack():
+        unpack_rows(AgentBatch.FromString(data).rows, "flor-llm")
+
+    return _cpu_us(pack, 1000) / len(rows), _cpu_us(unpack, 1000) / len(rows)
 
 
 def _memory_of(action: Callable[[], object]) -> float:
