--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	./tools/build.sh
 
 bench: setup
-	$(BIN)/python -m bulrushbend.bench.main
+	$(BIN)/python -m bulrushbend.bench.main all
 
 clean:
 	rm -rf $(VENV) build dist run
--- /dev/null
+++ b/libs/bench/src/bulrushbend/bench/all_sweeps.py
@@ -0,0 +1,35 @@
+"""Command that runs all sweeps with modest sizes."""
+
+import time
+
+from bulrushbend.bench.accounting_costs import accounting
+from bulrushbend.bench.control_sweeps import control
+from bulrushbend.bench.data_costs import agent, router
+from bulrushbend.bench.policy_sweeps import policy
+from bulrushbend.bench.registry import command
+from bulrushbend.bench.sweep import DEFAULT_FOLDER
+
+
+@command("all")
+def run_all(limit_s: float = 480.0, folder: str = str(DEFAULT_FOLDER)) -> str:
+    """Run all sweeps; one that would start after LIMIT_S seconds is left out."""
+    runs = (
+        ("control", lambda: control(1, folder)),
+        ("router", lambda: router(1, folder=folder)),
+        ("agent", lambda: agent(1, folder=folder)),
+        ("accounting", lambda: accounting(1, folder)),
+        (
+            "policy",
+            lambda: policy(spreads_ms=250.0, seconds=60.0, seeds=1, folder=folder),
+        ),
+    )
+    started_s = time.monotonic()
+    lines = []
+    for name, run in runs:
+        begin_s = time.monotonic()
+        if begin_s - started_s > limit_s:
+            lines.append(f"{name}: left out, more than {limit_s:g} s had passed\n")
+            continue
+        table = run()
+        lines.append(f"{name}: {time.monotonic() - begin_s:.0f} s\n\n{table}")
+    return "\n".join(lines)
--- a/libs/bench/src/bulrushbend/bench/control_costs.py
+++ b/libs/bench/src/bulrushbend/bench/control_costs.py
@@ -284,15 +284,15 @@
         await asyncio.sleep(0.01)
 
 
-async def measure_heartbeats() -> HeartbeatCost:
-    """Return the idle traffic of three replicas."""
+async def measure_heartbeats(seconds: float = WATCH_SECONDS) -> HeartbeatCost:
+    """Return the idle traffic of three replicas, counted for `seconds`."""
     async with running_replicas() as replicas:
         await asyncio.sleep(1.0)
         calls, sent = replicas.peer_calls, replicas.peer_bytes
-        await asyncio.sleep(WATCH_SECONDS)
+        await asyncio.sleep(seconds)
         calls = replicas.peer_calls - calls
         return HeartbeatCost(
-            calls / WATCH_SECONDS, (replicas.peer_bytes - sent) / max(1, calls)
+            calls / seconds, (replicas.peer_bytes - sent) / max(1, calls)
         )
 
 
--- /dev/null
+++ b/libs/bench/src/bulrushbend/bench/costs.py
@@ -0,0 +1,55 @@
+"""Sweeps of cost records: a coroutine measured at several sizes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import asdict
+from typing import Any
+
+from bulrushbend.bench.sweep import Sweep, run_sweep
+
+
+def flat_columns(cost: Any, without: Sequence[str]) -> dict[str, float]:
+    """Return the numbers of a cost record by name.
+
+    Parameters
+    ----------
+    cost : dataclass instance
+        Record of numbers; nested records get names such as ``"direct first_byte_ms"``.
+    without : sequence of str
+        Fields that are sizes or counts, not costs.
+    """
+    columns: dict[str, float] = {}
+    for name, value in asdict(cost).items():
+        if name in without:
+            continue
+        if isinstance(value, dict):
+            columns |= {f"{name} {part}": float(v) for part, v in value.items()}
+        else:
+            columns[name] = float(value)
+    return columns
+
+
+def sweep_costs(
+    name: str,
+    size_name: str,
+    sizes: Sequence[int],
+    measure: Callable[[int], Awaitable[Any]],
+    without: Sequence[str],
+    repeats: int,
+) -> Sweep:
+    """Measure a coroutine that returns one cost record at each size.
+
+    Parameters
+    ----------
+    name, size_name, sizes, repeats
+        See `run_sweep`.
+    measure : callable
+        Called with a size; its result is a dataclass instance.
+    without : sequence of str
+        See `flat_columns`.
+    """
+
+    def run(size: float) -> dict[str, float]:
+        return flat_columns(asyncio.run(measure(int(size))), without)
+
+    return run_sweep(name, size_name, sizes, run, repeats)
--- a/libs/bench/src/bulrushbend/bench/registry.py
+++ b/libs/bench/src/bulrushbend/bench/registry.py
@@ -6,10 +6,15 @@
 """
 
 import importlib
-import importlib.util
 from collections.abc import Callable
 
-MODULES = ("policy_sweeps", "accounting_costs", "control_costs", "data_costs")
+MODULES = (
+    "policy_sweeps",
+    "accounting_costs",
+    "control_sweeps",
+    "data_costs",
+    "all_sweeps",
+)
 
 _commands: dict[str, Callable[..., str]] = {}
 
@@ -25,9 +30,7 @@
 
 
 def load_commands() -> dict[str, Callable[..., str]]:
-    """Import the modules that are present and return their commands by name."""
+    """Import the modules and return their commands by name."""
     for module in MODULES:
-        path = f"bulrushbend.bench.{module}"
-        if importlib.util.find_spec(path) is not None:
-            importlib.import_module(path)
+        importlib.import_module(f"bulrushbend.bench.{module}")
     return dict(_commands)
--- a/libs/bench/tests/test_sweep.py
+++ b/libs/bench/tests/test_sweep.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from bulrushbend.bench.agent_costs import Passage, RequestCost
+from bulrushbend.bench.costs import flat_columns
 from bulrushbend.bench.registry import load_commands
 from bulrushbend.bench.sweep import run_sweep
 
@@ -31,4 +33,14 @@
 
 
 def test_commands_are_registered():
-    assert {"policy", "accounting"} <= load_commands().keys()
+    # Guards against a sweep that `main` neither lists nor runs.
+    expected = {"policy", "accounting", "control", "router", "agent", "all"}
+    assert load_commands().keys() == expected
+
+
+def test_nested_costs_become_columns():
+    # Guards against sizes in the table of costs and against lost latency records.
+    row = RequestCost(4, 2, Passage(1.0, 2.0), Passage(3.0, 4.0), 5.0, 6.0)
+    columns = flat_columns(row, ("chunks", "requests"))
+    assert columns["through_agent chunk_lag_ms"] == 4.0
+    assert list(columns.values()) == [1.0, 2.0, 3.0, 4.0, 5.0, 6.0]
