--- a/libs/bench/src/bulrushbend/bench/agent_costs.py
+++ b/libs/bench/src/bulrushbend/bench/agent_costs.py
@@ -97,11 +97,14 @@
     idle_core_part, busy_core_part : float
         Part of one core that the agent uses, without and with a running request
         whose accounting row changes all the time.
+    memory_mb : float
+        Resident memory of the agent.
     """
 
     links: int
     idle_core_part: float
     busy_core_part: float
+    memory_mb: float
 
 
 @dataclass(frozen=True)
@@ -181,8 +184,9 @@
             attempt_id = await router.claim()
             exchange = await router.post(attempt_id, b"4")
             busy = await _measure_idle(rig)
+            memory_mb = rig.memory_mb()
             await exchange.body()
-        rows.append(LinkCost(links, idle, busy))
+        rows.append(LinkCost(links, idle, busy, memory_mb))
     return rows
 
 
--- a/libs/bench/src/bulrushbend/bench/agent_rig.py
+++ b/libs/bench/src/bulrushbend/bench/agent_rig.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import socket
 import sys
 import time
@@ -251,6 +252,11 @@
             router = BenchRouter(self._settings, self._teams)
             yield await stack.enter_async_context(router.linked())
 
+    def memory_mb(self) -> float:
+        """Return the resident memory of the measured process in MB."""
+        pages = int(Path(f"/proc/{self._pid}/statm").read_text().split()[1])
+        return pages * resource.getpagesize() / 1e6
+
     def cpu_ms(self) -> float:
         """Return the processor time of the agent in milliseconds."""
         fields = Path(f"/proc/{self._pid}/schedstat").read_text().split()
--- a/libs/bench/src/bulrushbend/bench/registry.py
+++ b/libs/bench/src/bulrushbend/bench/registry.py
@@ -11,6 +11,7 @@
 MODULES = (
     "policy_sweeps",
     "accounting_costs",
+    "message_costs",
     "control_sweeps",
     "data_costs",
     "all_sweeps",
--- a/libs/bench/src/bulrushbend/bench/router_costs.py
+++ b/libs/bench/src/bulrushbend/bench/router_costs.py
@@ -91,11 +91,14 @@
         Processor time of the router per second with `links` links.
     heartbeats_per_s : float
         Heartbeats in both directions together.
+    memory_mb : float
+        Resident memory of the router.
     """
 
     links: int
     cpu_ms_per_s: float
     heartbeats_per_s: float
+    memory_mb: float
 
 
 @dataclass(frozen=True)
@@ -217,8 +220,9 @@
             before_ms = rig.cpu_ms()
             await asyncio.sleep(seconds)
             used_ms = rig.cpu_ms() - before_ms
+            memory_mb = rig.memory_mb()
         rate = 2 * links * 1000.0 / HEARTBEAT_MS
-        rows.append(LinkCost(links, used_ms / seconds, rate))
+        rows.append(LinkCost(links, used_ms / seconds, rate, memory_mb))
     return rows
 
 
--- a/libs/bench/src/bulrushbend/bench/router_rig.py
+++ b/libs/bench/src/bulrushbend/bench/router_rig.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import sys
 import tempfile
 import time
@@ -204,6 +205,11 @@
         self._address = reserve_address()
         self._pid = 0
 
+    def memory_mb(self) -> float:
+        """Return the resident memory of the measured process in MB."""
+        pages = int(Path(f"/proc/{self._pid}/statm").read_text().split()[1])
+        return pages * resource.getpagesize() / 1e6
+
     def cpu_ms(self) -> float:
         """Return the processor time of the router process in milliseconds.
 
--- a/libs/bench/tests/test_sweep.py
+++ b/libs/bench/tests/test_sweep.py
@@ -34,8 +34,8 @@
 
 def test_commands_are_registered():
     # Guards against a sweep that `main` neither lists nor runs.
-    expected = {"policy", "accounting", "control", "router", "agent", "all"}
-    assert load_commands().keys() == expected
+    sweeps = {"policy", "accounting", "messages", "control", "router", "agent"}
+    assert load_commands().keys() == sweeps | {"all"}
 
 
 def test_nested_costs_become_columns():
