--- a/libs/bench/src/bulrushbend/bench/all_sweeps.py
+++ b/libs/bench/src/bulrushbend/bench/all_sweeps.py
@@ -8,6 +8,7 @@
 from bulrushbend.bench.message_costs import messages
 from bulrushbend.bench.policy_sweeps import policy
 from bulrushbend.bench.registry import command
+from bulrushbend.bench.relay_costs import relay
 from bulrushbend.bench.sweep import DEFAULT_FOLDER
 
 
@@ -16,6 +17,7 @@
     """Run all sweeps; one that would start after LIMIT_S seconds is left out."""
     runs = (
         ("messages", lambda: messages(1, folder)),
+        ("relay", lambda: relay(1, folder)),
         ("control", lambda: control(1, folder)),
         ("router", lambda: router(1, folder=folder)),
         ("agent", lambda: agent(1, folder=folder)),
--- /dev/null
+++ b/libs/bench/src/bulrushbend/bench/relay_costs.py
@@ -0,0 +1,86 @@
+"""Cost of one round of accounting rows through the relay of a router.
+
+The real relay, real messages, no sockets: each agent of a service sends a row of each
+backlogged team, and the router sends to each agent what the others sent.
+"""
+
+import time
+from pathlib import Path
+
+from bulrushbend.agent.rows import pack_rows
+from bulrushbend.bench.accounting_costs import build_rows
+from bulrushbend.bench.registry import command
+from bulrushbend.bench.sweep import DEFAULT_FOLDER, run_sweep
+from bulrushbend.router.relay import RowRelay
+from bulrushbend.wire.fleet_pb2 import AgentBatch, RouterBatch
+from bulrushbend.wire.rowgroups import group_rows, split_groups
+
+AGENT_COUNTS = (3, 8, 16, 32, 58)
+TEAMS = 13
+_SERVICE = "flor-llm"
+_MANIFEST_VERSION = 1400
+
+
+def measure_relay(agents: int, teams: int = TEAMS) -> dict[str, float]:
+    """Measure one round of `agents` agents with `teams` backlogged teams each.
+
+    The relay has seen an earlier round, so that no row is new to it.
+    """
+    relay = RowRelay(_SERVICE)
+    _learn(relay, _build_batches(agents, teams, 1000))
+    cursor = relay.change
+    batches = _build_batches(agents, teams, 1001)
+    begin_ns = time.process_time_ns()
+    _learn(relay, batches)
+    learnt_ns = time.process_time_ns()
+    sent = [_send(relay, cursor, f"flor-{agent}") for agent in range(agents)]
+    sent_ns = time.process_time_ns()
+    for data in sent:
+        list(split_groups(RouterBatch.FromString(data).rows))
+    read_ns = time.process_time_ns()
+    moved_rows = agents * (agents - 1) * teams
+    return {
+        "received bytes of the router": float(sum(map(len, batches.values()))),
+        "sent bytes of the router": float(sum(map(len, sent))),
+        "received bytes of an agent": float(len(sent[0])),
+        "router ms": (sent_ns - begin_ns) / 1e6,
+        "learn us per row": (learnt_ns - begin_ns) / 1e3 / (agents * teams),
+        "send us per row": (sent_ns - learnt_ns) / 1e3 / moved_rows,
+        "read us per row": (read_ns - sent_ns) / 1e3 / moved_rows,
+    }
+
+
+def _build_batches(agents: int, teams: int, sequence: int) -> dict[str, bytes]:
+    """Return the serialised batch of each agent by its name."""
+    rows = pack_rows(build_rows(agents, teams, sequence))
+    batches = {}
+    for number in range(agents):
+        name = f"flor-{number}"
+        own = group_rows(row for row in rows if row.agent == name)
+        batch = AgentBatch(manifest_version=_MANIFEST_VERSION, rows=own)
+        batches[name] = batch.SerializeToString()
+    return batches
+
+
+def _learn(relay: RowRelay, batches: dict[str, bytes]) -> None:
+    for source, data in batches.items():
+        relay.learn(split_groups(AgentBatch.FromString(data).rows), source)
+
+
+def _send(relay: RowRelay, cursor: int, reader: str) -> bytes:
+    batch = RouterBatch(manifest_version=_MANIFEST_VERSION)
+    batch.rows.extend(group_rows(relay.changed_after(cursor, reader)))
+    return batch.SerializeToString()
+
+
+@command("relay")
+def relay(repeats: int = 3, folder: str = str(DEFAULT_FOLDER)) -> str:
+    """Sweep one round of relayed rows over the agents of a service."""
+    sweep = run_sweep(
+        "relay",
+        "agents",
+        AGENT_COUNTS,
+        lambda agents: measure_relay(int(agents)),
+        repeats,
+    )
+    return sweep.save(Path(folder))
--- a/libs/bench/tests/test_sweep.py
+++ b/libs/bench/tests/test_sweep.py
@@ -5,6 +5,7 @@
 from bulrushbend.bench.agent_costs import Passage, RequestCost
 from bulrushbend.bench.costs import flat_columns
 from bulrushbend.bench.registry import load_commands
+from bulrushbend.bench.relay_costs import measure_relay
 from bulrushbend.bench.sweep import run_sweep
 
 
@@ -34,10 +35,18 @@
 
 def test_commands_are_registered():
     # Guards against a sweep that `main` neither lists nor runs.
-    sweeps = {"policy", "accounting", "messages", "control", "router", "agent"}
+    sweeps = {"policy", "accounting", "messages", "relay"}
+    sweeps |= {"control", "router", "agent"}
     assert load_commands().keys() == sweeps | {"all"}
 
 
+def test_relay_sends_each_agent_the_rows_of_the_others():
+    # Guards against a sweep that measures empty messages.
+    cost = measure_relay(3, teams=2)
+    received = cost["received bytes of the router"]
+    assert cost["sent bytes of the router"] == pytest.approx(2 * received, rel=0.1)
+
+
 def test_nested_costs_become_columns():
     # Guards against sizes in the table of costs and against lost latency records.
     row = RequestCost(4, 2, Passage(1.0, 2.0), Passage(3.0, 4.0), 5.0, 6.0)
