Answer the last connections of a router that stops

With the faster forwarder, test_shutdown_of_a_router_interrupts_no_request saw TruncatedAnswer: connections that were accepted just before the exit were closed without an answer. The router now closes its listening socket after the drain, answers what arrives on open connections for 300 ms, and exits then.

--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from tornado.httpserver import HTTPServer
 
@@ -225,10 +225,10 @@
         finally:
             self._links.close()
 
-    async def drain(self) -> None:
+    async def drain(self, stop_listening: Callable[[], None]) -> None:
         """Finish what is in progress; see `Drain.run`."""
         self._watch.set_leaving()
-        await self._drain.run()
+        await self._drain.run(stop_listening)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_OWED_KEYS_S):
                 while self._keys.owed:
@@ -319,19 +319,23 @@
         listen_http(server, settings.http_bind)
         stack.callback(server.stop)
         events.write(EventKind.PROCESS_STARTED)
-        await _run_until_stopped(router)
+        await _run_until_stopped(router, server.stop)
         await server.close_all_connections()
         events.write(EventKind.PROCESS_STOPPED)
 
 
-async def _run_until_stopped(router: Router) -> None:
+async def _run_until_stopped(
+    router: Router, stop_listening: Callable[[], None]
+) -> None:
     """Run the router until a signal has drained it.
 
     A fault in one of its tasks ends the process, so that a supervisor starts it again;
     a router that only answers its pages would look healthy.
     """
     running = asyncio.create_task(router.run())
-    stopping = asyncio.create_task(run_until_signal(router.drain))
+    stopping = asyncio.create_task(
+        run_until_signal(lambda: router.drain(stop_listening))
+    )
     try:
         done, _ = await asyncio.wait(
             {running, stopping}, return_when=asyncio.FIRST_COMPLETED
--- a/libs/router/src/bulrushbend/router/drain.py
+++ b/libs/router/src/bulrushbend/router/drain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
@@ -15,6 +15,9 @@
 
 # Other routers are ready at once; the load balancer needs a moment to notice.
 _RETRY_MS = 1_000.0
+_ACCEPT_MS = 20.0
+# Time for requests on connections that were accepted last to arrive and be refused.
+_LAST_REQUESTS_MS = 300.0
 
 
 class Drain:
@@ -69,11 +72,17 @@
         """Return the answer to a request that cannot be served any more."""
         return not_run(503, "draining", "the router is shutting down", _RETRY_MS)
 
-    async def run(self) -> None:
+    async def run(self, stop_listening: Callable[[], None]) -> None:
         """Refuse new requests and wait until those in progress have ended.
 
         Requests that still wait after ``drain_ms`` are answered ``not-run``; running
-        ones are waited for without a limit.
+        ones are waited for without a limit. Connections that were made before the
+        listening socket is closed are still answered.
+
+        Parameters
+        ----------
+        stop_listening : callable
+            Closes the listening socket; open connections stay.
         """
         self._started = True
         self._events.write(EventKind.PROCESS_DRAINING)
@@ -85,5 +94,8 @@
             # Requests may come back to the queues after a refused attempt.
             self._queues.withdraw_all(self.refusal())
             await self._clock.sleep_ms(20)
-        # The last answers leave with the handlers that are about to finish.
-        await self._clock.sleep_ms(50)
+        # Lets the server accept what the kernel has queued before the socket closes.
+        await self._clock.sleep_ms(_ACCEPT_MS)
+        stop_listening()
+        await self._clock.sleep_ms(_LAST_REQUESTS_MS)
+        await self._idle.wait()
--- a/libs/router/tests/test_drain.py
+++ b/libs/router/tests/test_drain.py
@@ -19,7 +19,7 @@
     await fleet.start(agent)
     first, second = fleet.ask_soon(), fleet.ask_soon()
     await fleet.until_waiting(2)
-    draining = asyncio.create_task(fleet.router.drain())
+    draining = asyncio.create_task(fleet.router.drain(lambda: None))
     await asyncio.sleep(0)
     assert not fleet.router.is_ready
     refused = await fleet.ask()
@@ -47,7 +47,7 @@
     await fleet.start(agent, drain_ms=100)
     call = fleet.ask_soon()
     await fleet.until(lambda: agent.count("POST"))
-    await fleet.router.drain()
+    await fleet.router.drain(lambda: None)
     assert ended.is_set()
     assert (await call).body == b"ab"
 
