--- a/libs/agent/src/bulrushbend/agent/link.py
+++ b/libs/agent/src/bulrushbend/agent/link.py
@@ -18,15 +18,16 @@
 from bulrushbend.core.settings import AgentSettings, split_address
 from bulrushbend.wire.fleet_grpc import LinkBase
 from bulrushbend.wire.fleet_pb2 import (
-    AccountRow,
     AgentBatch,
     Claim,
     ManifestDocument,
     Member,
     RouterBatch,
+    RowGroup,
     RunningAttempt,
     SlotReport,
 )
+from bulrushbend.wire.rowgroups import AgentRow, group_rows, split_groups
 
 _log = part_logger("agent.link")
 
@@ -56,7 +57,7 @@
         """Handle what a router sent."""
         ...
 
-    def rows_after(self, cursor: int) -> tuple[int, list[AccountRow]]:
+    def rows_after(self, cursor: int) -> tuple[int, list[AgentRow]]:
         """Return the accounting rows that changed after a cursor, and the new one."""
         ...
 
@@ -108,8 +109,9 @@
         self._full_due_ms = 0.0
         self._report_changed = False
         self._claims: list[Claim] = []
-        self._rows: list[AccountRow] = []
+        self._rows: list[AgentRow] = []
         self._row_cursor = 0
+        self._reported_ends: set[str] = set()
         self._learnt: dict[tuple[str, int, str], int] = {}
         self._bytes = 0
         self._wake = asyncio.Event()
@@ -150,10 +152,10 @@
         """Send all rows anew, because the service of the endpoint changed."""
         self._row_cursor = 0
 
-    def note_learnt(self, rows: Iterable[AccountRow]) -> None:
+    def note_learnt(self, groups: Iterable[RowGroup]) -> None:
         """Remember which rows the router has sent, so that they are not echoed."""
-        for row in rows:
-            key = (row.agent, row.incarnation, row.team)
+        for row in split_groups(groups):
+            key = row.key
             self._learnt[key] = max(row.sequence, self._learnt.get(key, 0))
 
     def send_now(self) -> None:
@@ -190,8 +192,8 @@
         self._row_cursor, rows = self._host.rows_after(self._row_cursor)
         self._rows.extend(row for row in rows if not self._has(row))
 
-    def _has(self, row: AccountRow) -> bool:
-        known = self._learnt.get((row.agent, row.incarnation, row.team), -1)
+    def _has(self, row: AgentRow) -> bool:
+        known = self._learnt.get(row.key, -1)
         return known >= row.sequence
 
     async def _wait_for_news(self) -> None:
@@ -203,7 +205,7 @@
     async def _send(self, batch: AgentBatch) -> None:
         batch.manifest_version = self._host.manifest_version
         batch.claims.extend(self._claims)
-        batch.rows.extend(self._rows)
+        batch.rows.extend(group_rows(self._rows))
         self._claims.clear()
         self._rows.clear()
         document = self._host.manifest_for(self._peer_version)
@@ -216,10 +218,22 @@
             batch.slots.CopyFrom(self._host.slot_report())
         if now_ms >= self._full_due_ms:
             self._full_due_ms = now_ms + self._heartbeat_ms
-            batch.running.extend(self._host.running_of(self._identity))
+            batch.running.extend(self._take_running())
+            batch.running_is_complete = True
         self._bytes += batch.ByteSize()
         await self._stream.send_message(batch)
 
+    def _take_running(self) -> list[RunningAttempt]:
+        """Return the running attempts and those whose end was not reported yet.
+
+        Answers are held for some seconds after their end. Listing them until then
+        took 40% of all control bytes.
+        """
+        attempts = self._host.running_of(self._identity)
+        reported = self._reported_ends
+        self._reported_ends = {a.attempt_id for a in attempts if a.finished}
+        return [a for a in attempts if a.attempt_id not in reported]
+
 
 class LinkService(LinkBase):
     """gRPC service that routers dial.
--- a/libs/agent/tests/test_link.py
+++ b/libs/agent/tests/test_link.py
@@ -6,7 +6,8 @@
 from bulrushbend.agent.link import bind_link_socket
 from bulrushbend.core.errors import PeerError
 from bulrushbend.wire.documents import pack_manifest
-from bulrushbend.wire.fleet_pb2 import AccountRow, RouterBatch
+from bulrushbend.wire.fleet_pb2 import RouterBatch, TeamRow
+from bulrushbend.wire.rowgroups import AgentRow, group_rows, split_groups
 
 from .builders import (
     CHUNKED,
@@ -76,6 +77,11 @@
         await older.kill()
 
 
+def ends_reported(router):
+    reports = (report for batch in router.batches for report in batch.running)
+    return [report.attempt_id for report in reports if report.finished]
+
+
 async def test_running_attempts_are_listed_to_their_router_only():
     async with running_agent(answer_slowly) as (settings, _, _, router):
         other = await FakeRouter(settings, "router-2").connect()
@@ -85,7 +91,14 @@
         [listed] = next(b.running for b in reversed(router.batches) if b.running)
         assert (listed.attempt_id, listed.produced_bytes) == (attempt_id, 6)
         await exchange.body()
-        await eventually(lambda: any(r.finished for r in router.batches[-1].running))
+        await eventually(lambda: ends_reported(router) == [attempt_id])
+        # Guards against lists that grow with the answers held after their end.
+        seen = len(router.batches)
+        await eventually(
+            lambda: any(b.running_is_complete for b in router.batches[seen:])
+        )
+        assert not any(batch.running for batch in router.batches[seen:])
+        assert ends_reported(router) == [attempt_id]
         assert not any(batch.running for batch in other.batches)
         await other.kill()
 
@@ -170,12 +183,12 @@
         await eventually(lambda: agent.manifest_version == 3)
         await eventually(lambda: any(b.HasField("manifest") for b in behind.batches))
         assert not any(b.HasField("manifest") for b in router.batches)
-        row = AccountRow(
-            service="flor-llm", agent="agent-9", incarnation=1, team="crew-a",
-            sequence=4, served_ms=100.0, weighted_ms=100.0,
-        )  # fmt: skip
-        router.send(RouterBatch(rows=[row]))
-        await eventually(lambda: [r for b in behind.batches for r in b.rows] == [row])
+        message = TeamRow(team="crew-a", sequence=4, served_ms=100, weighted_us=100_000)
+        row = AgentRow("flor-llm", "agent-9", 1, message)
+        router.send(RouterBatch(rows=group_rows([row])))
+        await eventually(
+            lambda: [r for b in behind.batches for r in split_groups(b.rows)] == [row]
+        )
         # A row is not sent back to the router that it came from.
         assert not any(batch.rows for batch in router.batches)
         await behind.kill()
--- a/libs/share/src/bulrushbend/share/ledger.py
+++ b/libs/share/src/bulrushbend/share/ledger.py
@@ -169,13 +169,22 @@
         now_ms = self._clock.now_ms()
         return [row for row in rows if self._merge(row, now_ms)]
 
-    def rows(self, changed_after: int = 0) -> tuple[int, list[Row]]:
+    def renew(self) -> None:
+        """Make new versions of the own rows that changed or are due."""
+        for row in self._own.renew(self._clock.now_ms()):
+            self._note_change(row)
+
+    def rows(
+        self, changed_after: int = 0, *, renew: bool = True
+    ) -> tuple[int, list[Row]]:
         """Return own and learnt rows that changed after a cursor.
 
         Parameters
         ----------
         changed_after : int, default=0
             Cursor of an earlier call; 0 asks for all rows.
+        renew : bool, default=True
+            Whether to make new versions of the own rows first.
 
         Returns
         -------
@@ -183,10 +192,10 @@
             Cursor for the next call.
         rows : list of Row
             Changed rows, the latest change first. Time of running requests is
-            counted up to now.
+            counted up to now, or up to the last renewal if `renew` is false.
         """
-        for row in self._own.renew(self._clock.now_ms()):
-            self._note_change(row)
+        if renew:
+            self.renew()
         changed = []
         for key, cursor in reversed(self._changes.items()):
             if cursor <= changed_after:
@@ -196,6 +205,13 @@
                 changed.append(row)
         return self._cursor, changed
 
+    def own_rows(self) -> list[Row]:
+        """Return the rows of this agent as of now, for status reports.
+
+        They have no sequence and are not for merging.
+        """
+        return self._own.current(self._clock.now_ms())
+
     def level(self, team: str) -> float:
         """Return the fleet-wide level of `team` in slot ms per unit of share."""
         now_ms = self._clock.now_ms()
