--- a/libs/bench/src/bulrushbend/bench/all_sweeps.py
+++ b/libs/bench/src/bulrushbend/bench/all_sweeps.py
@@ -34,6 +34,10 @@
         if begin_s - started_s > limit_s:
             lines.append(f"{name}: left out, more than {limit_s:g} s had passed\n")
             continue
-        table = run()
+        try:
+            table = run()
+        except TimeoutError:
+            lines.append(f"{name}: given up, one measurement took too long\n")
+            continue
         lines.append(f"{name}: {time.monotonic() - begin_s:.0f} s\n\n{table}")
     return "\n".join(lines)
--- a/libs/bench/src/bulrushbend/bench/costs.py
+++ b/libs/bench/src/bulrushbend/bench/costs.py
@@ -7,6 +7,10 @@
 
 from bulrushbend.bench.sweep import Sweep, run_sweep
 
+# The longest point takes about 40 s; a measurement that hangs must not stop the rest
+# of `make bench` for good.
+MEASURE_TIMEOUT_S = 120.0
+
 
 def flat_columns(cost: Any, without: Sequence[str]) -> dict[str, float]:
     """Return the numbers of a cost record by name.
@@ -47,9 +51,18 @@
         Called with a size; its result is a dataclass instance.
     without : sequence of str
         See `flat_columns`.
+
+    Raises
+    ------
+    TimeoutError
+        If one measurement takes longer than `MEASURE_TIMEOUT_S`.
     """
 
+    async def measure_in_time(size: int) -> Any:
+        async with asyncio.timeout(MEASURE_TIMEOUT_S):
+            return await measure(size)
+
     def run(size: float) -> dict[str, float]:
-        return flat_columns(asyncio.run(measure(int(size))), without)
+        return flat_columns(asyncio.run(measure_in_time(int(size))), without)
 
     return run_sweep(name, size_name, sizes, run, repeats)
