Prove that no foreign or partial answer looks whole

Late, crossed, doubled, cut, truncated and silent answers, as JSON, event stream and booking, each followed by a request without a fault; answers after the deadline; and connections that go silent under a running request. Each caller gets its own whole answer or an error: 502 or an answer that the HTTP library reports as incomplete.

The stand-ins learn the fault twice, and truncate takes a delay, without which it was left to timing whether headers had reached the caller (seen as a golden file that differed between two runs). Faults hit one engine only, and each request earns a retry.

--- a/libs/standins/src/bulrushbend/standins/application.py
+++ b/libs/standins/src/bulrushbend/standins/application.py
@@ -133,6 +133,7 @@
         self.set_header("Content-Type", "application/json")
         self.set_header("Content-Length", str(len(body)))
         await self._writer.write(body)
+        await self._writer.finish(body)
 
     get = post = put = patch = delete = _run
 
--- a/libs/standins/src/bulrushbend/standins/engine.py
+++ b/libs/standins/src/bulrushbend/standins/engine.py
@@ -256,6 +256,7 @@
         self.set_header("Content-Type", "application/json")
         self.set_header("Content-Length", str(len(body)))
         await self._writer.write(body)
+        await self._writer.finish(body)
 
     def _abandon(self, generation: Generation, resumable: bool) -> None:
         if resumable:
--- a/libs/standins/src/bulrushbend/standins/faults.py
+++ b/libs/standins/src/bulrushbend/standins/faults.py
@@ -21,6 +21,7 @@
     REJECT = "reject"
     CROSSED = "crossed"
     CUT = "cut"
+    TWICE = "twice"
     KILL = "kill"
 
 
@@ -31,10 +32,12 @@
     ----------
     kind : FaultKind
         ``truncate``, ``silence`` and ``kill`` act after `after_bytes` body bytes.
+        ``truncate`` waits for `delay_ms` more, so that what was sent passes on first.
         ``late`` delays the headers by `delay_ms`. ``refuse`` closes the listening
         socket for `delay_ms`. ``reject`` answers 503 without running. ``crossed``
         answers with the nonce and id of another request. ``cut`` closes the
-        connection after the run without sending headers.
+        connection after the run without sending headers. ``twice`` sends a whole
+        answer a second time on the same connection.
     after_bytes : int
         Body bytes sent before the fault.
     delay_ms : float
@@ -164,6 +167,22 @@
             await self._end_early()
         await self._flush(data)
 
+    async def finish(self, body: bytes) -> None:
+        """Act on faults that come after the whole `body`.
+
+        Raises
+        ------
+        AnswerCut
+            The connection is closed.
+        """
+        if self.kind is not FaultKind.TWICE:
+            return
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        try:
+            await self._handler.request.connection.stream.write(head.encode() + body)
+        except StreamClosedError:
+            raise AnswerCut("the caller closed the connection") from None
+
     def _ends_within(self, data: bytes) -> bool:
         if self.kind not in (FaultKind.TRUNCATE, FaultKind.SILENCE, FaultKind.KILL):
             return False
@@ -182,6 +201,8 @@
             os.kill(os.getpid(), signal.SIGKILL)
         if self.kind is FaultKind.SILENCE:
             await self._closed.wait()
+        if self._fault.delay_ms > 0:
+            await asyncio.sleep(self._fault.delay_ms / 1000.0)
         self._cut()
 
     def _cut(self) -> None:
--- /dev/null
+++ b/tests/test_answer_sessions.py
@@ -0,0 +1,160 @@
+import http.client
+import json
+
+import pytest
+from fleet import Fleet
+from loads import Call
+from localfleet import APPLICATION_SERVICE, MODEL_SERVICE, FleetPlan
+
+CHAT = "/v1/chat/completions"
+BOOKINGS = f"/services/{APPLICATION_SERVICE}/bookings"
+ENGINES = ("engine-1",)
+TOKENS = 24
+PLAN = FleetPlan(
+    engines=1,
+    applications=1,
+    platform=False,
+    overrides={"agent": {"endpoint_idle_ms": 1000}, "router": {"stall_ms": 500}},
+)
+FAULTS = {
+    "late": {"delay_ms": 600},
+    "crossed": {},
+    "twice": {},
+    "cut": {},
+    # The delay lets the bytes reach the caller, so that a retry is no longer possible.
+    "truncate": {"after_bytes": 60, "delay_ms": 300},
+    "silence": {"after_bytes": 60},
+}
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("answers"), PLAN) as running:
+        running.boot()
+        # Each request earns one retry, so that none depends on those before it.
+        assert running.publish(running.manifest(2, retry_share=1.0)).returncode == 0
+        yield running
+
+
+def whole_model_answer(nonce, body):
+    text = json.loads(body)["choices"][0]["message"]["content"]
+    return text == " ".join(
+        [f"begin:{nonce}", *(f"t{i}" for i in range(TOKENS)), f"end:{nonce}"]
+    )
+
+
+def whole_stream(nonce, body):
+    events = [part.partition(b"data: ")[2] for part in body.split(b"\n\n") if part]
+    if events[-1:] != [b"[DONE]"]:
+        return False
+    pieces = [json.loads(event)["choices"][0] for event in events[:-1]]
+    text = "".join(piece["delta"].get("content", "") for piece in pieces)
+    tokens = [f"begin:{nonce}", *(f"t{i}" for i in range(TOKENS)), f"end:{nonce}"]
+    return text.split() == tokens
+
+
+def whole_booking(nonce, body):
+    document = json.loads(body)
+    return document["begin"] == document["end"] == nonce
+
+
+KINDS = {
+    "json": (CHAT, ENGINES, whole_model_answer),
+    "stream": (CHAT, ENGINES, whole_stream),
+    "booking": (BOOKINGS, ("application-1",), whole_booking),
+}
+
+
+def ask(fleet, kind, nonce, **headers):
+    path, _, is_whole = KINDS[kind]
+    document = {"x_nonce": nonce, "x_cost_ms": 100}
+    if path == CHAT:
+        document |= {"model": MODEL_SERVICE, "x_tokens": TOKENS}
+    if kind == "stream":
+        document["stream"] = True
+    try:
+        status, answered, body = fleet.request(path, document, **headers)
+    except http.client.IncompleteRead:
+        return "broken visibly"
+    if status != 200:
+        return f"{status} {answered['Bulrushbend-Outcome']}"
+    # A body that claims to be whole must be the whole answer to this request.
+    assert is_whole(nonce, body), body
+    return "own whole answer"
+
+
+def runs(fleet, kind, nonce):
+    return sum(fleet.runs(name, f"?nonce={nonce}")["runs"] for name in KINDS[kind][1])
+
+
+def clear_faults(fleet):
+    for name in (*ENGINES, "application-1"):
+        from_address = fleet.units[name].listen_address
+        connection = http.client.HTTPConnection(from_address, timeout=5)
+        connection.request("DELETE", "/faults")
+        assert connection.getresponse().status == 200
+        connection.close()
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_faulty_answer_is_whole_or_visibly_broken(fleet, snapshot, kind):
+    """A caller takes a late, foreign, doubled or partial answer for its own."""
+    lines = []
+    for fault, fields in FAULTS.items():
+        for name in KINDS[kind][1]:
+            fleet.add_fault(name, kind=fault, times=1, **fields)
+        nonce = f"{kind}-{fault}"
+        seen = ask(fleet, kind, nonce)
+        count = runs(fleet, kind, nonce)
+        clear_faults(fleet)
+        after = ask(fleet, kind, f"{nonce}-after")
+        lines.append(f"{kind} {fault}: {seen}, next request: {after}")
+        if kind == "booking":
+            assert count == 1, (fault, seen)
+    assert "\n".join(lines) == snapshot
+
+
+def test_answers_of_concurrent_requests_are_not_crossed(fleet, snapshot):
+    """Late answers reach the callers of other requests."""
+    for name in (*ENGINES, "application-1"):
+        fleet.add_fault(name, kind="late", delay_ms=700, times=2)
+    names = [(kind, f"crossing-{kind}-{i}") for i in range(4) for kind in KINDS]
+    calls = [(kind, Call(ask, fleet, kind, nonce)) for kind, nonce in names]
+    seen = {f"{kind}: {call.result()}" for kind, call in calls}
+    clear_faults(fleet)
+    assert "\n".join(sorted(seen)) == snapshot
+
+
+def test_answer_after_its_deadline_reaches_nobody(fleet, snapshot):
+    """The late answer of a request that was given up goes to the next one."""
+    lines = []
+    for kind in ("json", "booking"):
+        for name in KINDS[kind][1]:
+            fleet.add_fault(name, kind="late", delay_ms=900, times=1)
+        deadline = {"Bulrushbend-Deadline-Ms": "400"}
+        lines.append(f"{kind}: {ask(fleet, kind, f'{kind}-deadline', **deadline)}")
+        clear_faults(fleet)
+        lines.append(f"{kind} after it: {ask(fleet, kind, f'{kind}-next')}")
+    assert "\n".join(lines) == snapshot
+
+
+def test_silent_connection_does_not_cut_the_answer(fleet, snapshot):
+    """An answer is lost with the connection that went silent under it."""
+    lines = []
+    for kind in ("stream", "booking"):
+        nonce = f"{kind}-silenced"
+        for name in KINDS[kind][1]:
+            fleet.add_fault(name, kind="late", delay_ms=500, times=1)
+        call = Call(ask, fleet, kind, nonce)
+        fleet.wait_until(lambda k=kind, n=nonce: runs(fleet, k, n), "the request runs")
+        silenced = sum(
+            fleet.network.silence_open(agent.name, "router-1")
+            for agent in fleet.of_role("agent")
+        )
+        assert silenced
+        seen = call.result()
+        clear_faults(fleet)
+        lines.append(f"{kind}: {seen}, runs {runs(fleet, kind, nonce)}")
+        fleet.network.heal()
+        fleet.wait_until(fleet.all_linked, "all links are up")
+    assert "\n".join(lines) == snapshot
