--- a/libs/control/src/bulrushbend/control/membership.py
+++ b/libs/control/src/bulrushbend/control/membership.py
@@ -39,6 +39,9 @@
         """Whether every live member has had the time to report since the start."""
         return self._clock.now_ms() - self._started_ms >= self._timeout_ms
 
+    def __len__(self) -> int:
+        return len(self._entries)
+
     def listen(self, listener: MemberChange) -> Callable[[], None]:
         """Call `listener` with each name that joined, changed or was dropped.
 
@@ -79,11 +82,17 @@
         ]
 
     def take(self, report: MemberReport) -> None:
-        """Store a report unless a newer incarnation has reported."""
+        """Store a report unless a newer incarnation has reported.
+
+        A report without detail keeps the detail of the one before.
+        """
         name = report.member.name
         known = self._entries.get(name)
         if known and known.report.member.incarnation > report.member.incarnation:
             return
+        is_same = known and known.report.member.incarnation == report.member.incarnation
+        if is_same and not report.HasField("detail"):
+            report.detail.CopyFrom(known.report.detail)
         self._entries[name] = _Entry(report, self._clock.now_ms())
         if known is None or known.report.member != report.member:
             self._tell(name)
--- a/libs/router/src/bulrushbend/router/links.py
+++ b/libs/router/src/bulrushbend/router/links.py
@@ -2,15 +2,22 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable
+import random
+from collections.abc import Collection, Iterable
 
 from bulrushbend.core.logs import part_logger
 from bulrushbend.router.link import AgentLink, LinkContext
 from bulrushbend.router.relay import RowRelay
-from bulrushbend.wire.fleet_pb2 import AccountRow, Member
+from bulrushbend.wire.fleet_pb2 import Member
+from bulrushbend.wire.rowgroups import AgentRow
 
 _log = part_logger("router.links")
 
+# Agents that learn at once of a queue that has turned non-empty; the others learn of
+# what still waits with the next periodic batch. All idle agents that learn of it claim,
+# and all claims but one miss: 64 agents cost 20 ms of processor time per request.
+_TOLD_AT_ONCE = 8
+
 
 class AgentLinks:
     """One link task for each agent.
@@ -80,7 +87,7 @@
             if not self._links[name].is_up:
                 self._end(name)
 
-    def relay_rows(self, source: AgentLink, rows: Iterable[AccountRow]) -> None:
+    def relay_rows(self, source: AgentLink, rows: Iterable[AgentRow]) -> None:
         """Keep rows from an agent and announce the changed ones to the others."""
         if not self._relay(source.service).learn(rows, source.agent):
             return
@@ -115,8 +122,18 @@
         return self._relays.setdefault(service, RowRelay(service))
 
     def _backlog_changed(self, service: str, team: str, turned: bool) -> None:
+        told = self._told_at_once(service) if turned else ()
         for link in self.of_service(service):
-            link.backlog_changed(team, turned)
+            link.backlog_changed(team, link in told)
+
+    def _told_at_once(self, service: str) -> Collection[AgentLink]:
+        """Choose the links that learn at once of a queue that turned non-empty."""
+        usable = [link for link in self.of_service(service) if link.is_usable]
+        if len(usable) <= _TOLD_AT_ONCE:
+            return usable
+        random.shuffle(usable)
+        usable.sort(key=lambda link: not link.has_free_slot)
+        return usable[:_TOLD_AT_ONCE]
 
 
 def _same_place(known: Member, member: Member) -> bool:
--- a/tests/test_answer_sessions.py
+++ b/tests/test_answer_sessions.py
@@ -162,7 +162,8 @@
 
 def test_faulty_answers_under_load_never_look_complete(fleet):
     """One of many concurrent callers takes a faulty answer for its own."""
-    for kind in ("crossed", "cut", "truncate", "late"):
+    kinds = ("crossed", "cut", "truncate", "late")
+    for kind in kinds:
         fleet.add_fault(
             "engine-1", kind=kind, after_bytes=200, delay_ms=300, skip=2, times=3
         )
@@ -172,10 +173,13 @@
         stream=True,
         cost={"kind": "log-uniform", "low_ms": 20.0, "high_ms": 300.0},
         concurrency=16,
-        requests=2000,
-        duration_ms=3000,
+        requests=120,
+        duration_ms=60_000,
     )
     report = load.finish()
     clear_faults(fleet)
+    outcomes = report["teams"][0]["outcomes"]
     assert report["wrong"] == []
-    assert report["teams"][0]["outcomes"]["answered"] > 50
+    assert report["sent"] == 120
+    assert report["answered"] >= 120 - 3 * len(kinds)
+    assert set(outcomes) <= {"answered", "unknown", "failed", "TruncatedAnswer"}
