--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import functools
 import threading
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -25,15 +26,22 @@
 
 @dataclass(eq=False)
 class Connection:
-    """One forwarded connection."""
+    """One forwarded connection.
+
+    Its source is looked up only when a rule asks for it: a look-up reads the open
+    files of all processes, and the delay would count as idle time of slots.
+    """
 
     target: str
-    port: int
-    source: str | None = None
+    find_source: Callable[[], str]
     silent: bool = False
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     closed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @functools.cached_property
+    def source(self) -> str:
+        return self.find_source()
+
     def abort(self) -> None:
         self.closed.set()
         for writer in self.writers:
@@ -135,31 +143,20 @@
         return [
             connection
             for connection in self._connections
-            if connection.target == target
-            and source in ("", self._source_of(connection))
+            if connection.target == target and source in ("", connection.source)
         ]
 
-    def _source_of(self, connection: Connection) -> str:
-        """Return who made the connection, looked up once when a rule asks for it.
-
-        The look-up reads the system's table of sockets. With the thousands of entries
-        that a test run leaves there, one look-up per connection bounds the load that
-        passes through a fleet.
-        """
-        if connection.source is None:
-            connection.source = self._identify(connection.port)
-        return connection.source
-
     def _rule_for(self, connection: Connection) -> Rule:
         target = connection.target
         anyone = self._rules.get((target, ""), Rule.PASS)
-        if not any(source for name, source in self._rules if name == target):
+        if not any(named == target and source for named, source in self._rules):
             return anyone
-        return self._rules.get((target, self._source_of(connection)), anyone)
+        return self._rules.get((target, connection.source), anyone)
 
     async def _serve(self, target, address, reader, writer) -> None:
         port = writer.get_extra_info("peername")[1]
-        connection = Connection(target, port, writers=[writer])
+        identify = functools.partial(self._identify, port)
+        connection = Connection(target, identify, writers=[writer])
         rule = self._rule_for(connection)
         connection.silent = rule is Rule.SILENT
         self._connections.add(connection)
