Share the common part of the stand-in endpoints

Cause: engine and application had the same constructor, properties, start and stop. Change: StandInEndpoint holds them; each stand-in names only its routes. Conclusion: one place for slots, faults and run counts.

--- a/libs/standins/src/bulrushbend/standins/application.py
+++ b/libs/standins/src/bulrushbend/standins/application.py
@@ -6,18 +6,13 @@
 from tornado.web import RequestHandler
 
 from bulrushbend.core.identity import new_id
-from bulrushbend.standins.faults import AnswerCut, AnswerWriter, FaultKind, FaultPlan
-from bulrushbend.standins.server import (
-    RunCounts,
-    RunsHandler,
-    Slots,
-    StandInServer,
-    read_json_object,
-)
+from bulrushbend.standins.endpoint import StandInEndpoint
+from bulrushbend.standins.faults import AnswerCut, AnswerWriter, FaultKind
+from bulrushbend.standins.server import read_json_object
 from bulrushbend.standins.settings import ApplicationSettings
 
 
-class BookingApplication:
+class BookingApplication(StandInEndpoint[ApplicationSettings]):
     """Service that counts its runs by idempotency key.
 
     Parameters
@@ -26,45 +21,8 @@
         Capacity, default cost and faults.
     """
 
-    def __init__(self, settings: ApplicationSettings):
-        self._settings = settings
-        self._slots = Slots(settings.slots)
-        self._runs = RunCounts()
-        self._server = StandInServer(
-            settings.name, settings.http_address, FaultPlan(settings.faults)
-        )
-
-    @property
-    def settings(self) -> ApplicationSettings:
-        """Settings of this application."""
-        return self._settings
-
-    @property
-    def server(self) -> StandInServer:
-        """Server with its address and faults."""
-        return self._server
-
-    @property
-    def runs(self) -> RunCounts:
-        """How often requests ran."""
-        return self._runs
-
-    @property
-    def slots(self) -> Slots:
-        """Requests at work."""
-        return self._slots
-
-    def start(self) -> None:
-        """Listen and serve; raises SettingsError if the address is taken."""
-        runs = {"runs": self._runs, "slots": self._slots}
-        own = {"service": self}
-        self._server.start(
-            [(r"/runs", RunsHandler, runs), (r"/.*", CallHandler, own)],
-        )
-
-    def stop(self) -> None:
-        """Stop listening."""
-        self._server.stop()
+    def _routes(self) -> list[tuple]:
+        return [(r"/.*", CallHandler, {"service": self})]
 
 
 class CallHandler(RequestHandler):
--- a/libs/standins/src/bulrushbend/standins/engine.py
+++ b/libs/standins/src/bulrushbend/standins/engine.py
@@ -9,20 +9,20 @@
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.identity import new_id
-from bulrushbend.standins.faults import AnswerCut, AnswerWriter, FaultKind, FaultPlan
+from bulrushbend.standins.endpoint import StandInEndpoint
+from bulrushbend.standins.faults import AnswerCut, AnswerWriter, FaultKind
 from bulrushbend.standins.generation import (
     Generation,
     GenerationRequest,
     generate,
     parse_request,
 )
-from bulrushbend.standins.server import RunCounts, RunsHandler, Slots, StandInServer
 from bulrushbend.standins.settings import EngineSettings
 
 _CROSSED_NONCE = "of-another-request"
 
 
-class Engine:
+class Engine(StandInEndpoint[EngineSettings]):
     """Model engine that serves completions, its load and its streams.
 
     Parameters
@@ -34,13 +34,8 @@
     """
 
     def __init__(self, settings: EngineSettings, clock: Clock | None = None):
-        self._settings = settings
+        super().__init__(settings)
         self._clock = clock or Clock()
-        self._slots = Slots(settings.slots)
-        self._runs = RunCounts()
-        self._server = StandInServer(
-            settings.name, settings.http_address, FaultPlan(settings.faults)
-        )
         self._generations: dict[str, Generation] = {}
         self._prefixes: OrderedDict[str, None] = OrderedDict()
         self._prefix_queries = 0
@@ -49,45 +44,20 @@
         self._loads: deque[tuple[float, int, int, float]] = deque([(0.0, 0, 0, 0.0)])
         self._tasks: set[asyncio.Task[None]] = set()
 
-    @property
-    def settings(self) -> EngineSettings:
-        """Settings of this engine."""
-        return self._settings
-
-    @property
-    def server(self) -> StandInServer:
-        """Server with its address and faults."""
-        return self._server
-
-    @property
-    def runs(self) -> RunCounts:
-        """How often requests ran."""
-        return self._runs
-
-    @property
-    def slots(self) -> Slots:
-        """Batch slots."""
-        return self._slots
-
-    def start(self) -> None:
-        """Listen and serve; raises SettingsError if the address is taken."""
-        runs = {"runs": self._runs, "slots": self._slots}
-        own = {"engine": self}
-        self._server.start(
-            [
-                (r"/v1/chat/completions", CompletionsHandler, own),
-                (r"/v1/streams/([^/]+)", StreamHandler, own),
-                (r"/metrics", LoadHandler, own),
-                (r"/runs", RunsHandler, runs),
-            ]
-        )
-
     def stop(self) -> None:
         """Stop listening and end all generations."""
-        self._server.stop()
+        super().stop()
         for task in self._tasks:
             task.cancel()
 
+    def _routes(self) -> list[tuple]:
+        own = {"engine": self}
+        return [
+            (r"/v1/chat/completions", CompletionsHandler, own),
+            (r"/v1/streams/([^/]+)", StreamHandler, own),
+            (r"/metrics", LoadHandler, own),
+        ]
+
     def find(self, request_id: str) -> Generation | None:
         """Return the stream named `request_id`, if it is still held."""
         return self._generations.get(request_id)
