--- a/libs/bench/src/bulrushbend/bench/router_costs.py
+++ b/libs/bench/src/bulrushbend/bench/router_costs.py
@@ -14,7 +14,7 @@
 from bulrushbend.bench.router_rig import HEARTBEAT_MS, RouterRig, running_rig
 
 CHUNK_COUNTS = (1, 16, 64, 256)
-STREAM_COUNTS = (4, 8, 16, 32)
+STREAM_COUNTS = (2, 4, 8, 16, 32)
 CLAIM_COUNTS = (1, 4, 16, 64)
 CLAIMING_LINK_COUNTS = (1, 8, 16, 32, 64)
 LINK_COUNTS = (1, 32, 64, 128, 256)
