--- a/libs/bench/src/bulrushbend/bench/agent_costs.py
+++ b/libs/bench/src/bulrushbend/bench/agent_costs.py
@@ -19,6 +19,7 @@
     PacedEndpoint,
     read_stamp_ns,
 )
+from bulrushbend.bench.line import fit_line
 from bulrushbend.wire.exchange import Exchange, ExchangeRequest
 
 CHUNK_COUNTS = (1, 16, 64, 256)
@@ -107,14 +108,6 @@
     memory_mb: float
 
 
-@dataclass(frozen=True)
-class CostLine:
-    """Straight line through the costs of a sweep: ``base + per_unit * size``."""
-
-    base_ms: float
-    per_unit_ms: float
-
-
 async def measure_requests(
     chunk_counts: Sequence[int] = CHUNK_COUNTS, requests: int = 40
 ) -> list[RequestCost]:
@@ -190,12 +183,6 @@
     return rows
 
 
-def fit_line(sizes: Sequence[float], costs_ms: Sequence[float]) -> CostLine:
-    """Return the least-squares line through the costs of a sweep."""
-    slope, base = np.polyfit(sizes, costs_ms, 1)
-    return CostLine(float(base), float(slope))
-
-
 async def _measure_idle(rig: AgentRig) -> float:
     """Return the processor time per ms of an agent with one idle link."""
     before_ms = rig.cpu_ms()
--- a/libs/bench/src/bulrushbend/bench/router_costs.py
+++ b/libs/bench/src/bulrushbend/bench/router_costs.py
@@ -9,8 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 
-import numpy
-
+from bulrushbend.bench.line import fit_line
 from bulrushbend.bench.router_rig import HEARTBEAT_MS, RouterRig, running_rig
 
 CHUNK_COUNTS = (1, 16, 64, 256)
@@ -119,14 +118,6 @@
     cpu_ms: float
 
 
-@dataclass(frozen=True)
-class CostLine:
-    """Straight line through the costs of a sweep: ``base + per_unit * size``."""
-
-    base_ms: float
-    per_unit_ms: float
-
-
 async def measure_requests(
     chunk_counts: Sequence[int] = CHUNK_COUNTS, requests: int = 60
 ) -> list[RequestCost]:
@@ -259,12 +250,6 @@
     return rows
 
 
-def fit_line(sizes: Sequence[float], costs_ms: Sequence[float]) -> CostLine:
-    """Return the least-squares line through the costs of a sweep."""
-    slope, base = numpy.polyfit(sizes, costs_ms, 1)
-    return CostLine(float(base), float(slope))
-
-
 async def _measure_row(
     rig: RouterRig, chunks: int, requests: int, idle_share: float
 ) -> RequestCost:
