Take an agent's service from the manifest in force

Cause: a router took the service of an agent from membership. An agent reports it with a heartbeat after it has adopted a manifest; with control killed before that report, the link stays under no service and model requests get 503. Change: links take the service from the manifest in force and follow new manifests. The tests' forwarder repeats a look-up of a connection's source that found nothing, instead of keeping the empty result for ever, so that a rule for one source applies to it. Ruled out: a lost view of control, since views of lost replicas are kept while all are lost.

--- a/libs/router/src/bulrushbend/router/links.py
+++ b/libs/router/src/bulrushbend/router/links.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable
 
 from bulrushbend.core.logs import part_logger
+from bulrushbend.core.manifest import Manifest
 from bulrushbend.router.link import AgentLink, LinkContext
 from bulrushbend.router.relay import RowRelay
 from bulrushbend.wire.fleet_pb2 import Member
@@ -38,9 +39,11 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._relays: dict[str, RowRelay] = {}
         self._last_usable_ms: dict[str, float] = {}
+        self._reported: dict[str, Member] = {}
         self._members: dict[str, Member] = {}
         self._started_ms = context.clock.now_ms()
         context.queues.listen(self._backlog_changed)
+        context.in_force.listen(self._adopt)
 
     @property
     def control_bytes(self) -> int:
@@ -60,8 +63,9 @@
 
     def update(self, members: dict[str, Member]) -> None:
         """Start and end links so that they match the agents in `members`."""
+        self._reported = members
         self._members = {
-            name: member
+            name: self._with_service(member)
             for name, member in members.items()
             if member.role == "agent" and member.link_address
         }
@@ -100,6 +104,25 @@
         for name in list(self._links):
             self._end(name)
 
+    def _adopt(self, _: Manifest) -> None:
+        """Move the links of endpoints that a manifest gives to another service."""
+        self.update(self._reported)
+
+    def _with_service(self, member: Member) -> Member:
+        """Return the agent with the service that the manifest in force gives it.
+
+        An agent reports its service with a heartbeat after it has adopted a manifest;
+        control may be gone before the report arrives.
+        """
+        manifest = self._context.in_force.current
+        endpoint = manifest and manifest.endpoints_by_name.get(member.endpoint)
+        if not endpoint or endpoint.service == member.service:
+            return member
+        described = Member()
+        described.CopyFrom(member)
+        described.service = endpoint.service
+        return described
+
     def _start(self, member: Member) -> None:
         link = AgentLink(self._context, member, self._relay(member.service))
         self._links[member.name] = link
--- a/libs/router/tests/test_link.py
+++ b/libs/router/tests/test_link.py
@@ -42,6 +42,13 @@
     assert (await fleet.ask()).status == 200
 
 
+async def test_service_of_an_agent_comes_from_the_manifest(fleet, agent):
+    # Guards against 503 when control is lost before the agent reports its service.
+    agent.member.service = ""
+    await fleet.start(agent)
+    assert (await fleet.ask()).status == 200
+
+
 async def test_agent_that_is_gone_and_no_member_is_dropped(fleet, agent):
     await fleet.start(agent)
     fleet.control.members.clear()
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -37,10 +37,15 @@
     silent: bool = False
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     closed: asyncio.Event = field(default_factory=asyncio.Event)
+    _source: str = ""
 
-    @functools.cached_property
+    @property
     def source(self) -> str:
-        return self.find_source()
+        # A look-up that finds nothing is repeated: while a process opens and closes
+        # files, one reading of its folder of open files may miss a socket.
+        if not self._source:
+            self._source = self.find_source()
+        return self._source
 
     def abort(self) -> None:
         self.closed.set()
