Repair the voter list by itself and survive full disks and SIGHUP

Change: the leader removes voters with a lost disk, promotes learners that hold the state and replaces silent ones; replicas ask to join; a failed store is opened again; settings are read again after SIGHUP and once a second; gateways follow the replicas that control names, and refuse requests at the end of their drain. Gateways share which prompts each endpoint holds, and a request waits for such an endpoint for part of its time. Ruled out: leaving the process to the platform's restart, which counts as a fault.

--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -11,17 +12,18 @@
 from tornado.web import Application
 
 from bulrushbend.control import metrics
+from bulrushbend.control.joining import Joining
 from bulrushbend.control.journal import Journal
 from bulrushbend.control.membership import Membership
 from bulrushbend.control.publishing import HighestVersionPublisher, Publisher
 from bulrushbend.control.service import FleetService
 from bulrushbend.control.watcher import WatchOptions
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import NoQuorum, SettingsError
+from bulrushbend.core.errors import NoQuorum, SettingsError, StoreFailed
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.identity import new_identity
 from bulrushbend.core.logs import part_logger
-from bulrushbend.core.settings import ControlSettings, split_address
+from bulrushbend.core.settings import ControlSettings, PeerAddress, split_address
 from bulrushbend.process.daemon import (
     listen_http,
     open_event_log,
@@ -30,6 +32,7 @@
 )
 from bulrushbend.store.configuration import Configuration, Node
 from bulrushbend.store.files import Files
+from bulrushbend.store.healing import Healing
 from bulrushbend.store.options import ReplicaOptions
 from bulrushbend.store.replica import Replica
 from bulrushbend.store.service import ConsensusService
@@ -41,6 +44,9 @@
 _log = part_logger("control.daemon")
 SWEEP_MS = 250
 EXPIRE_TIMEOUT_MS = 2000
+# Time between looks at the store, and before a failed one is opened again.
+STORE_LOOK_S = 0.1
+STORE_RETRY_S = 0.5
 
 
 class ControlDaemon:
@@ -62,6 +68,8 @@
         Calls to the other replicas, in place of gRPC.
     operator_routes : callable, optional
         Makes further HTTP routes through which operators publish and read manifests.
+    contacts : callable, optional
+        Returns replicas to ask for a leader, in place of those of the settings.
     """
 
     def __init__(
@@ -74,8 +82,10 @@
         events: EventLog | None = None,
         transport: PeerTransport | None = None,
         operator_routes: Callable[[Publisher], list[tuple]] | None = None,
+        contacts: Callable[[], Sequence[PeerAddress]] | None = None,
     ):
         self._operator_routes = operator_routes
+        self._contacts = contacts or (lambda: settings.control)
         self._settings = settings
         self._bootstrap = bootstrap
         self._clock = clock or Clock()
@@ -141,6 +151,8 @@
         self._stack.push_async_callback(self._replica.stop)
         self._start_http()
         self._start_task(self._sweep())
+        if settings.voters is not None:
+            self._start_repair(settings.voters)
         _log.info("replica %s serves on %s", settings.name, settings.link_bind)
 
     def _report_repair(self, length: int) -> None:
@@ -191,6 +203,16 @@
         self._stack.push_async_callback(server.close_all_connections)
         self._stack.callback(server.stop)
 
+    def _start_repair(self, voters: int) -> None:
+        name = self._settings.name
+        own = Node(name, self._settings.link_address)
+        healing = Healing(self._replica, name, voters, self._clock, self._events)
+        joining = Joining(
+            self._replica, own, self._contacts, self._transport, self._clock
+        )
+        self._start_task(healing.run())
+        self._start_task(joining.run())
+
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._stack.callback(task.cancel)
@@ -249,6 +271,7 @@
     *,
     bootstrap: bool = False,
     operator_routes: Callable[[Publisher], list[tuple]] | None = None,
+    reload: Callable[[], ControlSettings] | None = None,
 ) -> None:
     """Run a control replica until SIGTERM or SIGINT.
 
@@ -261,22 +284,61 @@
         first start of a fleet.
     operator_routes : callable, optional
         Makes further HTTP routes through which operators publish and read manifests.
+    reload : callable, optional
+        Reads the settings anew after SIGHUP or a change of the file.
 
     Raises
     ------
     SettingsError
         The event log or an address cannot be opened.
-    StoreError
-        The data folder is damaged or cannot be used.
+    CorruptLog
+        The data folder is damaged.
     """
-    daemon = ControlDaemon(
-        settings, bootstrap=bootstrap, operator_routes=operator_routes
-    )
-    await daemon.start()
-    try:
-        await run_until_signal(_nothing_to_drain)
-    finally:
-        await daemon.stop()
+    contacts = Contacts(settings.control)
+
+    def take_settings() -> None:
+        if reload is not None:
+            contacts.replicas = reload().control
+
+    stopping = asyncio.create_task(run_until_signal(_nothing_to_drain, take_settings))
+    while not stopping.done():
+        daemon = ControlDaemon(
+            settings,
+            bootstrap=bootstrap,
+            operator_routes=operator_routes,
+            contacts=lambda: contacts.replicas,
+        )
+        try:
+            await daemon.start()
+        except StoreFailed as error:
+            # A disk that is full now may take writes again later.
+            _log.error("cannot open the data folder: %s", error)
+            await _pause(stopping)
+            continue
+        try:
+            await _wait_for_end(daemon, stopping)
+        finally:
+            await daemon.stop()
+        if not stopping.done():
+            await _pause(stopping)
+    stopping.result()
+
+
+@dataclass
+class Contacts:
+    """Replicas that may know a leader; a reload of the settings replaces them."""
+
+    replicas: Sequence[PeerAddress]
+
+
+async def _wait_for_end(daemon: ControlDaemon, stopping: asyncio.Task[None]) -> None:
+    """Return when the process is to stop or the store has failed."""
+    while not stopping.done() and not daemon.replica.has_failed:
+        await asyncio.wait({stopping}, timeout=STORE_LOOK_S)
+
+
+async def _pause(stopping: asyncio.Task[None]) -> None:
+    await asyncio.wait({stopping}, timeout=STORE_RETRY_S)
 
 
 async def _nothing_to_drain() -> None:
--- a/libs/control/src/bulrushbend/control/watcher.py
+++ b/libs/control/src/bulrushbend/control/watcher.py
@@ -9,7 +9,8 @@
 from bulrushbend.control.membership import Membership
 from bulrushbend.core.errors import NoQuorum
 from bulrushbend.store.base import BaseReplica
-from bulrushbend.wire.fleet_pb2 import FleetState, Member, MemberReport
+from bulrushbend.store.configuration import Node
+from bulrushbend.wire.fleet_pb2 import ControlNode, FleetState, Member, MemberReport
 
 # Members that join together are told together; without this pause a start of 1,000
 # processes would send each of them 1,000 messages. A message costs about 0.3 ms of CPU,
@@ -125,6 +126,7 @@
         self._confirmed_stamp = 0
         self._sent_stamp = 0
         self._asked = asyncio.Event()
+        self._sent_nodes: tuple[Node, ...] = ()
         self._age = age
         self._replica = replica
         self._membership = membership
@@ -212,13 +214,13 @@
 
     async def _send_first(self) -> None:
         self._dirty.clear()
-        await self._stream.send_message(
-            FleetState(
-                changed=self._membership.members(),
-                members_are_complete=True,
-                manifest_version=self._replica.state.manifest_version,
-            )
+        state = FleetState(
+            changed=self._membership.members(),
+            members_are_complete=True,
+            manifest_version=self._replica.state.manifest_version,
         )
+        self._add_control(state)
+        await self._stream.send_message(state)
 
     def _needs_manifest(self) -> bool:
         """Return whether to send the manifest to the peer now."""
@@ -238,6 +240,7 @@
     async def _send_news(self) -> None:
         state = FleetState()
         self._add_members(state)
+        self._add_control(state)
         if self._needs_manifest():
             await self._add_manifest(state)
         state.manifest_version = self._replica.state.manifest_version
@@ -245,6 +248,14 @@
             self._sent_stamp = state.lease_stamp = self._confirmed_stamp
         await self._stream.send_message(state)
 
+    def _add_control(self, state: FleetState) -> None:
+        nodes = self._replica.nodes
+        if nodes != self._sent_nodes:
+            self._sent_nodes = nodes
+            state.control.extend(
+                ControlNode(name=node.name, address=node.address) for node in nodes
+            )
+
     def _add_members(self, state: FleetState) -> None:
         names, self._dirty = self._dirty, set()
         for name in sorted(names):
--- a/libs/core/src/bulrushbend/core/manifest.py
+++ b/libs/core/src/bulrushbend/core/manifest.py
@@ -45,6 +45,8 @@
     resume: Literal["last-event-id", "none"] = "none"
     slots: int | None = Field(None, ge=1, le=10_000)
     max_connections: int | None = Field(None, ge=1)
+    # Tokens that the memory of one model endpoint holds.
+    memory_tokens: int | None = Field(None, ge=1)
 
     @property
     def posts_are_idempotent(self) -> bool:
--- a/libs/core/src/bulrushbend/core/settings.py
+++ b/libs/core/src/bulrushbend/core/settings.py
@@ -121,6 +121,8 @@
     append_interval_ms: PositiveMs = 150
     snapshot_entries: int = Field(1000, ge=1)
     member_timeout_ms: PositiveMs = 5000
+    # Number of voters that the leader restores by itself; without it operators do.
+    voters: int | None = Field(None, ge=1)
 
 
 class RouterSettings(ProcessSettings):
--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -24,6 +24,8 @@
 # Time between two looks at what waits, when nothing tells of a change: reports of other
 # gateways come about as often.
 _LOOK_MS = 20.0
+# Requests of a team that are looked at for one that can go.
+_LOOKED_AT = 8
 # Shortest and longest time after which a refused caller is asked to come back.
 _FIRST_RETRY_MS = 400.0
 _LAST_RETRY_MS = 3_000.0
@@ -33,8 +35,14 @@
 class _Waiting:
     call: Call
     placed: asyncio.Future[Placement]
+    since_ms: float
     until_ms: float
 
+    def patience(self, now_ms: float) -> float:
+        """Return the part of the waiting time that is left, from 1 to 0."""
+        span_ms = max(1.0, self.until_ms - self.since_ms)
+        return min(1.0, max(0.0, (self.until_ms - now_ms) / span_ms))
+
 
 class AdmissionQueue:
     """Waiting requests of one service.
@@ -93,13 +101,14 @@
         if not self._directory.of_service(self._service):
             raise refused(503, "no-endpoint", "no endpoint is known", 1000.0)
         if not self._teams:
-            placement = self._try(call)
+            placement = self._try(call, patience=1.0)
             if placement is not None:
                 return placement
         if self.waiting >= self._most_waiting:
             raise self._overload("queue-full")
         future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-        entry = _Waiting(call, future, self._wait_until(call))
+        now_ms = self._clock.now_ms()
+        entry = _Waiting(call, future, now_ms, self._wait_until(call))
         if entry.until_ms <= self._clock.now_ms():
             raise self._overload("no-time")
         self._teams.setdefault(call.team, deque()).append(entry)
@@ -117,20 +126,24 @@
         self._refuse_expired()
         self._shares.charge(self._loads.take_used())
         for team in sorted(self._teams, key=self._shares.level):
-            queue = self._teams[team]
-            while queue:
-                placement = self._try(queue[0].call)
-                if placement is None:
-                    break
-                entry = queue.popleft()
-                if entry.placed.done():
-                    self._undo(placement)
-                else:
-                    entry.placed.set_result(placement)
-                if len(self._teams) > 1:
-                    break
+            self._place_one(self._teams[team])
         self._teams = {team: queue for team, queue in self._teams.items() if queue}
 
+    def _place_one(self, queue: deque[_Waiting]) -> None:
+        """Place the first request of a team for which there is room.
+
+        One that waits for an endpoint that holds its prompt lets others pass.
+        """
+        for entry in list(queue)[:_LOOKED_AT]:
+            if entry.placed.done():
+                queue.remove(entry)
+                continue
+            placement = self._try(entry.call, entry.patience(self._clock.now_ms()))
+            if placement is not None:
+                queue.remove(entry)
+                entry.placed.set_result(placement)
+                return
+
     def _wait_until(self, call: Call) -> float:
         """Return how long a request may wait.
 
@@ -143,13 +156,15 @@
             return min(by_objective, call.limit_ms)
         return now_ms + call.remaining_ms(now_ms) / 2
 
-    def _try(self, call: Call) -> Placement | None:
-        chosen = self._placer.choose(call, self._directory.of_service(self._service))
+    def _try(self, call: Call, patience: float) -> Placement | None:
+        endpoints = self._directory.of_service(self._service)
+        chosen = self._placer.choose(call, endpoints, patience)
         if chosen is None:
             return None
         endpoint, unread = chosen
         placement = Placement(endpoint.id, unread, self._clock.now_ms())
-        self._loads.begin(endpoint.id, call.team, unread, int(call.cost))
+        shared = call.details.shared_parts
+        self._loads.begin(endpoint.id, call.team, unread, int(call.cost), shared)
         return placement
 
     def _undo(self, placement: Placement) -> None:
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -4,7 +4,7 @@
 import contextlib
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -16,7 +16,7 @@
 from bulrushbend.core.identity import Identity, new_identity
 from bulrushbend.core.logs import part_logger, set_verbosity
 from bulrushbend.core.manifest import Limits, Manifest, hash_token
-from bulrushbend.core.settings import GatewaySettings
+from bulrushbend.core.settings import GatewaySettings, PeerAddress
 from bulrushbend.gateway import metrics
 from bulrushbend.gateway.admission import AdmissionQueue
 from bulrushbend.gateway.attempt import AttemptContext, AttemptResult, Verdict
@@ -25,6 +25,7 @@
 from bulrushbend.gateway.dispatch import BudgetBook, Dispatcher
 from bulrushbend.gateway.endpoints import EndpointDirectory, EndpointSource
 from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.holdings import PromptHoldings
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placing import Placer, PlacingLimits
 from bulrushbend.gateway.routes import RouteTable, choose_service
@@ -49,6 +50,7 @@
 
 ROLE = "gateway"
 _STARTING_RETRY_MS = 1_000.0
+_DRAINING_RETRY_MS = 100.0
 _SWEEP_MS = 200.0
 # Tornado answers nothing when its own bounds are exceeded, so they lie above those of
 # the manifest.
@@ -92,6 +94,8 @@
         self._dialect = dialect
         self._random = random.Random()
         self._draining = False
+        self._stopped_taking = False
+        self._contacts = settings.control
         self._was_leased = False
         self._running = 0
         self._gateways = 1
@@ -108,11 +112,18 @@
         self._directory = EndpointDirectory(
             source, clock, events, settings.endpoints_poll_ms, lambda: self._gateways
         )
-        self._loads = LoadView(identity.name, identity.incarnation, clock)
+        self._holdings = PromptHoldings()
+        self._loads = LoadView(
+            identity.name, identity.incarnation, clock, self._holdings
+        )
         self._health = EndpointHealth(clock, events)
         self._shares = TeamShares(clock)
         self._placer = Placer(
-            self._loads, self._health, PlacingLimits(), settings.data_centre
+            self._loads,
+            self._holdings,
+            self._health,
+            PlacingLimits(),
+            settings.data_centre,
         )
         self._budgets = BudgetBook(settings.retry_share, settings.retry_burst)
         context = AttemptContext(
@@ -126,7 +137,7 @@
         )
         self._in_force.listen(self._adopt)
         self._watch.listen(self._take_members)
-        self._directory.listen(self._dispatcher.look)
+        self._directory.listen(self._take_endpoints)
 
     @property
     def is_ready(self) -> bool:
@@ -217,6 +228,14 @@
             group.create_task(self._spread.run())
             group.create_task(self._sweep())
 
+    def take_contacts(self, replicas: Sequence[PeerAddress]) -> None:
+        """Take the control replicas of changed settings."""
+        if tuple(replicas) != self._contacts:
+            self._contacts = tuple(replicas)
+            self._watch.set_contacts(replicas)
+            names = [replica.name for replica in replicas]
+            self._events.write(EventKind.SETTINGS_RELOADED, control=names)
+
     async def drain(self, stop_listening: Callable[[], None]) -> None:
         """Report unready, wait until callers stay away, and finish what runs."""
         self._draining = True
@@ -224,6 +243,7 @@
         self._watch.set_leaving()
         deadline_ms = self._clock.now_ms() + self._settings.drain_ms
         await self._clock.sleep_ms(self._settings.drain_notice_ms)
+        self._stopped_taking = True
         stop_listening()
         while self._running and self._clock.now_ms() < deadline_ms:
             await self._clock.sleep_ms(20)
@@ -236,6 +256,9 @@
         received_ms: float,
     ) -> Call:
         """Check a request; raises `CallEnded` if it cannot be served."""
+        if self._stopped_taking:
+            message = "the gateway is about to stop"
+            raise refused(503, "draining", message, _DRAINING_RETRY_MS)
         manifest = self._in_force.current
         if manifest is None:
             message = "the gateway has no manifest yet"
@@ -345,6 +368,7 @@
         self._routes = RouteTable(manifest.routes)
         self._limits = manifest.limits
         self._shares.set_shares({team.name: team.share for team in manifest.teams})
+        self._take_endpoints(set())
 
     def _take_members(self, members: dict[str, Member]) -> None:
         peers = [
@@ -356,6 +380,18 @@
         self._spread.set_peers(peers)
         self._budgets.set_gateways(self._gateways)
 
+    def _take_endpoints(self, ended: set[str]) -> None:
+        for endpoint in ended:
+            self._holdings.forget(endpoint)
+            self._health.forget(endpoint)
+        manifest = self._in_force.current
+        if manifest is not None:
+            for endpoint in self._directory.endpoints:
+                service = manifest.services_by_name.get(endpoint.service)
+                memory = service.memory_tokens if service else None
+                self._holdings.set_memory(endpoint.id, memory)
+        self._dispatcher.look()
+
     async def _sweep(self) -> None:
         """Note changes of the lease and set the metrics."""
         while True:
@@ -385,6 +421,7 @@
     dialect: Dialect,
     source: EndpointSource,
     ready_path: str = "/readyz",
+    reload: Callable[[], GatewaySettings] | None = None,
 ) -> None:
     """Run the gateway daemon until SIGTERM or SIGINT, then drain it.
 
@@ -398,6 +435,8 @@
         Lists the endpoints.
     ready_path : str, default="/readyz"
         Further path of the readiness page.
+    reload : callable, optional
+        Reads the settings anew after SIGHUP or a change of the file.
 
     Raises
     ------
@@ -428,8 +467,13 @@
         events.write(EventKind.PROCESS_STARTED, role=ROLE)
         stack.callback(events.write, EventKind.PROCESS_STOPPED)
         running = asyncio.create_task(gateway.run())
+
+        def take_settings() -> None:
+            if reload is not None:
+                gateway.take_contacts(reload().control)
+
         stopping = asyncio.create_task(
-            run_until_signal(lambda: gateway.drain(front.stop))
+            run_until_signal(lambda: gateway.drain(front.stop), take_settings)
         )
         try:
             done, _ = await asyncio.wait(
--- a/libs/gateway/src/bulrushbend/gateway/endpoints.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoints.py
@@ -31,6 +31,8 @@
         Requests that it runs at once.
     is_leaving : bool
         Whether it takes no new work.
+    started_ms : int or None
+        Wall time of its start, if it tells; it holds nothing of an earlier one.
     """
 
     id: str
@@ -39,6 +41,7 @@
     data_centre: str
     slots: int
     is_leaving: bool = False
+    started_ms: int | None = None
 
 
 class EndpointSource(Protocol):
@@ -92,7 +95,7 @@
         self._gateways = gateways
         self._by_id: dict[str, FoundEndpoint] = {}
         self._by_service: dict[str, list[FoundEndpoint]] = {}
-        self._listeners: list[Callable[[], None]] = []
+        self._listeners: list[Callable[[set[str]], None]] = []
         self._read_ms: float | None = None
         self._failed = False
 
@@ -108,8 +111,13 @@
             return float("inf")
         return self._clock.now_ms() - self._read_ms
 
-    def listen(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after each list."""
+    @property
+    def endpoints(self) -> Sequence[FoundEndpoint]:
+        """All endpoints of the list, also those that leave."""
+        return tuple(self._by_id.values())
+
+    def listen(self, listener: Callable[[set[str]], None]) -> None:
+        """Call `listener` after each change with the ids of starts that have ended."""
         self._listeners.append(listener)
 
     def of_service(self, service: str) -> Sequence[FoundEndpoint]:
@@ -155,6 +163,11 @@
         by_id = {endpoint.id: endpoint for endpoint in found}
         if by_id == self._by_id:
             return
+        ended = {
+            name
+            for name, known in self._by_id.items()
+            if name not in by_id or by_id[name].started_ms != known.started_ms
+        }
         self._write_changes(by_id)
         self._by_id = by_id
         self._by_service = {}
@@ -162,7 +175,7 @@
             if not endpoint.is_leaving:
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
         for listener in self._listeners:
-            listener()
+            listener(ended)
 
     def _write_changes(self, by_id: dict[str, FoundEndpoint]) -> None:
         for name in by_id.keys() - self._by_id.keys():
--- a/libs/gateway/src/bulrushbend/gateway/health.py
+++ b/libs/gateway/src/bulrushbend/gateway/health.py
@@ -84,9 +84,9 @@
         ratio = min(_SLOWEST, max(1.0, taken_ms / max(1.0, expected_ms)))
         record.slowness += _SLOWNESS_GAIN * (ratio - record.slowness)
 
-    def forget(self, known: set[str]) -> None:
-        """Drop the records of endpoints that are not in `known`."""
-        self._records = {e: r for e, r in self._records.items() if e in known}
+    def forget(self, endpoint: str) -> None:
+        """Drop the record of an endpoint that has ended or started anew."""
+        self._records.pop(endpoint, None)
 
     def _avoided_until(self, endpoint: str) -> float:
         record = self._records.get(endpoint)
--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -1,11 +1,13 @@
 """What is in progress at each endpoint, by this gateway and by all others."""
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.wire.fleet_pb2 import EndpointLoad, LoadReport, TeamUse
+from bulrushbend.gateway.call import PromptPart
+from bulrushbend.gateway.holdings import PromptHoldings
+from bulrushbend.wire.fleet_pb2 import EndpointLoad, LoadReport, SharedPrompt, TeamUse
 
 # Gateways repeat their reports at least every 500 ms; four lost ones in a row mean that
 # the gateway is gone or cut off, and its requests are no longer counted.
@@ -48,9 +50,16 @@
         Start of this gateway.
     clock : Clock
         Source of time.
+    holdings : PromptHoldings
+        Receives the shared parts of prompts that are placed by any gateway.
     """
 
-    def __init__(self, name: str, incarnation: int, clock: Clock):
+    def __init__(
+        self, name: str, incarnation: int, clock: Clock, holdings: PromptHoldings
+    ):
+        self._holdings = holdings
+        self._prompts: list[SharedPrompt] = []
+        self._repeated: list[SharedPrompt] = []
         self._name = name
         self._incarnation = incarnation
         self._clock = clock
@@ -82,8 +91,24 @@
         """Return the work of this gateway at an endpoint."""
         return self._own.get(endpoint) or Load()
 
-    def begin(self, endpoint: str, team: str, unread: int, cost: int) -> None:
+    def begin(
+        self,
+        endpoint: str,
+        team: str,
+        unread: int,
+        cost: int,
+        shared: Sequence[PromptPart] = (),
+    ) -> None:
         """Count a request that is sent to an endpoint."""
+        if shared:
+            self._holdings.give(endpoint, shared)
+            self._prompts.append(
+                SharedPrompt(
+                    endpoint=endpoint,
+                    digests=[part.digest for part in shared],
+                    tokens=[part.tokens for part in shared],
+                )
+            )
         load = self._own[endpoint]
         load.running += 1
         load.unread_tokens += unread
@@ -113,7 +138,10 @@
         """Return the report of own work for the other gateways."""
         self._sequence += 1
         self._changed = False
+        prompts = self._repeated + self._prompts
+        self._repeated, self._prompts = self._prompts, []
         return LoadReport(
+            prompts=prompts,
             gateway=self._name,
             incarnation=self._incarnation,
             sequence=self._sequence,
@@ -142,6 +170,12 @@
                 gained = tokens - known.teams.get(team, 0)
                 if gained > 0:
                     self._used.append((team, gained))
+        for prompt in report.prompts:
+            parts = [
+                PromptPart(digest, tokens)
+                for digest, tokens in zip(prompt.digests, prompt.tokens, strict=False)
+            ]
+            self._holdings.give(prompt.endpoint, parts)
         self._peers[report.gateway] = _Peer(
             report.incarnation,
             report.sequence,
--- a/libs/gateway/src/bulrushbend/gateway/placing.py
+++ b/libs/gateway/src/bulrushbend/gateway/placing.py
@@ -7,13 +7,14 @@
 """
 
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from bulrushbend.gateway.call import Call, PromptPart
 from bulrushbend.gateway.endpoints import FoundEndpoint
 from bulrushbend.gateway.health import EndpointHealth
-from bulrushbend.gateway.loads import LoadView
+from bulrushbend.gateway.holdings import PromptHoldings
+from bulrushbend.gateway.loads import Load, LoadView
 
 # Tokens that are read again delay the prompts behind them and push other prompts out of
 # the endpoint's memory, so they weigh more than the tokens that already wait.
@@ -21,6 +22,10 @@
 # Tokens that a waiting request adds to the load of an endpoint beyond its prompt: a
 # running request slows down all others of the batch a little.
 RUNNING_TOKENS = 100.0
+REFERENCE_SLOTS = 64
+# Advantage of an endpoint in the same data centre, and of the home of a prompt.
+FAR_TOKENS = 10.0
+HOME_TOKENS = 500.0
 
 
 @dataclass(frozen=True)
@@ -44,6 +49,8 @@
     ----------
     loads : LoadView
         Work of all gateways.
+    holdings : PromptHoldings
+        Shared parts of prompts that endpoints hold.
     health : EndpointHealth
         Endpoints that are avoided.
     limits : PlacingLimits
@@ -55,68 +62,77 @@
     def __init__(
         self,
         loads: LoadView,
+        holdings: PromptHoldings,
         health: EndpointHealth,
         limits: PlacingLimits,
         data_centre: str,
     ):
         self._loads = loads
+        self._holdings = holdings
         self._health = health
         self._limits = limits
         self._data_centre = data_centre
 
     def choose(
-        self, call: Call, endpoints: Sequence[FoundEndpoint]
+        self, call: Call, endpoints: Sequence[FoundEndpoint], patience: float
     ) -> tuple[FoundEndpoint, int] | None:
         """Return the endpoint for a request and the prompt tokens it has to read.
 
-        None means that the request has to wait: all endpoints are at their limits.
+        None means that the request has to wait: the endpoint that suits it best is at
+        its limit, or all are.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        endpoints : sequence of FoundEndpoint
+            Endpoints of its service that take new work.
+        patience : float
+            Part of the request's waiting time that is left, from 1 to 0. With little of
+            it any endpoint is better than one that holds the prompt but is busy.
         """
-        usable = [e for e in endpoints if e.id not in call.tried]
-        usable = self._health.usable(usable)
-        best: tuple[float, FoundEndpoint, int] | None = None
-        homes = _homes(call.details.shared_parts, endpoints)
+        usable = self._health.usable([e for e in endpoints if e.id not in call.tried])
+        shared = call.details.shared_parts
+        home = _home(shared, endpoints)
+        best: tuple[float, FoundEndpoint, int, bool] | None = None
         for endpoint in usable:
             load = self._loads.total(endpoint.id)
             if load.running >= endpoint.slots:
                 continue
-            if load.unread_tokens > self._limits.unread_tokens:
-                continue
-            unread = _unread_tokens(call, endpoint.id, homes)
-            cost = (
-                load.unread_tokens
-                + REREAD_WEIGHT * unread
-                + RUNNING_TOKENS * load.running * (64 / endpoint.slots)
-                + (0.0 if endpoint.data_centre == self._data_centre else 10.0)
-            ) * self._health.slowness(endpoint.id)
+            held = self._holdings.held_tokens(endpoint.id, shared)
+            unread = max(1, call.tokens - held)
+            cost = self._cost(endpoint, load, unread, patience)
+            if endpoint.id == home:
+                cost -= HOME_TOKENS
+            is_full = load.unread_tokens > self._limits.unread_tokens
             if best is None or cost < best[0]:
-                best = (cost, endpoint, unread)
-        return None if best is None else best[1:]
-
-
-def _unread_tokens(call: Call, endpoint_id: str, homes: dict[str, str]) -> int:
-    """Return the prompt tokens that the endpoint is not expected to hold."""
-    held = 0
-    for part in call.details.shared_parts:
-        if homes.get(part.digest) != endpoint_id:
-            break
-        held += part.tokens
-    return max(1, call.tokens - held)
-
-
-def _homes(
-    parts: Iterable[PromptPart], endpoints: Sequence[FoundEndpoint]
-) -> dict[str, str]:
-    """Return the endpoint at which each shared part is expected, by its digest.
-
-    Rendezvous hashing over the last shared part: all gateways choose the same home
-    without telling each other, and few homes move when endpoints come and go.
+                best = (cost, endpoint, unread, is_full)
+        if best is None or best[3]:
+            return None
+        return best[1], best[2]
+
+    def _cost(
+        self, endpoint: FoundEndpoint, load: Load, unread: int, patience: float
+    ) -> float:
+        weight = 1.0 + (REREAD_WEIGHT - 1.0) * patience
+        distance = 0.0 if endpoint.data_centre == self._data_centre else FAR_TOKENS
+        running = RUNNING_TOKENS * load.running * REFERENCE_SLOTS / endpoint.slots
+        work = load.unread_tokens + weight * unread + running
+        return work * self._health.slowness(endpoint.id) + distance
+
+
+def _home(
+    parts: Sequence[PromptPart], endpoints: Sequence[FoundEndpoint]
+) -> str | None:
+    """Return the endpoint that first reads a prompt that none holds.
+
+    Rendezvous hashing over the last shared part: gateways that see a new prompt at one
+    time choose the same endpoint, and few homes move when endpoints come and go.
     """
-    parts = list(parts)
     if not parts or not endpoints:
-        return {}
+        return None
     key = parts[-1].digest
-    home = max(endpoints, key=lambda e: _rank(key, e.id)).id
-    return {part.digest: home for part in parts}
+    return max(endpoints, key=lambda endpoint: _rank(key, endpoint.id)).id
 
 
 def _rank(key: str, endpoint_id: str) -> bytes:
--- a/libs/process/src/bulrushbend/process/daemon.py
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -18,10 +18,14 @@
 from bulrushbend.core.errors import SettingsError
 from bulrushbend.core.events import EventLog, MemoryEventLog, StreamEventLog
 from bulrushbend.core.identity import Identity
+from bulrushbend.core.logs import part_logger
 from bulrushbend.core.pipelog import PipeEventLog
 from bulrushbend.core.settings import ProcessSettings, split_address
 from bulrushbend.wire.fleet_pb2 import Member
 
+_log = part_logger("process.daemon")
+# Time between looks at a settings file that changes without a signal.
+RELOAD_S = 1.0
 # Value of the setting `event_log` that stands for standard output.
 STANDARD_OUTPUT = "-"
 
@@ -158,19 +162,27 @@
     return (usage.ru_utime + usage.ru_stime) * 1000.0
 
 
-async def run_until_signal(drain: Callable[[], Awaitable[None]]) -> None:
+async def run_until_signal(
+    drain: Callable[[], Awaitable[None]],
+    reload: Callable[[], None] | None = None,
+) -> None:
     """Wait for SIGTERM or SIGINT, then drain; a second signal ends the drain.
 
     Parameters
     ----------
     drain : callable
         Coroutine function that finishes what is in progress.
+    reload : callable, optional
+        Takes the settings anew; called after SIGHUP and once a second, since settings
+        may change without a signal. It may raise `SettingsError`, which is logged.
     """
     loop = asyncio.get_running_loop()
     signals: asyncio.Queue[int] = asyncio.Queue()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
+    reloading = asyncio.ensure_future(_reload_on_signal(loop, reload))
     await signals.get()
+    reloading.cancel()
     draining = asyncio.ensure_future(drain())
     second = asyncio.ensure_future(signals.get())
     await asyncio.wait({draining, second}, return_when=asyncio.FIRST_COMPLETED)
@@ -178,3 +190,24 @@
     draining.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await draining
+
+
+async def _reload_on_signal(
+    loop: asyncio.AbstractEventLoop, reload: Callable[[], None] | None
+) -> None:
+    hangup = asyncio.Event()
+    # Without a handler SIGHUP would end the process.
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RELOAD_S):
+                await hangup.wait()
+        if hangup.is_set():
+            _log.info("SIGHUP: the settings are read again")
+        hangup.clear()
+        if reload is None:
+            continue
+        try:
+            reload()
+        except SettingsError as error:
+            _log.error("the settings stay as they are: %s", error)
--- a/libs/process/src/bulrushbend/process/watch.py
+++ b/libs/process/src/bulrushbend/process/watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from grpclib.client import Channel
@@ -76,6 +76,9 @@
         self._listeners: list[MemberListener] = []
         self._channels: dict[str, Channel] = {}
         self._control_bytes = 0
+        self._contacts = settings.control
+        self._named: dict[str, tuple[PeerAddress, ...]] = {}
+        self._changed = asyncio.Event()
 
     @property
     def members(self) -> dict[str, Member]:
@@ -101,16 +104,47 @@
         """Report from now on that this process is about to stop."""
         self._leaving = True
 
+    def set_contacts(self, replicas: Sequence[PeerAddress]) -> None:
+        """Take other control replicas from the settings."""
+        self._contacts = tuple(replicas)
+        self._changed.set()
+
     async def run(self) -> None:
         """Watch all control replicas until cancelled."""
+        tasks: dict[PeerAddress, asyncio.Task[None]] = {}
         try:
-            async with asyncio.TaskGroup() as group:
-                for replica in self._settings.control:
-                    group.create_task(self._watch_replica(replica))
+            while True:
+                self._changed.clear()
+                wanted = set(self._replicas())
+                for replica in tasks.keys() - wanted:
+                    tasks.pop(replica).cancel()
+                for replica in wanted - tasks.keys():
+                    tasks[replica] = asyncio.create_task(self._watch_replica(replica))
+                await self._wait_for_change(tasks.values())
         finally:
+            for task in tasks.values():
+                task.cancel()
             for channel in self._channels.values():
                 channel.close()
 
+    async def _wait_for_change(self, tasks: Iterable[asyncio.Task[None]]) -> None:
+        """Return after a change of the replicas; raise what a watch has failed with."""
+        change = asyncio.create_task(self._changed.wait())
+        done, _ = await asyncio.wait(
+            {change, *tasks}, return_when=asyncio.FIRST_COMPLETED
+        )
+        change.cancel()
+        for task in done:
+            if task is not change:
+                task.result()
+
+    def _replicas(self) -> list[PeerAddress]:
+        """Return the replicas of the settings and those that control names."""
+        by_address = {replica.address: replica for replica in self._contacts}
+        for replicas in self._named.values():
+            by_address |= {replica.address: replica for replica in replicas}
+        return list(by_address.values())
+
     async def call(self, method: str, request: Any, timeout_ms: float) -> Any:
         """Call a unary method of the `Fleet` service on any replica that answers.
 
@@ -133,7 +167,7 @@
         last_error = "no control replica is connected"
         while True:
             replicas = sorted(
-                self._settings.control,
+                self._replicas(),
                 key=lambda r: (r.name not in self._connected, random.random()),
             )
             for replica in replicas:
@@ -235,6 +269,12 @@
         is_newest = state.manifest_version <= self._in_force.version
         if self._lease is not None and state.lease_stamp and is_newest:
             self._lease.renew(state.lease_stamp)
+        if state.control:
+            self._named[replica_name] = tuple(
+                PeerAddress(name=node.name, address=node.address)
+                for node in state.control
+            )
+            self._changed.set()
         if state.members_are_complete:
             self._views[replica_name] = {}
         view = self._views.setdefault(replica_name, {})
--- a/libs/store/src/bulrushbend/store/base.py
+++ b/libs/store/src/bulrushbend/store/base.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bulrushbend.store.configuration import Node
 from bulrushbend.store.state import State
 from bulrushbend.wire.control_pb2 import Command
 from bulrushbend.wire.fleet_pb2 import VotersReply, VotersRequest
@@ -62,6 +63,11 @@
     def is_cut_off(self) -> bool:
         """Whether writes here are hopeless, so that callers should go elsewhere."""
 
+    @property
+    def nodes(self) -> tuple[Node, ...]:
+        """Voters and learners as this replica knows them, empty without peers."""
+        return ()
+
     def listen(self, listener: AppliedListener) -> None:
         """Call `listener` after each applied command, and after an installed snapshot.
 
--- a/libs/store/src/bulrushbend/store/leadership.py
+++ b/libs/store/src/bulrushbend/store/leadership.py
@@ -39,6 +39,25 @@
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+@dataclass(frozen=True)
+class PeerView:
+    """What a leader knows of a peer, for changes of the voter list.
+
+    Attributes
+    ----------
+    silent_ms : float
+        Time since a call was sent that the peer has answered, in milliseconds.
+    disk_id : str
+        Data folder on which the peer runs, empty before its first answer.
+    has_caught_up : bool
+        Whether it holds all that is committed.
+    """
+
+    silent_ms: float
+    disk_id: str
+    has_caught_up: bool
+
+
 @dataclass(frozen=True)
 class _Pending:
     command: bytes
@@ -68,6 +87,7 @@
         self._round = 0
         self._reads: list[tuple[int, asyncio.Future[None]]] = []
         self._started_ms = core.clock.now_ms()
+        self._writing_since_ms: float | None = None
         self.change_lock = asyncio.Lock()
 
     @property
@@ -84,6 +104,18 @@
         """Return what is known of the peer called `name`."""
         return self._peers.get(name)
 
+    def peer_views(self) -> dict[str, PeerView]:
+        """Return what is known of all peers."""
+        now_ms = self._core.clock.now_ms()
+        return {
+            name: PeerView(
+                now_ms - max(peer.heard_ms, self._started_ms),
+                peer.disk_id,
+                bool(peer.disk_id) and peer.match_index >= self._core.commit_index,
+            )
+            for name, peer in self._peers.items()
+        }
+
     async def run(self) -> None:
         """Lead until the replica steps down."""
         writer = asyncio.create_task(self._write_batches())
@@ -94,6 +126,7 @@
                 self._core.role_changed.clear()
                 await self._tick()
                 self._check_quorum()
+                self._check_disk()
         finally:
             self._end(writer)
 
@@ -163,6 +196,14 @@
         if not self._core.configuration.has_majority(heard | {self._core.name}):
             self._core.step_down("no answer from a majority of the voters")
 
+    def _check_disk(self) -> None:
+        """Step down when the disk takes no entries; another replica's disk may."""
+        if self._writing_since_ms is None or not self.is_active:
+            return
+        writing_ms = self._core.clock.now_ms() - self._writing_since_ms
+        if writing_ms > self._core.options.election_timeout_ms:
+            self._core.step_down("the disk does not finish a write")
+
     def _counted_peers(self) -> list[tuple[str, Progress]]:
         """Return the peers that answer from the data folder that may vote."""
         configuration = self._core.configuration
@@ -190,11 +231,14 @@
         while self.is_active:
             await self._submitted.wait()
             self._submitted.clear()
+            self._writing_since_ms = self._core.clock.now_ms()
             try:
                 await self._core.exclusive(self._write_batch)
             except StoreFailed as error:
                 _log.error("cannot append: %s", error)
                 return
+            finally:
+                self._writing_since_ms = None
 
     async def _write_batch(self) -> None:
         if not self.is_active:
--- a/libs/store/src/bulrushbend/store/replica.py
+++ b/libs/store/src/bulrushbend/store/replica.py
@@ -15,11 +15,11 @@
 from bulrushbend.core.events import EventLog
 from bulrushbend.core.logs import part_logger
 from bulrushbend.store.base import BaseReplica, ReplicaStatus
-from bulrushbend.store.configuration import Node
+from bulrushbend.store.configuration import Configuration, Node
 from bulrushbend.store.core import ReplicaCore
 from bulrushbend.store.election import Election
 from bulrushbend.store.following import Following
-from bulrushbend.store.leadership import Leadership
+from bulrushbend.store.leadership import Leadership, PeerView
 from bulrushbend.store.options import ReplicaOptions, Role
 from bulrushbend.store.stores import Stores
 from bulrushbend.store.transport import PeerTransport
@@ -114,6 +114,29 @@
         """Whether this replica is a voter on its data folder."""
         return self._core.may_vote
 
+    @property
+    def configuration(self) -> Configuration:
+        """Newest configuration in the log."""
+        return self._core.configuration
+
+    @property
+    def nodes(self) -> tuple[Node, ...]:
+        """Voters and learners of the newest configuration."""
+        return self._core.configuration.nodes
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether this replica votes or learns and has a leader, or leads."""
+        listed = self._core.configuration.node(self._core.name) is not None
+        return listed and bool(self._core.leader)
+
+    def peers(self) -> dict[str, PeerView]:
+        """Return what this replica knows of its peers; empty unless it leads."""
+        leadership = self._leadership
+        if leadership is None or not leadership.is_active:
+            return {}
+        return leadership.peer_views()
+
     def status(self) -> ReplicaStatus:
         """Return the consensus status as this replica sees it."""
         configuration = self._core.configuration
