Log the first event and the longest pause of each answer

Cause: streams were late and nothing showed whether the first event or a pause was. Change: the line of a request's end has both times.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -198,9 +198,15 @@
         return headers
 
     async def _pass_body(self, exchange: Exchange) -> None:
+        last_ms = 0.0
         async for chunk in exchange.chunks():
+            now_ms = self._context.clock.now_ms()
             if not self._is_read:
                 self._note_first_event()
+                self._call.note_first_event(now_ms)
+            else:
+                self._call.note_pause(now_ms - last_ms)
+            last_ms = now_ms
             piece = chunk if self._framer is None else self._framer.feed(chunk)
             if piece:
                 await self._sink.write(piece)
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -72,6 +72,8 @@
     tried: set[str] = field(default_factory=set)
     offered: int = 0
     last_event_id: str = ""
+    first_event_ms: float | None = None
+    longest_pause_ms: float = 0.0
 
     @property
     def tokens(self) -> int:
@@ -88,6 +90,15 @@
         """Time at which the answer, or its first event, is late."""
         return self.received_ms + self.route.objective_ms
 
+    def note_first_event(self, now_ms: float) -> None:
+        """Note when the first piece of the answer came."""
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms - self.received_ms
+
+    def note_pause(self, pause_ms: float) -> None:
+        """Note the time between two pieces of the answer."""
+        self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+
     def remaining_ms(self, now_ms: float) -> float:
         """Return the time that is left in milliseconds."""
         return self.limit_ms - now_ms
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -343,6 +343,8 @@
             status=status,
             reason=reason,
             endpoints=sorted(call.tried) if call else [],
+            first_event_ms=_rounded(call.first_event_ms) if call else None,
+            longest_pause_ms=_rounded(call.longest_pause_ms) if call else None,
             taken_ms=round(taken_ms, 1),
             waiting=self._dispatcher.waiting,
             version=self._in_force.version,
@@ -416,6 +418,10 @@
         )
 
 
+def _rounded(value_ms: float | None) -> float | None:
+    return None if value_ms is None else round(value_ms, 1)
+
+
 async def run_gateway(
     settings: GatewaySettings,
     dialect: Dialect,
