Read one prompt at a time at an endpoint and fetch shared parts

Cause: an endpoint reads a part of each new prompt in every step, so several prompts at once make pauses in all its streams; and shared parts were read again on other endpoints. Change: a request is placed where nothing is unread, or where its prompt and the unread ones are small together; an endpoint that lacks shared parts fetches them from the one that holds most of them.

--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -161,8 +161,9 @@
         chosen = self._placer.choose(call, endpoints, patience)
         if chosen is None:
             return None
-        endpoint, unread = chosen
-        placement = Placement(endpoint.id, unread, self._clock.now_ms())
+        endpoint, unread = chosen.endpoint, chosen.unread_tokens
+        source = chosen.source.address if chosen.source else ""
+        placement = Placement(endpoint.id, unread, self._clock.now_ms(), source)
         shared = call.details.shared_parts
         self._loads.begin(endpoint.id, call.team, unread, int(call.cost), shared)
         return placement
--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -152,7 +152,7 @@
         call = self._call
         remaining_ms = call.remaining_ms(self._context.clock.now_ms())
         headers = self._context.dialect.endpoint_headers(
-            call, self._endpoint, remaining_ms
+            call, self._endpoint, remaining_ms, self._placement.fetch_from
         )
         return ExchangeRequest(call.method, call.target, headers, call.body)
 
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -1,6 +1,5 @@
 """A caller's request as the gateway holds it, and how it can end."""
 
-import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -72,6 +71,7 @@
     tried: set[str] = field(default_factory=set)
     offered: int = 0
     last_event_id: str = ""
+    endpoint: str = ""
     first_event_ms: float | None = None
     longest_pause_ms: float = 0.0
 
@@ -147,11 +147,23 @@
     return CallEnded(502, code, message)
 
 
-@dataclass
+@dataclass(frozen=True)
 class Placement:
-    """An endpoint that was chosen for a request, and what is charged there."""
+    """An endpoint that was chosen for a request, and what is charged there.
+
+    Attributes
+    ----------
+    endpoint : str
+        Id of the endpoint.
+    unread_tokens : int
+        Prompt tokens counted as unread there.
+    granted_ms : float
+        When it was chosen.
+    fetch_from : str
+        Address of an endpoint that holds shared parts of the prompt, or empty.
+    """
 
     endpoint: str
     unread_tokens: int
     granted_ms: float
-    first_event: asyncio.Event = field(default_factory=asyncio.Event)
+    fetch_from: str = ""
--- a/libs/gateway/src/bulrushbend/gateway/dialect.py
+++ b/libs/gateway/src/bulrushbend/gateway/dialect.py
@@ -40,9 +40,16 @@
         ...
 
     def endpoint_headers(
-        self, call: Call, endpoint: FoundEndpoint, remaining_ms: float
+        self,
+        call: Call,
+        endpoint: FoundEndpoint,
+        remaining_ms: float,
+        fetch_from: str = "",
     ) -> HTTPHeaders:
-        """Return the headers with which `call` is sent to `endpoint`."""
+        """Return the headers with which `call` is sent to `endpoint`.
+
+        `fetch_from` is the address of an endpoint that holds parts of the prompt.
+        """
         ...
 
     def proves_not_run(self, status: int, headers: HTTPHeaders) -> bool:
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -124,6 +124,7 @@
         sink: AnswerSink,
         framer: EventFramer | None,
     ) -> AttemptResult:
+        call.endpoint = placement.endpoint
         endpoint = self._directory.get(placement.endpoint)
         if endpoint is None:
             self._context.loads.read(placement.endpoint, placement.unread_tokens)
--- a/libs/gateway/src/bulrushbend/gateway/placing.py
+++ b/libs/gateway/src/bulrushbend/gateway/placing.py
@@ -19,6 +19,10 @@
 # Tokens that are read again delay the prompts behind them and push other prompts out of
 # the endpoint's memory, so they weigh more than the tokens that already wait.
 REREAD_WEIGHT = 5.0
+# Fetching a token from another endpoint takes about a third of the time of reading it.
+FETCH_WEIGHT = 0.35
+# Fewer tokens are read faster than a transfer is set up.
+LEAST_FETCHED = 100
 # Tokens that a waiting request adds to the load of an endpoint beyond its prompt: a
 # running request slows down all others of the batch a little.
 RUNNING_TOKENS = 100.0
@@ -35,11 +39,31 @@
     Attributes
     ----------
     unread_tokens : int
-        Prompt tokens that may wait at a model endpoint before a request is placed
-        there.
+        Prompt tokens that an endpoint may have to read at one time, unless it reads a
+        single prompt. An endpoint reads a part of each such prompt in every step and
+        makes no token meanwhile, so several at once make long pauses in all streams.
     """
 
-    unread_tokens: int = 13_000
+    unread_tokens: int = 2_048
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Endpoint for a request.
+
+    Attributes
+    ----------
+    endpoint : FoundEndpoint
+        Where the request goes.
+    unread_tokens : int
+        Prompt tokens that it has to read.
+    source : FoundEndpoint or None
+        Endpoint from which it can fetch shared parts of the prompt.
+    """
+
+    endpoint: FoundEndpoint
+    unread_tokens: int
+    source: FoundEndpoint | None
 
 
 class Placer:
@@ -75,8 +99,8 @@
 
     def choose(
         self, call: Call, endpoints: Sequence[FoundEndpoint], patience: float
-    ) -> tuple[FoundEndpoint, int] | None:
-        """Return the endpoint for a request and the prompt tokens it has to read.
+    ) -> Choice | None:
+        """Return the endpoint for a request.
 
         None means that the request has to wait: the endpoint that suits it best is at
         its limit, or all are.
@@ -94,30 +118,53 @@
         usable = self._health.usable([e for e in endpoints if e.id not in call.tried])
         shared = call.details.shared_parts
         home = _home(shared, endpoints)
-        best: tuple[float, FoundEndpoint, int, bool] | None = None
+        holder, most_held = self._best_holder(shared, endpoints)
+        best: tuple[float, Choice, bool] | None = None
         for endpoint in usable:
             load = self._loads.total(endpoint.id)
             if load.running >= endpoint.slots:
                 continue
             held = self._holdings.held_tokens(endpoint.id, shared)
-            unread = max(1, call.tokens - held)
-            cost = self._cost(endpoint, load, unread, patience)
+            fetched = most_held - held if most_held - held >= LEAST_FETCHED else 0
+            unread = max(1, call.tokens - held - fetched)
+            cost = self._cost(endpoint, load, unread, fetched, patience)
             if endpoint.id == home:
                 cost -= HOME_TOKENS
-            is_full = load.unread_tokens > self._limits.unread_tokens
+            is_full = (
+                load.unread_tokens > 0
+                and load.unread_tokens + unread > self._limits.unread_tokens
+            )
             if best is None or cost < best[0]:
-                best = (cost, endpoint, unread, is_full)
-        if best is None or best[3]:
+                source = holder if fetched else None
+                best = (cost, Choice(endpoint, unread, source), is_full)
+        if best is None or best[2]:
             return None
-        return best[1], best[2]
+        return best[1]
+
+    def _best_holder(
+        self, shared: Sequence[PromptPart], endpoints: Sequence[FoundEndpoint]
+    ) -> tuple[FoundEndpoint | None, int]:
+        """Return the endpoint that holds most of a prompt, and how many tokens."""
+        best: FoundEndpoint | None = None
+        most = 0
+        for endpoint in self._health.usable(endpoints):
+            held = self._holdings.held_tokens(endpoint.id, shared)
+            if held > most:
+                best, most = endpoint, held
+        return best, most
 
     def _cost(
-        self, endpoint: FoundEndpoint, load: Load, unread: int, patience: float
+        self,
+        endpoint: FoundEndpoint,
+        load: Load,
+        unread: int,
+        fetched: int,
+        patience: float,
     ) -> float:
         weight = 1.0 + (REREAD_WEIGHT - 1.0) * patience
         distance = 0.0 if endpoint.data_centre == self._data_centre else FAR_TOKENS
         running = RUNNING_TOKENS * load.running * REFERENCE_SLOTS / endpoint.slots
-        work = load.unread_tokens + weight * unread + running
+        work = load.unread_tokens + weight * unread + FETCH_WEIGHT * fetched + running
         return work * self._health.slowness(endpoint.id) + distance
 
 
