--- /dev/null
+++ b/libs/gateway/tests/gateway_builders.py
@@ -0,0 +1,262 @@
+"""Builders of calls, endpoints and scripted servers for the tests of the gateway."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+from tornado.httputil import HTTPHeaders
+
+from bulrushbend.core.clock import ManualClock
+from bulrushbend.core.errors import PeerError
+from bulrushbend.core.events import MemoryEventLog
+from bulrushbend.core.manifest import Route, RouteKind, Split
+from bulrushbend.gateway.admission import AdmissionQueue
+from bulrushbend.gateway.call import Call, CallDetails, PromptPart
+from bulrushbend.gateway.dialect import bearer_token, end_to_end, retry_after
+from bulrushbend.gateway.endpoints import EndpointDirectory, FoundEndpoint
+from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.holdings import PromptHoldings
+from bulrushbend.gateway.loads import LoadView
+from bulrushbend.gateway.placing import Placer, PlacingLimits
+from bulrushbend.gateway.shares import TeamShares
+
+SERVICE = "flor-llm"
+
+
+def make_route(name="plan", **fields):
+    values = {
+        "host": "a.example",
+        "path_prefix": f"/{name}/",
+        "kind": RouteKind.STREAM,
+        "split": (Split(service=SERVICE),),
+        "time_limit_ms": 15_000,
+        "objective_ms": 1000,
+    }
+    return Route(name=name, **(values | fields))
+
+
+def make_call(team="crew-a", tokens=1000, prefix=(), now_ms=0.0, **fields):
+    parts = tuple(PromptPart(digest, count) for digest, count in prefix)
+    route = fields.pop("route", None) or make_route()
+    details = CallDetails(
+        request_id=fields.pop("request_id", "r1"),
+        prompt_tokens=tokens,
+        output_tokens=fields.pop("output_tokens", 0),
+        prefix=parts,
+        last_event_id=fields.pop("last_event_id", ""),
+    )
+    limit_ms = fields.pop("limit_ms", route.time_limit_ms)
+    return Call(
+        details=details,
+        method=fields.pop("method", "POST"),
+        target="/plan/x",
+        headers=HTTPHeaders(),
+        body=fields.pop("body", b"{}"),
+        route=route,
+        service=SERVICE,
+        team=team,
+        received_ms=now_ms,
+        limit_ms=now_ms + limit_ms,
+    )
+
+
+def make_endpoint(name="e1", address="127.0.0.1:1", slots=64, **fields):
+    return FoundEndpoint(
+        id=name,
+        service=fields.pop("service", SERVICE),
+        address=address,
+        data_centre=fields.pop("data_centre", "papantla"),
+        slots=slots,
+        **fields,
+    )
+
+
+class FakeSource:
+    """Endpoint source whose list a test sets."""
+
+    rate_per_s = 1000.0
+
+    def __init__(self, *endpoints):
+        self.endpoints = list(endpoints)
+        self.fails = False
+        self.calls = 0
+
+    async def fetch(self):
+        self.calls += 1
+        if self.fails:
+            raise PeerError("no answer", step="list", peer="source")
+        return list(self.endpoints), 1
+
+
+class Parts:
+    """The deciding parts of a gateway on a manual clock."""
+
+    def __init__(self, *endpoints, unread_tokens=2048, most_waiting=100, clock=None):
+        self.clock = clock or ManualClock()
+        self.events = MemoryEventLog()
+        self.source = FakeSource(*endpoints)
+        self.directory = EndpointDirectory(
+            self.source, self.clock, self.events, 1000.0, lambda: 1
+        )
+        self.directory._take(self.source.endpoints)
+        self.holdings = PromptHoldings()
+        self.loads = LoadView("g1", 1, self.clock, self.holdings)
+        self.health = EndpointHealth(self.clock, self.events)
+        self.shares = TeamShares(self.clock)
+        self.placer = Placer(
+            self.loads,
+            self.holdings,
+            self.health,
+            PlacingLimits(unread_tokens),
+            "papantla",
+        )
+        self.queue = AdmissionQueue(
+            SERVICE,
+            self.directory,
+            self.placer,
+            self.loads,
+            self.shares,
+            self.clock,
+            most_waiting,
+        )
+
+    def choose(self, call, patience=1.0):
+        return self.placer.choose(call, self.directory.of_service(SERVICE), patience)
+
+
+class PlainDialect:
+    """Header names of the tests."""
+
+    def read_details(self, headers):
+        deadline = headers.get("Deadline")
+        return CallDetails(
+            request_id=headers.get("Id", ""),
+            token=bearer_token(headers, "Bearer"),
+            deadline_ms=float(deadline) if deadline else None,
+        )
+
+    def endpoint_headers(self, call, endpoint, remaining_ms, fetch_from=""):
+        headers = end_to_end(call.headers, frozenset({"authorization"}))
+        headers["Id"] = call.details.request_id
+        headers["Deadline"] = str(int(remaining_ms))
+        if call.last_event_id:
+            headers["Last-Event-Id"] = call.last_event_id
+        return headers
+
+    def proves_not_run(self, status, headers):
+        return "Not-Run" in headers
+
+    def is_genuine(self, call, status, headers):
+        return headers.get("Id", call.details.request_id) == call.details.request_id
+
+    def caller_headers(self, headers):
+        return end_to_end(headers, frozenset())
+
+    def refusal_headers(self, request_id, error):
+        headers = HTTPHeaders({"Id": request_id})
+        if retry_after(error) is not None:
+            headers["Retry-After"] = retry_after(error)
+        return headers
+
+
+class ScriptedEndpoint:
+    """TCP server that answers each request with scripted bytes.
+
+    A step is bytes to send, a number of seconds to wait, or ``"close"``, ``"reset"``
+    and ``"hang"`` as the end of the connection.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.left = 0
+        self.address = ""
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        try:
+            yield self
+        finally:
+            server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        self.requests.append(head)
+        number = min(len(self.requests), len(self.scripts)) - 1
+        for step in self.scripts[number]:
+            if isinstance(step, bytes):
+                writer.write(step)
+                with contextlib.suppress(OSError):
+                    await writer.drain()
+            elif step == "reset":
+                connection = writer.get_extra_info("socket")
+                linger = struct.pack("ii", 1, 0)
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return
+            elif step == "hang":
+                with contextlib.suppress(OSError):
+                    while await reader.read(65_536):
+                        pass
+                self.left += 1
+            elif step != "close":
+                await asyncio.sleep(step)
+        writer.close()
+
+
+def plain_answer(body=b"done", status="200 OK", **headers):
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream_head():
+    return (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+
+
+def event(number):
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+END_OF_CHUNKS = b"0\r\n\r\n"
+
+
+class RecordingSink:
+    """Answer sink that keeps what it was given."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.body = b""
+        self.finished = False
+        self.broken = False
+
+    @property
+    def started(self):
+        return bool(self.body)
+
+    async def start(self, status, headers):
+        self.status = status
+        self.headers = headers
+
+    async def write(self, piece):
+        self.body += piece
+
+    async def finish(self):
+        self.finished = True
+
+    def break_off(self):
+        self.broken = True
--- /dev/null
+++ b/libs/gateway/tests/test_admission.py
@@ -0,0 +1,115 @@
+import asyncio
+
+import pytest
+from gateway_builders import Parts, make_call, make_endpoint, make_route
+
+from bulrushbend.gateway.call import CallEnded
+
+
+async def settle():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+async def wait_for(parts, call):
+    task = asyncio.create_task(parts.queue.place(call))
+    await settle()
+    return task
+
+
+def occupy(parts, endpoint="e1", tokens=9000):
+    parts.loads.begin(endpoint, "other", tokens, 0)
+
+
+async def test_request_goes_at_once_when_there_is_room():
+    parts = Parts(make_endpoint("e1"))
+    placement = await parts.queue.place(make_call())
+    assert placement.endpoint == "e1"
+    assert parts.loads.total("e1").running == 1
+    assert parts.loads.total("e1").unread_tokens == 1000
+
+
+async def test_waiting_request_goes_when_the_prompt_before_it_is_read():
+    parts = Parts(make_endpoint("e1"))
+    occupy(parts)
+    task = await wait_for(parts, make_call(tokens=5000))
+    assert not task.done()
+    parts.loads.read("e1", 9000)
+    await parts.clock.advance(20)
+    await settle()
+    assert task.result().endpoint == "e1"
+
+
+async def test_team_that_was_given_least_goes_first():
+    # Guards against a large team that starves small ones.
+    parts = Parts(make_endpoint("e1"))
+    occupy(parts)
+    parts.shares.charge([("large", 100_000), ("small", 10)])
+    large = [
+        await wait_for(parts, make_call("large", 5000, request_id=f"l{i}"))
+        for i in range(3)
+    ]
+    small = await wait_for(parts, make_call("small", 5000))
+    parts.loads.read("e1", 9000)
+    await parts.clock.advance(20)
+    await settle()
+    assert small.done()
+    assert not any(task.done() for task in large)
+    for task in large:
+        task.cancel()
+
+
+async def test_request_out_of_time_is_refused_with_a_time_to_come_back():
+    # Guards against requests that are held until they are of no use.
+    parts = Parts(make_endpoint("e1"))
+    occupy(parts)
+    task = await wait_for(parts, make_call(route=make_route(objective_ms=400)))
+    await parts.clock.advance(300)
+    await settle()
+    with pytest.raises(CallEnded) as ended:
+        task.result()
+    assert ended.value.status == 503
+    assert ended.value.retry_after_ms > 0
+    assert parts.queue.waiting == 0
+
+
+async def test_service_without_endpoints_refuses_at_once():
+    parts = Parts()
+    with pytest.raises(CallEnded) as ended:
+        await parts.queue.place(make_call())
+    assert (ended.value.status, ended.value.code) == (503, "no-endpoint")
+
+
+async def test_queue_is_bounded():
+    parts = Parts(make_endpoint("e1"), most_waiting=1)
+    occupy(parts)
+    waiting = await wait_for(parts, make_call())
+    with pytest.raises(CallEnded) as ended:
+        await parts.queue.place(make_call())
+    assert ended.value.code == "queue-full"
+    waiting.cancel()
+
+
+async def test_caller_that_leaves_frees_its_place():
+    # Guards against work for callers that are gone.
+    parts = Parts(make_endpoint("e1"))
+    occupy(parts)
+    task = await wait_for(parts, make_call())
+    task.cancel()
+    await settle()
+    assert parts.queue.waiting == 0
+    parts.loads.read("e1", 9000)
+    parts.queue.look()
+    assert parts.loads.total("e1").running == 1
+
+
+async def test_caller_that_leaves_as_it_is_placed_gives_the_endpoint_back():
+    parts = Parts(make_endpoint("e1"))
+    occupy(parts)
+    task = await wait_for(parts, make_call())
+    parts.loads.read("e1", 9000)
+    parts.queue.look()
+    task.cancel()
+    await settle()
+    assert parts.loads.total("e1").running == 1
+    assert parts.loads.total("e1").unread_tokens == 0
--- /dev/null
+++ b/libs/gateway/tests/test_placing.py
@@ -0,0 +1,98 @@
+from gateway_builders import Parts, make_call, make_endpoint
+
+from bulrushbend.gateway.call import PromptPart
+
+PROMPT = (("p1", 500), ("p2", 4800), ("own", 700))
+
+
+def give(parts, endpoint, *names):
+    tokens = dict(PROMPT)
+    parts.holdings.give(endpoint, [PromptPart(name, tokens[name]) for name in names])
+
+
+def test_request_goes_where_its_prompt_is_held():
+    # Guards against shared parts that are read again on every endpoint.
+    parts = Parts(*(make_endpoint(f"e{i}") for i in range(5)))
+    give(parts, "e3", "p1", "p2")
+    choice = parts.choose(make_call(tokens=6000, prefix=PROMPT))
+    assert choice.endpoint.id == "e3"
+    assert choice.unread_tokens == 700
+    assert choice.source is None
+
+
+def test_busy_holder_gives_its_parts_to_another_endpoint():
+    parts = Parts(make_endpoint("e1", "10.0.0.1:1"), make_endpoint("e2", "10.0.0.2:1"))
+    give(parts, "e1", "p1", "p2")
+    parts.loads.begin("e1", "crew-b", 30_000, 0)
+    choice = parts.choose(make_call(tokens=6000, prefix=PROMPT), patience=0.0)
+    assert choice.endpoint.id == "e2"
+    assert choice.source.address == "10.0.0.1:1"
+    assert choice.unread_tokens == 700
+
+
+def test_part_behind_a_missing_part_counts_as_unread():
+    parts = Parts(make_endpoint("e1"))
+    give(parts, "e1", "p2")
+    choice = parts.choose(make_call(tokens=6000, prefix=PROMPT))
+    assert choice.unread_tokens == 6000
+
+
+def test_one_long_prompt_is_read_at_a_time():
+    # Guards against long pauses in the streams of an endpoint.
+    parts = Parts(make_endpoint("e1"))
+    parts.loads.begin("e1", "crew-b", 9000, 0)
+    assert parts.choose(make_call(tokens=9000)) is None
+    parts.loads.read("e1", 9000)
+    assert parts.choose(make_call(tokens=9000)).endpoint.id == "e1"
+
+
+def test_small_prompts_are_read_together():
+    parts = Parts(make_endpoint("e1"), unread_tokens=2048)
+    parts.loads.begin("e1", "crew-b", 1000, 0)
+    assert parts.choose(make_call(tokens=1000)) is not None
+    assert parts.choose(make_call(tokens=1100)) is None
+
+
+def test_full_endpoint_gets_nothing():
+    parts = Parts(make_endpoint("e1", slots=2))
+    for _ in range(2):
+        parts.loads.begin("e1", "crew-b", 0, 0)
+    assert parts.choose(make_call()) is None
+
+
+def test_endpoint_that_was_tried_is_not_chosen_again():
+    parts = Parts(make_endpoint("e1"), make_endpoint("e2"))
+    call = make_call()
+    call.tried.add("e1")
+    assert parts.choose(call).endpoint.id == "e2"
+
+
+def test_gateways_choose_the_same_endpoint_for_a_new_prompt():
+    # Guards against a new prompt that is read by one endpoint for each gateway.
+    names = [f"e{i}" for i in range(5)]
+    first = Parts(*map(make_endpoint, names))
+    second = Parts(*map(make_endpoint, reversed(names)))
+    for number in range(20):
+        prompt = ((f"p{number}", 4000), ("own", 10))
+        chosen = {
+            parts.choose(make_call(tokens=4010, prefix=prompt)).endpoint.id
+            for parts in (first, second)
+        }
+        assert len(chosen) == 1
+
+
+def test_failing_endpoint_is_avoided_for_a_growing_time():
+    parts = Parts(make_endpoint("e1"), make_endpoint("e2"))
+    parts.health.failed("e1", "reset")
+    assert parts.choose(make_call()).endpoint.id == "e2"
+    parts.clock._now_ms += 301
+    usable = parts.health.usable(parts.source.endpoints)
+    assert {endpoint.id for endpoint in usable} == {"e1", "e2"}
+
+
+def test_half_of_the_endpoints_stay_in_use_whatever_they_do():
+    # Guards against a fault on this side that takes all endpoints out.
+    parts = Parts(*(make_endpoint(f"e{i}") for i in range(4)))
+    for number in range(4):
+        parts.health.failed(f"e{number}", "reset")
+    assert len(parts.health.usable(parts.source.endpoints)) == 2
--- /dev/null
+++ b/tests/adapter/platform_builders.py
@@ -0,0 +1,86 @@
+"""Builders of the platform's documents for the tests of the adapter."""
+
+import json
+
+SETTINGS = """
+node = "edge-papantla-1"
+role = "gateway"
+ip = "10.1.0.35"
+zone = "papantla"
+region = "totonacapan"
+port_range = [7400,7415]
+seeds = ["10.2.0.7:8785","10.1.0.35:8785","10.3.0.12:8785"]
+bootstrap = true
+data_dir = "/data/control"
+a_field_of_tomorrow = 1
+[listen]
+front = "10.1.0.35:8783"
+ready = "10.1.0.35:8780"
+control = "10.1.0.35:8785"
+[fault_tolerance]
+machines = 2
+[bounds]
+grace_s = 8
+revoke_ms = 5000
+retry_ratio = 0.2
+retry_burst = 58
+[cloud]
+addr = "10.200.0.28:8781"
+rate_per_s = 40.0
+"""
+
+
+def make_route(name="r-1", **fields):
+    route = {
+        "name": name,
+        "host": "a.example",
+        "path_prefix": f"/{name}/",
+        "type": "streaming",
+        "timeout_ms": 15000,
+        "slo_ms": 1000,
+        "priority": 1,
+        "service": "llm",
+        "max_attempts": 2,
+        "public": False,
+        "resumable": True,
+    }
+    return route | fields
+
+
+def make_config(version=7, **fields):
+    config = {
+        "version": version,
+        "routes": [make_route()],
+        "services": [
+            {
+                "name": "llm",
+                "max_conns": 370,
+                "backend": {"slots": 64, "kv_capacity": 9},
+            },
+            {"name": "app", "max_conns": 110},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "idle_timeout_ms": 15000,
+            "tokens_per_s": 105000,
+        },
+        "tenants": [{"name": "crew-a", "api_keys": ["k1", "k2"], "priority": 1}],
+    }
+    return config | fields
+
+
+def encode(document):
+    return json.dumps(document).encode()
+
+
+def make_instance(name="i-1", **fields):
+    instance = {
+        "id": name,
+        "service": "llm",
+        "addr": "10.128.0.9:8080",
+        "zone": "papantla",
+        "slots": 64,
+        "state": "ready",
+    }
+    return instance | fields
--- /dev/null
+++ b/tests/adapter/test_config.py
@@ -0,0 +1,73 @@
+import pytest
+from platform_builders import encode, make_config, make_route
+
+from bulrushbend.core.errors import ManifestError
+from bulrushbend.core.manifest import RouteKind, hash_token, parse_manifest
+from bulrushbend.platform.config import decode_config, encode_config
+
+
+def test_configuration_becomes_a_manifest():
+    manifest = decode_config(encode(make_config()))
+    route = manifest.routes[0]
+    assert manifest.version == 7
+    assert route.kind is RouteKind.STREAM
+    assert (route.time_limit_ms, route.objective_ms) == (15000, 1000)
+    assert (route.most_endpoints, route.resumable, route.public) == (2, True, False)
+    assert manifest.services_by_name["llm"].kind == "model"
+    assert manifest.services_by_name["app"].kind == "application"
+    assert manifest.teams_by_token[hash_token("k2")].name == "crew-a"
+    assert manifest.limits.tokens_per_s == 105000
+
+
+def test_configuration_is_read_back_as_it_was_sent():
+    # Guards against fields that are lost because this version does not know them.
+    content = encode(make_config(a_field_of_tomorrow=[1, {"x": None}]))
+    manifest = parse_manifest(decode_config(content).canonical())
+    assert encode_config(manifest) == content
+
+
+@pytest.mark.parametrize("kind", ["non_idempotent", "a-new-type"])
+def test_request_of_another_type_is_not_repeated(kind):
+    manifest = decode_config(encode(make_config(routes=[make_route(type=kind)])))
+    assert not manifest.routes[0].may_repeat
+
+
+def split(*weights):
+    return [{"service": "llm", "weight": weight} for weight in weights]
+
+
+INVALID = {
+    "cut short": encode(make_config())[:-9],
+    "not an object": b"[]",
+    "not text": b"\xff\xfe",
+    "no version": encode({"routes": [], "services": []}),
+    "no routes": encode({"version": 1, "services": []}),
+    "unknown service": encode(make_config(routes=[make_route(service="nowhere")])),
+    "no service": encode(make_config(routes=[make_route(service=None)])),
+    "same place": encode(
+        make_config(
+            routes=[
+                make_route("a", path_prefix="/p/"),
+                make_route("b", path_prefix="/p/"),
+            ]
+        )
+    ),
+    "no weight": encode(make_config(routes=[make_route(split=split(0, 0))])),
+    "no timeout": encode(make_config(routes=[make_route(timeout_ms=0)])),
+    "shared key": encode(
+        make_config(
+            tenants=[{"name": n, "api_keys": ["same"]} for n in ("crew-a", "crew-b")]
+        )
+    ),
+}
+
+
+@pytest.mark.parametrize("content", INVALID.values(), ids=INVALID.keys())
+def test_invalid_configuration_is_refused(content):
+    with pytest.raises(ManifestError):
+        decode_config(content)
+
+
+def test_team_without_keys_is_locked_out():
+    content = encode(make_config(tenants=[{"name": "crew-a", "api_keys": []}]))
+    assert decode_config(content).teams_by_token == {}
--- /dev/null
+++ b/tests/adapter/test_headers.py
@@ -0,0 +1,116 @@
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from bulrushbend.core.manifest import Route, Split
+from bulrushbend.gateway.call import Call, CallEnded, refused
+from bulrushbend.gateway.endpoints import FoundEndpoint
+from bulrushbend.platform.headers import PlatformDialect
+
+DIALECT = PlatformDialect()
+ENDPOINT = FoundEndpoint("i-1", "llm", "10.0.0.1:80", "papantla", 64)
+REQUEST = HTTPHeaders(
+    {
+        "Host": "a.example",
+        "Attempt-Id": "9c41",
+        "Model": "m",
+        "Token-Usage": "1460,80",
+        "Prefix-Hash": "5c:800,91:410,e4:250",
+        "Deadline-Ms": "15000",
+        "Authorization": "Token k1",
+        "X-Other": "kept",
+    }
+)
+
+
+def make_call(**headers):
+    given = REQUEST.copy()
+    given.update(headers)
+    route = Route(
+        name="r",
+        host="a.example",
+        path_prefix="/",
+        split=(Split(service="llm"),),
+        time_limit_ms=1000,
+    )
+    details = DIALECT.read_details(given)
+    return Call(details, "POST", "/x", given, b"", route, "llm", "crew-a", 0.0, 1.0)
+
+
+def test_request_is_decoded_once():
+    details = DIALECT.read_details(REQUEST)
+    assert (details.request_id, details.token) == ("9c41", "k1")
+    assert (details.prompt_tokens, details.output_tokens) == (1460, 80)
+    assert [part.tokens for part in details.shared_parts] == [800, 410]
+    assert details.deadline_ms == 15000
+
+
+@pytest.mark.parametrize("name", ["Token-Usage", "Prefix-Hash", "Deadline-Ms"])
+def test_unreadable_header_is_refused(name):
+    with pytest.raises(CallEnded) as ended:
+        DIALECT.read_details(HTTPHeaders({name: "5c:x,y"}))
+    assert ended.value.status == 400
+
+
+def test_key_does_not_reach_the_endpoint():
+    # Guards against keys and settings of the gateway that callers could forge.
+    call = make_call(
+        Tenant="forged",
+        **{
+            "Kv-Hold": "x",
+            "Pin-Ms": "1",
+            "Kv-Backup": "x",
+            "Kv-From": "x",
+            "Kv-Fetch": "x",
+            "Expect-Instance": "forged",
+            "Last-Event-Id": "4",
+            "Connection": "X-Hop",
+            "X-Hop": "1",
+        },
+    )
+    headers = DIALECT.endpoint_headers(call, ENDPOINT, 900.7)
+    assert headers["Tenant"] == "crew-a"
+    assert headers["Expect-Instance"] == "i-1"
+    assert headers["Deadline-Ms"] == "900"
+    assert headers["X-Other"] == "kept"
+    assert headers["Prefix-Hash"] == REQUEST["Prefix-Hash"]
+    for name in ("Authorization", "Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-From"):
+        assert name not in headers
+    for name in ("Kv-Fetch", "Last-Event-Id", "X-Hop", "Connection"):
+        assert name not in headers
+
+
+def test_endpoint_is_told_where_to_fetch_the_prompt():
+    headers = DIALECT.endpoint_headers(make_call(), ENDPOINT, 900, "10.0.0.2:80")
+    assert headers["Kv-Fetch"] == "10.0.0.2:80"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "proved"),
+    [
+        (503, {"Not-Executed": "1"}, True),
+        (421, {}, True),
+        (503, {}, False),
+        (500, {}, False),
+    ],
+)
+def test_only_a_statement_proves_that_nothing_ran(status, headers, proved):
+    assert DIALECT.proves_not_run(status, HTTPHeaders(headers)) is proved
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "genuine"),
+    [
+        (200, {"Instance-Seal": "s", "Attempt-Id": "9c41"}, True),
+        (200, {"Instance-Seal": "s"}, True),
+        (200, {"Attempt-Id": "9c41"}, False),
+        (200, {"Instance-Seal": "s", "Attempt-Id": "other"}, False),
+        (500, {}, True),
+    ],
+)
+def test_success_needs_a_seal_and_the_own_id(status, headers, genuine):
+    assert DIALECT.is_genuine(make_call(), status, HTTPHeaders(headers)) is genuine
+
+
+def test_refusal_tells_when_to_come_back():
+    headers = DIALECT.refusal_headers("9c41", refused(503, "x", "busy", 250.0))
+    assert headers["Retry-After"] == "0.250"
--- /dev/null
+++ b/tests/adapter/test_instances.py
@@ -0,0 +1,76 @@
+import json
+
+import pytest
+from platform_builders import make_instance
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from bulrushbend.core.errors import PeerError
+from bulrushbend.platform.instances import InstanceList, decode_page
+
+UNREADABLE = [
+    None,
+    "i-1",
+    make_instance(slots="64"),
+    make_instance(slots=True),
+    make_instance(state="resting"),
+    make_instance(addr="nowhere"),
+    make_instance(id=""),
+    {"id": "i-1"},
+]
+
+
+@pytest.mark.parametrize("entry", UNREADABLE)
+def test_entry_of_another_writer_names_no_endpoint(entry):
+    # Guards against one bad entry that hides the endpoints beside it.
+    page = {"instances": [entry, make_instance("i-2")]}
+    assert [endpoint.id for endpoint in decode_page(page)] == ["i-2"]
+
+
+def test_entry_is_decoded():
+    page = {"instances": [make_instance(state="draining", born=1700000000000)]}
+    endpoint = decode_page(page)[0]
+    assert endpoint.is_leaving
+    assert endpoint.started_ms == 1700000000000
+    assert endpoint.data_centre == "papantla"
+
+
+class Pages(RequestHandler):
+    def initialize(self, pages):
+        self.pages = pages
+
+    def get(self):
+        status, body = self.pages[self.get_argument("page_token", "")]
+        self.set_status(status)
+        self.write(body)
+
+
+async def fetch(pages):
+    server = HTTPServer(Application([("/instances", Pages, {"pages": pages})]))
+    listener, port = bind_unused_port()
+    server.add_sockets([listener])
+    try:
+        return await InstanceList(f"127.0.0.1:{port}", 40.0).fetch()
+    finally:
+        server.stop()
+
+
+def page(*names, following=None):
+    instances = [make_instance(name) for name in names]
+    return 200, json.dumps({"instances": instances, "next": following})
+
+
+async def test_all_pages_are_read():
+    pages = {"": page("i-1", following="p 2"), "p 2": page("i-2")}
+    found, calls = await fetch(pages)
+    assert [endpoint.id for endpoint in found] == ["i-1", "i-2"]
+    assert calls == 2
+
+
+@pytest.mark.parametrize(
+    "answer", [(429, ""), (200, "{"), (200, "[]"), (200, '{"instances": 3}')]
+)
+async def test_list_that_cannot_be_read_in_full_is_an_error(answer):
+    with pytest.raises(PeerError):
+        await fetch({"": page("i-1", following="x"), "x": answer})
--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,53 @@
+import pytest
+from platform_builders import SETTINGS
+
+from bulrushbend.core.errors import SettingsError
+from bulrushbend.platform.settings import (
+    control_settings,
+    gateway_settings,
+    read_machine_settings,
+)
+
+
+@pytest.fixture
+def machine(tmp_path, monkeypatch):
+    def read(text):
+        path = tmp_path / "boot.toml"
+        path.write_text(text)
+        monkeypatch.setenv("BULRUSHBEND_SETTINGS", str(path))
+        return read_machine_settings()
+
+    return read
+
+
+def test_settings_of_both_daemons(machine):
+    settings = machine(SETTINGS)
+    gateway, control = gateway_settings(settings), control_settings(settings)
+    assert gateway.front_address == "10.1.0.35:8783"
+    assert gateway.spread_address == "10.1.0.35:7401"
+    assert gateway.lease_ms < 5000
+    assert control.link_address == "10.1.0.35:7400"
+    assert control.voters == 5
+    names = [replica.name for replica in control.control]
+    assert names == ["10.1.0.35", "10.2.0.7", "10.3.0.12"]
+    assert control.name in names
+
+
+@pytest.mark.parametrize(
+    "text", ["", "node =", SETTINGS.replace("[7400,7415]", '"many"')]
+)
+def test_bad_settings_are_one_clear_error(machine, text):
+    with pytest.raises(SettingsError, match=r"boot\.toml"):
+        machine(text)
+
+
+def test_control_needs_a_disk(machine):
+    settings = machine(SETTINGS.replace("data_dir", "other_dir"))
+    with pytest.raises(SettingsError, match="data_dir"):
+        control_settings(settings)
+
+
+def test_missing_file_is_one_clear_error(monkeypatch, tmp_path):
+    monkeypatch.setenv("BULRUSHBEND_SETTINGS", str(tmp_path / "none"))
+    with pytest.raises(SettingsError):
+        read_machine_settings()
