--- a/libs/core/src/bulrushbend/core/pipelog.py
+++ b/libs/core/src/bulrushbend/core/pipelog.py
@@ -88,7 +88,8 @@
                 written = os.write(self._descriptor, self._pending)
                 del self._pending[:written]
         except BlockingIOError:
-            self._flush_soon()
+            # The rest leaves with the next line or flush.
+            self._schedule_flush()
         except OSError:
             # Nobody reads any more; there is no place left to report it.
             self._pending.clear()
@@ -118,12 +119,15 @@
         self._pending += json.dumps(record, separators=(",", ":")).encode() + b"\n"
 
     def _flush_soon(self) -> None:
-        if self._flushing:
-            return
+        """Flush later inside of an event loop, now outside of one."""
+        if not self._flushing and not self._schedule_flush():
+            self.flush()
+
+    def _schedule_flush(self) -> bool:
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
-            return
+            return False
         self._flushing = True
         loop.call_later(_FLUSH_MS / 1000.0, self.flush)
+        return True
