--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -23,6 +23,7 @@
 from bulrushbend.gateway.call import Call, CallEnded, refused
 from bulrushbend.gateway.dialect import Dialect
 from bulrushbend.gateway.dispatch import BudgetBook, Dispatcher
+from bulrushbend.gateway.durations import Durations
 from bulrushbend.gateway.endpoints import EndpointDirectory, EndpointSource
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.holdings import PromptHoldings
@@ -95,6 +96,8 @@
         self._random = random.Random()
         self._draining = False
         self._stopped_taking = False
+        self._drained_ms = float("inf")
+        self._durations = Durations()
         self._contacts = settings.control
         self._was_leased = False
         self._running = 0
@@ -241,11 +244,11 @@
         self._draining = True
         self._events.write(EventKind.PROCESS_DRAINING, running=self._running)
         self._watch.set_leaving()
-        deadline_ms = self._clock.now_ms() + self._settings.drain_ms
+        self._drained_ms = self._clock.now_ms() + self._settings.drain_ms
         await self._clock.sleep_ms(self._settings.drain_notice_ms)
         self._stopped_taking = True
         stop_listening()
-        while self._running and self._clock.now_ms() < deadline_ms:
+        while self._running and self._clock.now_ms() < self._drained_ms:
             await self._clock.sleep_ms(20)
 
     def _admit(
@@ -267,6 +270,9 @@
         route = self._routes.match(headers.get("Host", ""), start_line.path)
         if route is None:
             raise CallEnded(404, "no-route", "no route for this host and path")
+        if received_ms + self._durations.most_ms(route.name) > self._drained_ms:
+            message = "the gateway stops before the request could end"
+            raise refused(503, "draining", message, _DRAINING_RETRY_MS)
         team = ""
         if not route.public and manifest.teams:
             if not self._lease.is_valid:
@@ -328,6 +334,8 @@
             kind = EventKind.REQUEST_ABANDONED
         service = call.service if call else ""
         taken_ms = self._clock.now_ms() - received_ms
+        if call is not None and kind is EventKind.REQUEST_ANSWERED:
+            self._durations.note(call.route.name, taken_ms)
         metrics.REQUESTS.labels(service, str(status), reason[:40]).inc()
         metrics.LATENCY.labels(service).observe(taken_ms / 1000.0)
         request_id = call.details.request_id if call else ""
--- /dev/null
+++ b/tests/adapter/machines.py
@@ -0,0 +1,167 @@
+"""Machines of a small deployment: real processes on addresses of the loopback range."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import tomli_w
+from standin_platform import Cloud, Engine
+
+from bulrushbend.core.errors import BulrushbendError
+from bulrushbend.wire.exchange import Exchange, ExchangeRequest, ExchangeTimeouts
+
+_PROCESS_ID = os.getpid()
+# Each run gets addresses of its own, so that two runs on one machine do not meet.
+_NETWORK = f"127.{100 + _PROCESS_ID // 250 % 100}.{_PROCESS_ID % 250}"
+_TIMEOUTS = ExchangeTimeouts(1000.0, 8000.0, 8000.0)
+_PORTS = {"front": 8783, "ready": 8780, "control": 8785}
+
+
+class Machines:
+    """Three machines with a disk and gateway and control on each.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings, data and logs go.
+    size : int, default=3
+        Number of machines.
+    """
+
+    def __init__(self, folder: Path, size: int = 3):
+        self.folder = folder
+        self.hosts = [f"{_NETWORK}.{10 + number}" for number in range(size)]
+        self.engines = [
+            Engine(f"i-{number}", "llm", f"{_NETWORK}.{100 + number}", 8080)
+            for number in range(2)
+        ]
+        self.engines.append(Engine("i-app", "app", f"{_NETWORK}.110", 8080))
+        self.cloud = Cloud(f"{_NETWORK}.200", 8781, self.engines)
+        self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
+
+    async def start(self, host: str, role: str, bootstrap: bool = False) -> None:
+        """Start the process of a role on a machine."""
+        path = self._write_settings(host, role, bootstrap)
+        log = (self.folder / f"{host}-{role}.log").open("ab")
+        self.processes[host, role] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bulrushbend.platform",
+            role,
+            env=os.environ
+            | {"BULRUSHBEND_SETTINGS": str(path), "PYTHONPATH": _source_path()},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def start_all(self) -> None:
+        """Start everything for the first time."""
+        for host in self.hosts:
+            await self.start(host, "control", bootstrap=True)
+            await self.start(host, "gateway", bootstrap=True)
+
+    def send(self, number: signal.Signals, host: str, role: str) -> None:
+        """Send a signal to a process that this object started."""
+        self.processes[host, role].send_signal(number)
+
+    async def kill(self, host: str, role: str) -> None:
+        """Kill a process and wait for its end."""
+        process = self.processes.pop((host, role))
+        process.kill()
+        await process.wait()
+
+    async def stop(self) -> None:
+        """End all processes and stand-ins."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for standin in (*self.engines, self.cloud):
+            standin.stop()
+
+    async def call(self, host, port, method, path, headers=None, body=b""):
+        """Make one call and return status, headers and body."""
+        request = ExchangeRequest(method, path, headers=_headers(headers), body=body)
+        exchange = await Exchange.open(f"{host}:{_PORTS[port]}", request, _TIMEOUTS)
+        try:
+            return exchange.status, exchange.headers, await exchange.body()
+        finally:
+            exchange.close()
+
+    async def until(self, condition, what: str, timeout_s: float = 20.0):
+        """Wait until the coroutine function returns something true, and return it."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while loop.time() < deadline:
+            try:
+                if value := await condition():
+                    return value
+            except BulrushbendError:
+                pass
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"not in time: {what}\n{self.logs()}")
+
+    async def is_ready(self, host: str) -> bool:
+        """Whether the gateway of a machine says that it is ready."""
+        status, _, _ = await self.call(host, "ready", "GET", "/bulrushbend/readyz")
+        return status == 200
+
+    async def publish(self, host: str, content: bytes) -> int:
+        """Send a configuration to a machine and return the status."""
+        status, _, _ = await self.call(
+            host, "control", "POST", "/bulrushbend/Config.Replace", body=content
+        )
+        return status
+
+    def logs(self, lines: int = 5) -> str:
+        """Return the last lines of all processes."""
+        text = []
+        for path in sorted(self.folder.glob("*.log")):
+            text.append(f"{path.name}:")
+            text += path.read_text().splitlines()[-lines:]
+        return "\n".join(text)
+
+    def _write_settings(self, host: str, role: str, bootstrap: bool) -> Path:
+        settings = {
+            "node": f"edge-{host}",
+            "role": role,
+            "ip": host,
+            "zone": "papantla",
+            "region": "totonacapan",
+            "port_range": [7400, 7415],
+            "seeds": [f"{one}:{_PORTS['control']}" for one in self.hosts],
+            "bootstrap": bootstrap,
+            "data_dir": str(self.folder / f"data-{host}"),
+            "listen": {name: f"{host}:{port}" for name, port in _PORTS.items()},
+            "bounds": {"grace_s": 8, "revoke_ms": 5000},
+            "cloud": {"addr": self.cloud.address, "rate_per_s": 1000.0},
+        }
+        path = self.folder / f"{host}-{role}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        return path
+
+
+def _headers(given):
+    from tornado.httputil import HTTPHeaders
+
+    return HTTPHeaders(given or {})
+
+
+def _source_path() -> str:
+    root = Path(__file__).parents[2]
+    folders = [*root.glob("libs/*/src"), root / "platform" / "src"]
+    return os.pathsep.join(str(folder) for folder in folders)
+
+
+def is_loopback_range_usable() -> bool:
+    """Whether any address of the loopback range can be bound, as on Linux."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((f"{_NETWORK}.10", 0))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/tests/adapter/test_sessions.py
@@ -0,0 +1,191 @@
+"""Whole sessions of the real programs behind the adapter, against stand-ins."""
+
+import asyncio
+import contextlib
+import json
+import signal
+
+import pytest
+from machines import Machines, is_loopback_range_usable
+from platform_builders import encode, make_config, make_route
+
+from bulrushbend.core.errors import BulrushbendError
+
+pytestmark = pytest.mark.skipif(
+    not is_loopback_range_usable(), reason="needs the whole loopback range"
+)
+
+ROUTES = [
+    make_route("gen", service="llm", type="streaming"),
+    make_route("book", service="app", type="non_idempotent", resumable=False),
+]
+KEY = {"Authorization": "Token k1", "Host": "a.example", "Deadline-Ms": "5000"}
+
+
+def config(version, **fields):
+    return encode(make_config(version, **({"routes": ROUTES} | fields)))
+
+
+@contextlib.asynccontextmanager
+async def deployment(folder):
+    machines = Machines(folder)
+    try:
+        await machines.start_all()
+
+        async def published():
+            return await machines.publish(machines.hosts[0], config(3)) == 200
+
+        await machines.until(published, "the first configuration is accepted")
+        for host in machines.hosts:
+            await machines.until(
+                lambda host=host: machines.is_ready(host), f"{host} is ready"
+            )
+        yield machines
+    finally:
+        await machines.stop()
+
+
+async def book(machines, host, request_id, **headers):
+    given = KEY | {"Attempt-Id": request_id} | headers
+    return await machines.call(host, "front", "POST", "/book/x", given, b"row 7")
+
+
+async def generate(machines, host, request_id):
+    given = KEY | {
+        "Attempt-Id": request_id,
+        "Model": "m",
+        "Token-Usage": "100,10",
+        "Prefix-Hash": "5c:50,e4:50",
+    }
+    return await machines.call(host, "front", "POST", "/gen/x", given, b"{}")
+
+
+async def test_calm_day_is_served(tmp_path):
+    async with deployment(tmp_path) as machines:
+        for number, host in enumerate(machines.hosts):
+            status, headers, body = await book(machines, host, f"b{number}")
+            assert (status, body) == (200, b"row 7 at i-app")
+            assert headers["Instance-Seal"] == "i-app.seal"
+            assert "Leaked-Key" not in headers
+            status, headers, body = await generate(machines, host, f"g{number}")
+            assert status == 200
+            assert body.count(b"data: t") == 5
+        runs = [run for engine in machines.engines for run in engine.runs]
+        assert sorted(run[0] for run in runs) == ["b0", "b1", "b2", "g0", "g1", "g2"]
+        assert {run[1] for run in runs} == {"crew-a"}
+
+        status, _, _ = await book(machines, host, "x", Authorization="Token wrong")
+        assert status == 401
+        status, _, _ = await book(machines, host, "x", Host="other.example")
+        assert status == 404
+        machines.engines[2].refuses = True
+        status, headers, _ = await book(machines, host, "x")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert len(machines.engines[2].runs) == 3
+
+        request_lines = [
+            json.loads(line)
+            for path in tmp_path.glob("*gateway.log")
+            for line in path.read_text().splitlines()
+            if '"request_id":"b0"' in line
+        ]
+        assert [line["kind"] for line in request_lines] == ["request-answered"]
+
+
+async def test_revoked_key_stops_everywhere_and_the_configuration_is_read_back(
+    tmp_path,
+):
+    async with deployment(tmp_path) as machines:
+        invalid = config(5, tenants=[{"name": n, "api_keys": ["k"]} for n in "ab"])
+        assert await machines.publish(machines.hosts[1], invalid) == 400
+        content = config(4, tenants=[{"name": "crew-a", "api_keys": ["k2"]}])
+        assert await machines.publish(machines.hosts[1], content) == 200
+        assert await machines.publish(machines.hosts[2], config(3)) == 200
+        await asyncio.sleep(1.0)
+        for number, host in enumerate(machines.hosts):
+            status, _, _ = await book(machines, host, f"b{number}")
+            assert status == 401
+            status, _, body = await machines.call(
+                host, "control", "GET", "/bulrushbend/Config.Read"
+            )
+            assert (status, body) == (200, content)
+
+
+async def test_gateway_without_control_stops_serving_keys(tmp_path):
+    # Guards against a gateway that is cut off and serves revoked keys for ever.
+    async with deployment(tmp_path) as machines:
+        for host in machines.hosts:
+            machines.send(signal.SIGSTOP, host, "control")
+        await asyncio.sleep(4.0)
+        status, _, _ = await book(machines, machines.hosts[0], "b1")
+        assert status == 503
+        assert machines.engines[2].runs == []
+        for host in machines.hosts:
+            machines.send(signal.SIGCONT, host, "control")
+
+        async def served():
+            return (await book(machines, machines.hosts[0], "b2"))[0] == 200
+
+        await machines.until(served, "requests are served again")
+
+
+async def test_acknowledged_configuration_survives_the_death_of_all(tmp_path):
+    async with deployment(tmp_path) as machines:
+        content = config(9)
+        assert await machines.publish(machines.hosts[2], content) == 200
+        for host in machines.hosts:
+            await machines.kill(host, "control")
+            await machines.kill(host, "gateway")
+        for host in machines.hosts:
+            await machines.start(host, "control")
+            await machines.start(host, "gateway")
+
+        async def read():
+            status, _, body = await machines.call(
+                machines.hosts[0], "control", "GET", "/bulrushbend/Config.Read"
+            )
+            return body if status == 200 else None
+
+        assert await machines.until(read, "the configuration is read") == content
+
+
+async def test_stopping_gateway_finishes_what_it_has(tmp_path):
+    # Guards against answers that are cut by planned work.
+    async with deployment(tmp_path) as machines:
+        host = machines.hosts[0]
+        for engine in machines.engines:
+            engine.pause_s = 0.4
+        running = asyncio.create_task(generate(machines, host, "g1"))
+        await asyncio.sleep(0.5)
+        machines.send(signal.SIGTERM, host, "gateway")
+        await asyncio.sleep(0.2)
+        assert not await machines.is_ready(host)
+        status, _, body = await running
+        assert (status, body.count(b"data: t")) == (200, 5)
+        process = machines.processes[host, "gateway"]
+        assert await asyncio.wait_for(process.wait(), 10) == 0
+
+
+async def test_sighup_ends_nothing(tmp_path):
+    async with deployment(tmp_path) as machines:
+        host = machines.hosts[0]
+        for role in ("control", "gateway"):
+            machines.send(signal.SIGHUP, host, role)
+        await asyncio.sleep(0.5)
+        assert (await book(machines, host, "b1"))[0] == 200
+        assert machines.processes[host, "control"].returncode is None
+
+
+async def test_caller_that_leaves_ends_the_run(tmp_path):
+    async with deployment(tmp_path) as machines:
+        for engine in machines.engines:
+            engine.pause_s, engine.events = 0.2, 100
+        task = asyncio.create_task(generate(machines, machines.hosts[0], "g1"))
+        await asyncio.sleep(0.6)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError, BulrushbendError):
+            await task
+        await asyncio.sleep(0.5)
+        log = next(tmp_path.glob(f"{machines.hosts[0]}-gateway.log")).read_text()
+        assert "request-abandoned" in log
