--- a/libs/cli/src/bulrushbend/cli/exits.py
+++ b/libs/cli/src/bulrushbend/cli/exits.py
@@ -12,7 +12,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit code of a command; documented in docs/operations.md."""
+    """Exit code of a command; documented in docs/OPERATIONS.md."""
 
     OK = 0
     INTERNAL = 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,10 @@
+import os
+import subprocess
+import sys
+
 from fleet import Fleet
 from forwarder import Rule
-from localfleet import MODEL_SERVICE, FleetPlan
+from localfleet import MODEL_SERVICE, FleetPlan, pick_ports
 
 PLAN = FleetPlan(engines=2, applications=0)
 # silence_ms within one data centre is 2 s, between data centres 3 s; the rest is
@@ -48,3 +52,20 @@
         fleet.wait_until(fleet.all_linked, "all links are up", WITHIN_S)
         assert ask(fleet, router=0) == 200
         assert set(fleet.stop().values()) == {0}
+
+
+def test_ports_of_two_fleets_differ():
+    # Guards against two fleets on one machine that meet on a port not yet in use.
+    code = "import localfleet; print(*localfleet.pick_ports(400)); input()"
+    path = os.pathsep.join(sys.path)
+    with subprocess.Popen(
+        [sys.executable, "-c", code],
+        env=os.environ | {"PYTHONPATH": path},
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as other:
+        taken = set(map(int, other.stdout.readline().split()))
+        assert taken.isdisjoint(pick_ports(400))
+        other.communicate("\n")
+    assert len(taken) == 400
