Take limits on headers and idle connections from the manifest

Cause: a gateway closed idle connections by its own setting, and took headers of any size. Change: the idle time of callers' connections follows the manifest in force; headers over its limit get 431.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -57,6 +57,8 @@
 _LARGEST_BODY_BYTES = 1 << 30
 _LARGEST_HEADER_BYTES = 1 << 18
 _BODY_TIMEOUT_S = 30.0
+# Time for the headers of a request on a connection that was idle.
+_HEADER_TIME_MS = 3_000
 
 
 class Gateway:
@@ -155,6 +157,11 @@
         """Whether connections are closed after their answers."""
         return self._draining
 
+    @property
+    def header_bytes(self) -> int:
+        """Largest size of a request's headers."""
+        return self._limits.header_bytes
+
     @property
     def body_bytes(self) -> int:
         """Largest size of a request's body."""
@@ -371,6 +378,10 @@
             self._settings.most_waiting,
         )
 
+    def listen(self, listener: Callable[[Manifest], None]) -> None:
+        """Call `listener` with each manifest that comes into force."""
+        self._in_force.listen(listener)
+
     def _adopt(self, manifest: Manifest) -> None:
         self._routes = RouteTable(manifest.routes)
         self._limits = manifest.limits
@@ -423,6 +434,15 @@
         )
 
 
+def _limit_idle_time(server: HTTPServer, limits: Limits) -> None:
+    """Keep idle connections of callers for as long as the manifest says.
+
+    Tornado counts the time for the next request's headers as idle time.
+    """
+    idle_ms = limits.idle_connection_ms + _HEADER_TIME_MS
+    server.conn_params.header_timeout = idle_ms / 1000.0
+
+
 def _rounded(value_ms: float | None) -> float | None:
     return None if value_ms is None else round(value_ms, 1)
 
@@ -468,6 +488,7 @@
             body_timeout=_BODY_TIMEOUT_S,
             idle_connection_timeout=settings.header_timeout_ms / 1000.0,
         )
+        gateway.listen(lambda manifest: _limit_idle_time(front, manifest.limits))
         listen_http(front, settings.front_address)
         stack.callback(front.stop)
         pages = HTTPServer(
--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -16,11 +16,17 @@
 from bulrushbend.gateway.sink import ConnectionSink
 
 _log = part_logger("gateway.server")
+_BODY_TOO_LARGE = CallEnded(413, "body-too-large", "the body is too large")
 
 
 class Desk(Protocol):
     """What the HTTP interface needs of the gateway."""
 
+    @property
+    def header_bytes(self) -> int:
+        """Largest size of a request's headers."""
+        ...
+
     @property
     def body_bytes(self) -> int:
         """Largest size of a request's body."""
@@ -87,16 +93,21 @@
     def headers_received(self, start_line, headers):
         self._start_line = start_line
         self._headers = headers
+        size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
         length = headers.get("Content-Length", "")
-        if length.isdigit() and int(length) > self._desk.body_bytes:
-            self._refuse_body()
+        if size > self._desk.header_bytes:
+            self._refuse(
+                CallEnded(431, "headers-too-large", "the headers are too large")
+            )
+        elif length.isdigit() and int(length) > self._desk.body_bytes:
+            self._refuse(_BODY_TOO_LARGE)
 
     def data_received(self, chunk: bytes) -> None:
         if self._too_large:
             return
         self._length += len(chunk)
         if self._length > self._desk.body_bytes:
-            self._refuse_body()
+            self._refuse(_BODY_TOO_LARGE)
             return
         self._body.append(chunk)
 
@@ -113,11 +124,10 @@
         """Drop a request whose caller left before it was complete."""
         self._body.clear()
 
-    def _refuse_body(self) -> None:
+    def _refuse(self, error: CallEnded) -> None:
         """Answer before the body is read; Tornado then closes the connection."""
         self._too_large = True
         self._body.clear()
-        error = CallEnded(413, "body-too-large", "the body is too large")
         task = asyncio.create_task(self._answer_error(error))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -79,6 +79,8 @@
         assert status == 401
         status, _, _ = await book(machines, host, "x", Host="other.example")
         assert status == 404
+        status, _, _ = await book(machines, host, "x", Large="x" * 17_000)
+        assert status == 431
         machines.engines[2].refuses = True
         status, headers, _ = await book(machines, host, "x")
         assert status == 503
