Split the end of a request from the gateway and share how daemons run

Cause: the gateway's daemon told five ways of ending apart with flags; gateway and router had the same loop around their tasks, and two event logs the same record. Change: gateway/endings.py says how a request ended and what its log line is; the loop is run_until_stopped in process/daemon.py, the record EventLines in core/events.py. Behaviour stays, but for the reason in the metric, which keeps the step of a failed attempt only.

--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -83,13 +83,11 @@
         ...
 
 
-class StreamEventLog:
-    """Event log over an open text file.
+class EventLines:
+    """Formats the events of one process as numbered JSON lines.
 
     Parameters
     ----------
-    stream : text file
-        Where the JSON lines go; the caller owns and closes it.
     process : str
         Name of the process.
     incarnation : int
@@ -98,15 +96,14 @@
         Gives the wall time of each event in milliseconds.
     """
 
-    def __init__(self, stream: TextIO, process: str, incarnation: int, clock: Clock):
-        self._stream = stream
+    def __init__(self, process: str, incarnation: int, clock: Clock):
         self._process = process
         self._incarnation = incarnation
         self._clock = clock
         self._sequence = 0
 
-    def write(self, kind: EventKind, **fields: Any) -> None:
-        """Append one event and flush it, so that a killed process keeps its trace."""
+    def format(self, kind: EventKind, fields: dict[str, Any]) -> str:
+        """Return the line of one event."""
         self._sequence += 1
         record = {
             "wall_ms": self._clock.wall_ms(),
@@ -116,7 +113,31 @@
             "kind": str(kind),
             **fields,
         }
-        self._stream.write(json.dumps(record, separators=(",", ":")) + "\n")
+        return json.dumps(record, separators=(",", ":")) + "\n"
+
+
+class StreamEventLog:
+    """Event log over an open text file.
+
+    Parameters
+    ----------
+    stream : text file
+        Where the JSON lines go; the caller owns and closes it.
+    process : str
+        Name of the process.
+    incarnation : int
+        Incarnation of the process.
+    clock : Clock
+        Gives the wall time of each event in milliseconds.
+    """
+
+    def __init__(self, stream: TextIO, process: str, incarnation: int, clock: Clock):
+        self._stream = stream
+        self._lines = EventLines(process, incarnation, clock)
+
+    def write(self, kind: EventKind, **fields: Any) -> None:
+        """Append one event and flush it, so that a killed process keeps its trace."""
+        self._stream.write(self._lines.format(kind, fields))
         self._stream.flush()
 
 
--- a/libs/core/src/bulrushbend/core/pipelog.py
+++ b/libs/core/src/bulrushbend/core/pipelog.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import contextlib
-import json
 import os
 from typing import Any
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.events import EventKind
+from bulrushbend.core.events import EventKind, EventLines
 
 # Lines that are written per second on average, and at once after a quiet time. A line
 # takes about 20 us; the bound keeps logs under 1% of a core.
@@ -52,10 +51,8 @@
 
     def __init__(self, descriptor: int, process: str, incarnation: int, clock: Clock):
         self._descriptor = descriptor
-        self._process = process
-        self._incarnation = incarnation
         self._clock = clock
-        self._sequence = 0
+        self._lines = EventLines(process, incarnation, clock)
         self._pending = bytearray()
         self._allowed = _MOST_LINES
         self._allowed_ms = clock.now_ms()
@@ -76,8 +73,9 @@
             return
         if self._dropped:
             dropped, self._dropped = self._dropped, 0
-            self._append(EventKind.LINES_DROPPED, {"count": dropped})
-        self._append(kind, fields)
+            line = self._lines.format(EventKind.LINES_DROPPED, {"count": dropped})
+            self._pending += line.encode()
+        self._pending += self._lines.format(kind, fields).encode()
         self._flush_soon()
 
     def flush(self) -> None:
@@ -106,18 +104,6 @@
         self._allowed -= 1.0
         return True
 
-    def _append(self, kind: EventKind, fields: dict[str, Any]) -> None:
-        self._sequence += 1
-        record = {
-            "wall_ms": self._clock.wall_ms(),
-            "process": self._process,
-            "incarnation": self._incarnation,
-            "sequence": self._sequence,
-            "kind": str(kind),
-            **fields,
-        }
-        self._pending += json.dumps(record, separators=(",", ":")).encode() + b"\n"
-
     def _flush_soon(self) -> None:
         """Flush later inside of an event loop, now outside of one."""
         if not self._flushing and not self._schedule_flush():
--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -163,7 +163,7 @@
             return None
         endpoint, unread = chosen.endpoint, chosen.unread_tokens
         source = chosen.source.address if chosen.source else ""
-        placement = Placement(endpoint.id, unread, self._clock.now_ms(), source)
+        placement = Placement(endpoint.id, unread, source)
         shared = call.details.shared_parts
         self._loads.begin(endpoint.id, call.team, unread, int(call.cost), shared)
         return placement
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -157,13 +157,10 @@
         Id of the endpoint.
     unread_tokens : int
         Prompt tokens counted as unread there.
-    granted_ms : float
-        When it was chosen.
     fetch_from : str
         Address of an endpoint that holds shared parts of the prompt, or empty.
     """
 
     endpoint: str
     unread_tokens: int
-    granted_ms: float
     fetch_from: str = ""
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -5,6 +5,7 @@
 import json
 import random
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -19,10 +20,17 @@
 from bulrushbend.core.settings import GatewaySettings, PeerAddress
 from bulrushbend.gateway import metrics
 from bulrushbend.gateway.admission import AdmissionQueue
-from bulrushbend.gateway.attempt import AttemptContext, AttemptResult, Verdict
+from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.call import Call, CallEnded, refused
 from bulrushbend.gateway.dialect import Dialect
 from bulrushbend.gateway.dispatch import BudgetBook, Dispatcher
+from bulrushbend.gateway.endings import (
+    CALLER_LEFT,
+    FAULT,
+    Ending,
+    ending_of_error,
+    ending_of_result,
+)
 from bulrushbend.gateway.endpoints import EndpointDirectory, EndpointSource
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.holdings import PromptHoldings
@@ -39,7 +47,7 @@
     listen_http,
     open_event_log,
     operational_routes,
-    run_until_signal,
+    run_until_stopped,
 )
 from bulrushbend.process.inforce import ManifestInForce
 from bulrushbend.process.lease import ManifestLease
@@ -177,35 +185,31 @@
         """Give a request exactly one answer."""
         received_ms = self._clock.now_ms()
         call: Call | None = None
-        ended: CallEnded | None = None
-        result: AttemptResult | None = None
-        reason = ""
+        ending = FAULT
         self._running += 1
         try:
             call = self._admit(start_line, headers, body, received_ms)
             result = await self._dispatcher.serve(call, sink)
+            ending = ending_of_result(result)
             if result.verdict is Verdict.ANSWERED:
                 await sink.finish()
             else:
                 sink.break_off()
         except CallEnded as error:
-            ended = error
+            ending = ending_of_error(error)
             await self._answer(headers, error, sink)
         except asyncio.CancelledError:
-            reason = "caller-left"
+            ending = CALLER_LEFT
             raise
         finally:
             self._running -= 1
-            self._note_end(headers, call, result, ended, reason, received_ms)
+            self._note_end(headers, call, ending, received_ms)
 
     def refuse(
         self, headers: HTTPHeaders, error: CallEnded
     ) -> tuple[int, HTTPHeaders, bytes]:
         """Return the gateway's own answer."""
-        request_id = ""
-        with contextlib.suppress(CallEnded):
-            request_id = self._dialect.read_details(headers).request_id
-        answer = self._dialect.refusal_headers(request_id, error)
+        answer = self._dialect.refusal_headers(self._id_of(headers), error)
         document = {"error": {"code": error.code, "message": error.message}}
         content = json.dumps(document).encode()
         answer["Content-Type"] = "application/json"
@@ -319,50 +323,32 @@
         self,
         headers: HTTPHeaders,
         call: Call | None,
-        result: AttemptResult | None,
-        ended: CallEnded | None,
-        reason: str,
+        ending: Ending,
         received_ms: float,
     ) -> None:
-        kind = EventKind.REQUEST_ANSWERED
-        status = result.status if result else 0
-        if result is not None and result.verdict is not Verdict.ANSWERED:
-            kind, reason = EventKind.REQUEST_FAILED, result.reason
-        if ended is not None:
-            status, reason = ended.status, ended.code
-            kind = EventKind.REQUEST_UNKNOWN
-            if status in (408, 421, 429, 503):
-                kind = EventKind.REQUEST_NOT_RUN
-            elif status < 500:
-                kind = EventKind.REQUEST_REFUSED
-        if reason == "caller-left":
-            kind = EventKind.REQUEST_ABANDONED
-        service = call.service if call else ""
         taken_ms = self._clock.now_ms() - received_ms
-        metrics.REQUESTS.labels(service, str(status), reason[:40]).inc()
+        service = call.service if call else ""
+        # Reasons of broken attempts name the peer's error; the metric keeps the step.
+        reason = ending.reason.partition(":")[0]
+        metrics.REQUESTS.labels(service, str(ending.status), reason).inc()
         metrics.LATENCY.labels(service).observe(taken_ms / 1000.0)
-        request_id = call.details.request_id if call else ""
-        if not request_id:
-            with contextlib.suppress(CallEnded):
-                request_id = self._dialect.read_details(headers).request_id
+        details = _describe(call) if call else {"request_id": self._id_of(headers)}
         self._events.write(
-            kind,
-            request_id=request_id,
-            service=service,
-            team=call.team if call else "",
-            route=call.route.name if call else "",
-            status=status,
-            reason=reason,
-            endpoint=call.endpoint if call else "",
-            tried=sorted(call.tried) if call else [],
-            first_event_ms=_rounded(call.first_event_ms) if call else None,
-            longest_pause_ms=_rounded(call.longest_pause_ms) if call else None,
+            ending.kind,
+            **details,
+            status=ending.status,
+            reason=ending.reason,
             taken_ms=round(taken_ms, 1),
             waiting=self._dispatcher.waiting,
             version=self._in_force.version,
             lease_age_ms=self._lease_age(),
         )
 
+    def _id_of(self, headers: HTTPHeaders) -> str:
+        with contextlib.suppress(CallEnded):
+            return self._dialect.read_details(headers).request_id
+        return ""
+
     def _lease_age(self) -> int | None:
         age_ms = self._lease.age_ms
         return None if age_ms == float("inf") else round(age_ms)
@@ -443,6 +429,20 @@
     server.conn_params.header_timeout = idle_ms / 1000.0
 
 
+def _describe(call: Call) -> dict[str, Any]:
+    """Return the fields of a log line that tell of a request."""
+    return {
+        "request_id": call.details.request_id,
+        "service": call.service,
+        "team": call.team,
+        "route": call.route.name,
+        "endpoint": call.endpoint,
+        "tried": sorted(call.tried),
+        "first_event_ms": _rounded(call.first_event_ms),
+        "longest_pause_ms": _rounded(call.longest_pause_ms),
+    }
+
+
 def _rounded(value_ms: float | None) -> float | None:
     return None if value_ms is None else round(value_ms, 1)
 
@@ -498,23 +498,12 @@
         stack.callback(pages.stop)
         events.write(EventKind.PROCESS_STARTED, role=ROLE)
         stack.callback(events.write, EventKind.PROCESS_STOPPED)
-        running = asyncio.create_task(gateway.run())
 
         def take_settings() -> None:
             if reload is not None:
                 gateway.take_contacts(reload().control)
 
-        stopping = asyncio.create_task(
-            run_until_signal(lambda: gateway.drain(front.stop), take_settings)
+        await run_until_stopped(
+            gateway.run(), lambda: gateway.drain(front.stop), take_settings
         )
-        try:
-            done, _ = await asyncio.wait(
-                {running, stopping}, return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                task.result()
-        finally:
-            running.cancel()
-            stopping.cancel()
-            await asyncio.gather(running, stopping, return_exceptions=True)
         await front.close_all_connections()
--- a/libs/process/src/bulrushbend/process/daemon.py
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -6,8 +6,9 @@
 import resource
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
+from typing import Any
 
 import prometheus_client
 from tornado.httpserver import HTTPServer
@@ -192,6 +193,37 @@
         await draining
 
 
+async def run_until_stopped(
+    run: Coroutine[Any, Any, None],
+    drain: Callable[[], Awaitable[None]],
+    reload: Callable[[], None] | None = None,
+) -> None:
+    """Run the tasks of a daemon until a signal has drained it.
+
+    A fault in one of its tasks ends the process, so that a supervisor starts it again;
+    a daemon that only answers its pages would look healthy.
+
+    Parameters
+    ----------
+    run : coroutine
+        Runs all tasks of the daemon.
+    drain, reload : callable
+        See `run_until_signal`.
+    """
+    running = asyncio.create_task(run)
+    stopping = asyncio.create_task(run_until_signal(drain, reload))
+    try:
+        done, _ = await asyncio.wait(
+            {running, stopping}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            task.result()
+    finally:
+        running.cancel()
+        stopping.cancel()
+        await asyncio.gather(running, stopping, return_exceptions=True)
+
+
 async def _reload_on_signal(
     loop: asyncio.AbstractEventLoop, reload: Callable[[], None] | None
 ) -> None:
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -18,7 +18,7 @@
     listen_http,
     open_event_log,
     operational_routes,
-    run_until_signal,
+    run_until_stopped,
 )
 from bulrushbend.process.inforce import ManifestInForce
 from bulrushbend.process.watch import FleetWatch
@@ -320,30 +320,6 @@
         listen_http(server, settings.http_bind)
         stack.callback(server.stop)
         events.write(EventKind.PROCESS_STARTED)
-        await _run_until_stopped(router, server.stop)
+        await run_until_stopped(router.run(), lambda: router.drain(server.stop))
         await server.close_all_connections()
         events.write(EventKind.PROCESS_STOPPED)
-
-
-async def _run_until_stopped(
-    router: Router, stop_listening: Callable[[], None]
-) -> None:
-    """Run the router until a signal has drained it.
-
-    A fault in one of its tasks ends the process, so that a supervisor starts it again;
-    a router that only answers its pages would look healthy.
-    """
-    running = asyncio.create_task(router.run())
-    stopping = asyncio.create_task(
-        run_until_signal(lambda: router.drain(stop_listening))
-    )
-    try:
-        done, _ = await asyncio.wait(
-            {running, stopping}, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            task.result()
-    finally:
-        running.cancel()
-        stopping.cancel()
-        await asyncio.gather(running, stopping, return_exceptions=True)
