Never join an answer that has begun with another run

Change: an answer that has begun goes on only after the last event of a resumable stream; otherwise the connection is reset. Ruled out: a wrong endpoint or a late answer, since both runs had the caller's id.

--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -99,6 +99,8 @@
                 refusals += 1
             else:
                 call.offered += 1
+            if sink.started and not _can_resume(framer):
+                return result
             if not self._may_try_again(call, result, refusals):
                 return self._give_up(call, result, sink)
             metrics.RETRIES.labels(call.service).inc()
@@ -179,6 +181,11 @@
         )
 
 
+def _can_resume(framer: EventFramer | None) -> bool:
+    """Return whether an answer that has begun can go on after its last event."""
+    return framer is not None and bool(framer.last_id)
+
+
 class BudgetBook:
     """Retry budgets of the services, divided among the gateways.
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -180,6 +180,27 @@
         assert not made.sink.finished
 
 
+async def test_answer_that_has_begun_is_not_joined_with_another():
+    # Guards against a body of two runs, seen on the bench when an endpoint crashed
+    # in the middle of an idempotent answer.
+    cut = plain_answer(b"0123456789")[:-4]
+    async with rig([[cut, 0.05, "reset"]], [ANSWER]) as made:
+        made.parts.health.failed("e1", "the test")
+        result = await made.serve(route=IDEMPOTENT)
+        assert result.verdict is Verdict.BROKEN_OFF
+        assert runs(made) == 1
+        assert made.sink.body == b"012345"
+
+
+async def test_stream_without_event_ids_is_not_resumed():
+    first = stream_head() + chunk(b"data: t\n\n")
+    async with rig([[first, 0.05, "reset"]], [ANSWER]) as made:
+        made.parts.health.failed("e1", "the test")
+        result = await made.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.BROKEN_OFF
+        assert runs(made) == 1
+
+
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
