--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -133,8 +133,9 @@
         self._refuse_expired()
         self._shares.charge(self._loads.take_used())
         for team in sorted(self._teams, key=self._shares.level):
-            if not self._must_yield(team, self._teams[team][0]):
-                self._place_one(self._teams[team])
+            queue = self._teams[team]
+            if queue and not self._must_yield(team, queue[0]):
+                self._place_one(queue)
         self._teams = {team: queue for team, queue in self._teams.items() if queue}
         levels = [self._shares.level(team) for team in self._teams]
         self._loads.set_waiting(self._service, min(levels, default=None))
--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -75,6 +75,21 @@
     assert parts.queue.waiting == 0
 
 
+async def test_refused_request_does_not_stop_those_behind_it():
+    # Guards against a queue that nobody looks at any more after a refusal.
+    parts = Parts(make_endpoint("e1"))
+    occupy(parts)
+    short = await wait_for(parts, make_call("a", route=make_route(objective_ms=100)))
+    long = await wait_for(parts, make_call("b"))
+    await parts.clock.advance(100)
+    await settle()
+    assert isinstance(short.exception(), CallEnded)
+    parts.loads.read("e1", 9000)
+    await parts.clock.advance(40)
+    await settle()
+    assert long.done()
+
+
 async def test_service_without_endpoints_refuses_at_once():
     parts = Parts()
     with pytest.raises(CallEnded) as ended:
