--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.gateway.call import Call, Placement, refused
+from bulrushbend.gateway.call import Call, CallEnded, Placement, refused
 from bulrushbend.gateway.endpoints import EndpointDirectory
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placing import Placer
@@ -36,6 +36,10 @@
 # Shortest and longest time after which a refused caller is asked to come back.
 _FIRST_RETRY_MS = 400.0
 _LAST_RETRY_MS = 3_000.0
+# Further time for each request that waits already, about what one takes to be placed.
+_RETRY_EACH_MS = 40.0
+# Endpoints that are started anew are on the list after about this time.
+_NO_ENDPOINT_RETRY_MS = 1_000.0
 
 
 @dataclass(eq=False)
@@ -106,7 +110,8 @@
             No endpoint can take the request in time; it was not sent.
         """
         if not self._directory.of_service(self._service):
-            raise refused(503, "no-endpoint", "no endpoint is known", 1000.0)
+            message = "no endpoint is known"
+            raise refused(503, "no-endpoint", message, _NO_ENDPOINT_RETRY_MS)
         if not self._teams and not self._must_yield(call.team):
             placement = self._try(call, patience=1.0)
             if placement is not None:
@@ -207,8 +212,8 @@
                 if not entry.placed.done():
                     entry.placed.set_exception(self._overload("no-capacity"))
 
-    def _overload(self, code: str):
-        retry_ms = _FIRST_RETRY_MS + 40.0 * self.waiting
+    def _overload(self, code: str) -> CallEnded:
+        retry_ms = _FIRST_RETRY_MS + _RETRY_EACH_MS * self.waiting
         return refused(
             503,
             code,
