Leave room to less served teams for as long as nobody uses it

Teams yielded to less served ones elsewhere only until a request of theirs had waited for 100 ms; under overload all have, so room went to whichever gateway looked first, and a gateway had a seventh of it. Change: the bound counts from the first look at which there was room that was left, not from the arrival of the request. A model of gateways, engines and callers on a manual clock plays the load in the tests.

--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -26,12 +26,13 @@
 _LOOK_MS = 20.0
 # Requests of a team that are looked at for one that can go.
 _LOOKED_AT = 8
-# Time for which a well served team leaves room to less served ones elsewhere: two looks
-# and a report on its way.
-_LONGEST_YIELD_MS = 100.0
-# A team is well served when it was given this much more than the other, so that noise
-# in the reports and single long prompts do not count.
-_YIELD_FACTOR = 1.2
+# Longest time for which room is left to a less served team elsewhere: a report of the
+# room is on its way for up to 50 ms, and the other gateway looks within 20 ms.
+_LONGEST_YIELD_MS = 70.0
+# A team is well served when it was given this much more than the other. A team is owed
+# half of what the best served one gets; half of that distance is left for reports that
+# are late, and three long prompts for their size.
+_YIELD_FACTOR = 1.5
 _YIELD_TOKENS = 10_000.0
 # Shortest and longest time after which a refused caller is asked to come back.
 _FIRST_RETRY_MS = 400.0
@@ -94,6 +95,7 @@
         self._clock = clock
         self._most_waiting = most_waiting
         self._teams: dict[str, deque[_Waiting]] = {}
+        self._left_since_ms: float | None = None
         self._looking: asyncio.Task[None] | None = None
 
     @property
@@ -137,30 +139,49 @@
         """Place what can be placed now and refuse what is out of time."""
         self._refuse_expired()
         self._shares.charge(self._loads.take_used())
+        is_left = False
         for team in sorted(self._teams, key=self._shares.level):
             queue = self._teams[team]
-            if queue and not self._must_yield(team, queue[0]):
-                self._place_one(queue)
+            if self._must_yield(team) and queue:
+                if not self._has_room(queue[0].call):
+                    continue
+                is_left = True
+                if self._leave_room():
+                    continue
+            self._place_one(queue)
+        if not is_left:
+            self._left_since_ms = None
         self._teams = {team: queue for team, queue in self._teams.items() if queue}
         levels = [self._shares.level(team) for team in self._teams]
         self._loads.set_waiting(self._service, min(levels, default=None))
 
-    def _must_yield(self, team: str, entry: _Waiting | None = None) -> bool:
+    def _must_yield(self, team: str) -> bool:
         """Return whether a less served team that waits at another gateway is first.
 
-        Teams are spread unevenly over the gateways, and one without a queue would give
-        its teams all the room that others wait for. The time is bounded, since what
-        waits elsewhere may not be able to use the room.
+        Teams are spread unevenly over the gateways. A gateway whose teams are well
+        served would give them all the room that others wait for.
         """
-        if entry is not None:
-            waited_ms = self._clock.now_ms() - entry.since_ms
-            if waited_ms > _LONGEST_YIELD_MS:
-                return False
         elsewhere = self._loads.waiting_elsewhere(self._service)
         if elsewhere is None:
             return False
         return self._shares.level(team) > _YIELD_FACTOR * elsewhere + _YIELD_TOKENS
 
+    def _leave_room(self) -> bool:
+        """Return whether room is left to others once more.
+
+        The time is bounded, since what waits elsewhere may not be able to use the room.
+        It counts from the first look at which there was room, however long the request
+        has waited: under overload all wait for longer than the bound.
+        """
+        now_ms = self._clock.now_ms()
+        if self._left_since_ms is None:
+            self._left_since_ms = now_ms
+        return now_ms - self._left_since_ms < _LONGEST_YIELD_MS
+
+    def _has_room(self, call: Call) -> bool:
+        endpoints = self._directory.of_service(self._service)
+        return self._placer.choose(call, endpoints, patience=1.0) is not None
+
     def _place_one(self, queue: deque[_Waiting]) -> None:
         """Place the first request of a team for which there is room.
 
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -92,7 +92,14 @@
 class Parts:
     """The deciding parts of a gateway on a manual clock."""
 
-    def __init__(self, *endpoints, unread_tokens=2048, most_waiting=100, clock=None):
+    def __init__(
+        self,
+        *endpoints,
+        unread_tokens=2048,
+        most_waiting=100,
+        clock=None,
+        name="g1",
+    ):
         self.clock = clock or ManualClock()
         self.events = MemoryEventLog()
         self.source = FakeSource(*endpoints)
@@ -101,7 +108,7 @@
         )
         self.directory._take(self.source.endpoints)
         self.holdings = PromptHoldings()
-        self.loads = LoadView("g1", 1, self.clock, self.holdings)
+        self.loads = LoadView(name, 1, self.clock, self.holdings)
         self.health = EndpointHealth(self.clock, self.events)
         self.shares = TeamShares(self.clock)
         self.placer = Placer(
--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -155,6 +155,23 @@
     task.cancel()
 
 
+async def test_team_yields_however_long_it_has_waited():
+    # Guards against a bound on the time that requests have waited: under overload all
+    # wait for longer than it, and nobody yields any more.
+    parts = Parts(make_endpoint("e1"))
+    parts.shares.charge([("large", 100_000)])
+    occupy(parts)
+    task = await wait_for(parts, make_call("large"))
+    for _ in range(15):
+        tell_of_waiting(parts, 5_000.0)
+        await parts.clock.advance(20)
+    parts.loads.read("e1", 9000)
+    await parts.clock.advance(20)
+    await settle()
+    assert parts.queue.waiting == 1
+    task.cancel()
+
+
 async def test_yielding_is_bounded():
     # Guards against room that nobody uses while work waits.
     parts = Parts(make_endpoint("e1"))
