Find the sources of forwarded connections while their owners open and close files

Cause: a rule for one source is decided by one look-up of each connection's owner, and the look-up ended at the first file that its process closed meanwhile, so that later sockets were not found. A connection that is missed stays outside the rule; the repetition added before did not help, as a rule reads the sources once. Change: the look-up passes over files that went away; a rule for a source repeats the look-ups of connections without a known one, up to 10 times. Ruled out: load alone.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,5 +1,6 @@
 """A small real fleet on loopback whose processes and links a test can disturb."""
 
+import contextlib
 import json
 import os
 import signal
@@ -179,10 +180,9 @@
 
 def _open_files(pid: int) -> set[str]:
     found = set()
-    try:
-        for entry in os.scandir(f"/proc/{pid}/fd"):
-            found.add(os.readlink(entry.path))
-    except OSError:
-        # The process or one of its files went away while it was read.
-        pass
+    # The process or its files may go away while they are read; the others count.
+    with contextlib.suppress(OSError), os.scandir(f"/proc/{pid}/fd") as entries:
+        for entry in entries:
+            with contextlib.suppress(OSError):
+                found.add(os.readlink(entry.path))
     return found
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -11,6 +11,10 @@
 from bulrushbend.core.settings import split_address
 
 _CHUNK_BYTES = 65_536
+# Look-ups of a connection's source, and the time between two. Reading the open files
+# of a process is not atomic, and one reading can miss a socket.
+_LOOK_UPS = 10
+_LOOK_UP_PAUSE_S = 0.02
 
 
 class Rule(enum.Enum):
@@ -41,8 +45,7 @@
 
     @property
     def source(self) -> str:
-        # A look-up that finds nothing is repeated: while a process opens and closes
-        # files, one reading of its folder of open files may miss a socket.
+        # A look-up that finds nothing is repeated.
         if not self._source:
             self._source = self.find_source()
         return self._source
@@ -91,6 +94,8 @@
 
         async def change():
             self._rules[target, source] = rule
+            if source:
+                await self._find_sources(target)
             for connection in self._matching(target, source):
                 if rule is Rule.DROP:
                     connection.abort()
@@ -102,6 +107,8 @@
         """Silence the open connections for good; new ones work. Return their number."""
 
         async def change():
+            if source:
+                await self._find_sources(target)
             found = self._matching(target, source)
             for connection in found:
                 connection.silent = True
@@ -144,6 +151,17 @@
     def _call(self, coroutine: Coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10)
 
+    async def _find_sources(self, target: str) -> None:
+        """Look up the sources of the open connections to `target`.
+
+        A rule for a source reaches only the connections whose source is known.
+        """
+        for _ in range(_LOOK_UPS):
+            to_target = [c for c in self._connections if c.target == target]
+            if all([connection.source for connection in to_target]):
+                return
+            await asyncio.sleep(_LOOK_UP_PAUSE_S)
+
     def _matching(self, target: str, source: str) -> list[Connection]:
         return [
             connection
@@ -151,18 +169,21 @@
             if connection.target == target and source in ("", connection.source)
         ]
 
-    def _rule_for(self, connection: Connection) -> Rule:
+    async def _rule_for(self, connection: Connection) -> Rule:
         target = connection.target
+        if any(named == target and source for named, source in self._rules):
+            for _ in range(_LOOK_UPS):
+                if connection.source:
+                    break
+                await asyncio.sleep(_LOOK_UP_PAUSE_S)
         anyone = self._rules.get((target, ""), Rule.PASS)
-        if not any(named == target and source for named, source in self._rules):
-            return anyone
         return self._rules.get((target, connection.source), anyone)
 
     async def _serve(self, target, address, reader, writer) -> None:
         port = writer.get_extra_info("peername")[1]
         identify = functools.partial(self._identify, port)
         connection = Connection(target, identify, writers=[writer])
-        rule = self._rule_for(connection)
+        rule = await self._rule_for(connection)
         connection.silent = rule is Rule.SILENT
         self._connections.add(connection)
         try:
--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,73 @@
+import socket
+import subprocess
+import sys
+
+import pytest
+from fleet import _open_files
+from forwarder import Network, Rule
+from localfleet import pick_ports
+
+BUSY = """
+import os, socket
+kept = 500
+opened_first = socket.socket()
+os.dup2(opened_first.fileno(), kept)
+opened_first.close()
+print(os.fstat(kept).st_ino, flush=True)
+while True:
+    opened = [os.open("/dev/null", os.O_RDONLY) for _ in range(20)]
+    for descriptor in opened:
+        os.close(descriptor)
+"""
+
+
+def test_open_files_of_a_busy_process_are_all_found():
+    # Guards against a look-up that ends at the first file which was closed meanwhile:
+    # a rule for one source then missed a connection, seen as a record that reached
+    # control although all links to it were to be silent.
+    process = subprocess.Popen(
+        [sys.executable, "-c", BUSY], stdout=subprocess.PIPE, text=True
+    )
+    try:
+        link = f"socket:[{process.stdout.readline().strip()}]"
+        missed = sum(link not in _open_files(process.pid) for _ in range(500))
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+    assert missed == 0
+
+
+class SlowToKnow:
+    """Look-up that finds a source only after some calls."""
+
+    def __init__(self, misses):
+        self.misses = misses
+
+    def __call__(self, port):
+        self.misses -= 1
+        return "" if self.misses >= 0 else "router-1"
+
+
+@pytest.mark.parametrize("is_open", [True, False])
+def test_rule_reaches_connections_whose_source_is_found_late(is_open):
+    # Guards against a rule for one source that is decided by a single look-up.
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        network = Network(SlowToKnow(3))
+        try:
+            (port,) = pick_ports(1)
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            network.forward("control-1", f"127.0.0.1:{port}", address)
+            if not is_open:
+                network.set_rule(Rule.SILENT, "control-1", "router-1")
+            with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
+                accepted, _ = server.accept()
+                with accepted:
+                    if is_open:
+                        network.set_rule(Rule.SILENT, "control-1", "router-1")
+                    caller.sendall(b"record")
+                    accepted.settimeout(0.3)
+                    with pytest.raises(TimeoutError):
+                        accepted.recv(100)
+        finally:
+            network.close()
