--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -62,6 +62,8 @@
     ENDPOINT_SOUND = "endpoint-sound"
     LEASE_LOST = "lease-lost"
     LEASE_REGAINED = "lease-regained"
+    COORDINATOR_LOST = "coordinator-lost"
+    COORDINATOR_REGAINED = "coordinator-regained"
     LINES_DROPPED = "lines-dropped"
     SETTINGS_RELOADED = "settings-reloaded"
 
--- a/libs/core/src/bulrushbend/core/settings.py
+++ b/libs/core/src/bulrushbend/core/settings.py
@@ -159,7 +159,7 @@
 
     front_address: Address
     spread_address: Address
-    spread_ms: PositiveMs = 50
+    spread_ms: PositiveMs = 200
     endpoints_poll_ms: PositiveMs = 1000
     header_timeout_ms: PositiveMs = 15_000
     connect_ms: PositiveMs = 400
--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -12,18 +12,19 @@
 from dataclasses import dataclass
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.gateway.call import Call, CallEnded, Placement, refused
+from bulrushbend.gateway.call import CallEnded, Placement, refused
+from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.endpoints import EndpointDirectory
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placing import Placer
 from bulrushbend.gateway.shares import TeamShares
 
-# Share of the objective that a request may spend waiting; the rest is for reading the
-# prompt and the way back.
-_WAITING_SHARE = 0.7
 # Time between two looks at what waits, when nothing tells of a change: reports of other
 # gateways come about as often.
 _LOOK_MS = 20.0
+# News that come within this time are acted on together: a look takes about a
+# millisecond when much waits.
+_NEWS_MS = 4.0
 # Requests of a team that are looked at for one that can go.
 _LOOKED_AT = 8
 # Longest time for which room is left to a less served team elsewhere: a report of the
@@ -45,15 +46,8 @@
 
 @dataclass(eq=False)
 class _Waiting:
-    call: Call
+    demand: Demand
     placed: asyncio.Future[Placement]
-    since_ms: float
-    until_ms: float
-
-    def patience(self, now_ms: float) -> float:
-        """Return the part of the waiting time that is left, from 1 to 0."""
-        span_ms = max(1.0, self.until_ms - self.since_ms)
-        return min(1.0, max(0.0, (self.until_ms - now_ms) / span_ms))
 
 
 class AdmissionQueue:
@@ -96,6 +90,7 @@
         self._most_waiting = most_waiting
         self._teams: dict[str, deque[_Waiting]] = {}
         self._left_since_ms: float | None = None
+        self._is_look_due = False
         self._looking: asyncio.Task[None] | None = None
 
     @property
@@ -103,8 +98,8 @@
         """Number of waiting requests."""
         return sum(len(queue) for queue in self._teams.values())
 
-    async def place(self, call: Call) -> Placement:
-        """Wait until an endpoint is chosen for `call` and counted as used.
+    async def place(self, demand: Demand) -> Placement:
+        """Wait until an endpoint is chosen for a request and counted as used.
 
         Raises
         ------
@@ -114,27 +109,34 @@
         if not self._directory.of_service(self._service):
             message = "no endpoint is known"
             raise refused(503, "no-endpoint", message, _NO_ENDPOINT_RETRY_MS)
-        if not self._teams and not self._must_yield(call.team):
-            placement = self._try(call, patience=1.0)
+        self._shares.charge(self._loads.take_used())
+        if not self._teams and not self._must_yield(demand.team):
+            placement = self._try(demand)
             if placement is not None:
                 return placement
         if self.waiting >= self._most_waiting:
             raise self._overload("queue-full")
-        future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-        now_ms = self._clock.now_ms()
-        entry = _Waiting(call, future, now_ms, self._wait_until(call))
-        if entry.until_ms <= self._clock.now_ms():
+        if demand.until_ms <= self._clock.now_ms():
             raise self._overload("no-time")
-        self._teams.setdefault(call.team, deque()).append(entry)
+        future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
+        entry = _Waiting(demand, future)
+        self._teams.setdefault(demand.team, deque()).append(entry)
         self._start_looking()
         try:
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and not future.exception():
-                self._undo(future.result())
+                self._loads.release(future.result(), demand.asker)
             self._remove(entry)
             raise
 
+    def look_soon(self) -> None:
+        """Look within a few milliseconds, once for all news until then."""
+        if self._teams and not self._is_look_due:
+            self._is_look_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(_NEWS_MS / 1000.0, self._look_at_news)
+
     def look(self) -> None:
         """Place what can be placed now and refuse what is out of time."""
         self._refuse_expired()
@@ -143,7 +145,7 @@
         for team in sorted(self._teams, key=self._shares.level):
             queue = self._teams[team]
             if self._must_yield(team) and queue:
-                if not self._has_room(queue[0].call):
+                if not self._has_room(queue[0].demand):
                     continue
                 is_left = True
                 if self._leave_room():
@@ -155,6 +157,10 @@
         levels = [self._shares.level(team) for team in self._teams]
         self._loads.set_waiting(self._service, min(levels, default=None))
 
+    def _look_at_news(self) -> None:
+        self._is_look_due = False
+        self.look()
+
     def _must_yield(self, team: str) -> bool:
         """Return whether a less served team that waits at another gateway is first.
 
@@ -178,57 +184,41 @@
             self._left_since_ms = now_ms
         return now_ms - self._left_since_ms < _LONGEST_YIELD_MS
 
-    def _has_room(self, call: Call) -> bool:
+    def _has_room(self, demand: Demand) -> bool:
         endpoints = self._directory.of_service(self._service)
-        return self._placer.choose(call, endpoints, patience=1.0) is not None
+        return self._placer.choose(demand, endpoints, patience=1.0) is not None
 
     def _place_one(self, queue: deque[_Waiting]) -> None:
-        """Place the first request of a team for which there is room.
+        """Place the smallest request of a team for which there is room.
 
-        One that waits for an endpoint that holds its prompt lets others pass.
+        The share of a team is counted in tokens, so smallest first serves the most
+        callers with it. One that waits for an endpoint that holds its prompt lets
+        others pass.
         """
-        for entry in list(queue)[:_LOOKED_AT]:
+        for entry in sorted(queue, key=_size)[:_LOOKED_AT]:
             if entry.placed.done():
                 queue.remove(entry)
                 continue
-            placement = self._try(entry.call, entry.patience(self._clock.now_ms()))
+            placement = self._try(entry.demand)
             if placement is not None:
                 queue.remove(entry)
                 entry.placed.set_result(placement)
                 return
 
-    def _wait_until(self, call: Call) -> float:
-        """Return how long a request may wait.
-
-        One that was sent before, or whose objective has passed, waits for half of what
-        is left of its time: a late answer is still worth something to the caller.
-        """
-        now_ms = self._clock.now_ms()
-        by_objective = call.received_ms + _WAITING_SHARE * call.route.objective_ms
-        if call.offered == 0 and by_objective > now_ms:
-            return min(by_objective, call.limit_ms)
-        return now_ms + call.remaining_ms(now_ms) / 2
-
-    def _try(self, call: Call, patience: float) -> Placement | None:
+    def _try(self, demand: Demand) -> Placement | None:
         endpoints = self._directory.of_service(self._service)
-        chosen = self._placer.choose(call, endpoints, patience)
+        patience = demand.patience(self._clock.now_ms())
+        chosen = self._placer.choose(demand, endpoints, patience)
         if chosen is None:
             return None
-        endpoint, unread = chosen.endpoint, chosen.unread_tokens
         source = chosen.source.address if chosen.source else ""
-        placement = Placement(endpoint.id, unread, source)
-        shared = call.details.shared_parts
-        self._loads.begin(endpoint.id, call.team, unread, int(call.cost), shared)
-        return placement
-
-    def _undo(self, placement: Placement) -> None:
-        self._loads.read(placement.endpoint, placement.unread_tokens)
-        self._loads.end(placement.endpoint)
+        placement = Placement(chosen.endpoint.id, chosen.unread_tokens, source)
+        return self._loads.begin(placement, demand)
 
     def _refuse_expired(self) -> None:
         now_ms = self._clock.now_ms()
         for queue in self._teams.values():
-            for entry in [e for e in queue if e.until_ms <= now_ms]:
+            for entry in [e for e in queue if e.demand.until_ms <= now_ms]:
                 queue.remove(entry)
                 if not entry.placed.done():
                     entry.placed.set_exception(self._overload("no-capacity"))
@@ -243,11 +233,11 @@
         )
 
     def _remove(self, entry: _Waiting) -> None:
-        queue = self._teams.get(entry.call.team)
+        queue = self._teams.get(entry.demand.team)
         if queue is not None and entry in queue:
             queue.remove(entry)
             if not queue:
-                del self._teams[entry.call.team]
+                del self._teams[entry.demand.team]
 
     def _start_looking(self) -> None:
         if self._looking is None or self._looking.done():
@@ -259,4 +249,39 @@
             self.look()
 
 
+def _size(entry: _Waiting) -> int:
+    return entry.demand.tokens
+
+
 QueueFactory = Callable[[str], AdmissionQueue]
+
+
+class QueueBook:
+    """Queues of all services, made when they are first needed.
+
+    Parameters
+    ----------
+    new_queue : callable
+        Makes the queue of a service.
+    """
+
+    def __init__(self, new_queue: QueueFactory):
+        self._new_queue = new_queue
+        self._queues: dict[str, AdmissionQueue] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for an endpoint."""
+        return sum(queue.waiting for queue in self._queues.values())
+
+    def of(self, service: str) -> AdmissionQueue:
+        """Return the queue of a service."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = self._new_queue(service)
+        return queue
+
+    def look_soon(self) -> None:
+        """Look at all queues shortly, after news about endpoints or their load."""
+        for queue in self._queues.values():
+            queue.look_soon()
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -159,8 +159,11 @@
         Prompt tokens counted as unread there.
     fetch_from : str
         Address of an endpoint that holds shared parts of the prompt, or empty.
+    serial : int
+        Number of the grant if another gateway asked for the placement, else 0.
     """
 
     endpoint: str
     unread_tokens: int
     fetch_from: str = ""
+    serial: int = 0
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -19,9 +19,15 @@
 from bulrushbend.core.manifest import Limits, Manifest, hash_token
 from bulrushbend.core.settings import GatewaySettings, PeerAddress
 from bulrushbend.gateway import metrics
-from bulrushbend.gateway.admission import AdmissionQueue
+from bulrushbend.gateway.admission import AdmissionQueue, QueueBook
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.call import Call, CallEnded, refused
+from bulrushbend.gateway.coordination import (
+    CoordinatedPlacement,
+    Coordinators,
+    PlacementClient,
+    PlacementServer,
+)
 from bulrushbend.gateway.dialect import Dialect
 from bulrushbend.gateway.dispatch import BudgetBook, Dispatcher
 from bulrushbend.gateway.endings import (
@@ -140,11 +146,21 @@
         context = AttemptContext(
             dialect, self._loads, self._health, clock, settings.connect_ms
         )
-        self._dispatcher = Dispatcher(
-            context, self._directory, self._new_queue, self._budgets, clock, events
-        )
+        self._queues = QueueBook(self._new_queue)
+        self._coordinators = Coordinators(identity.name, clock, events)
         self._spread = LoadSpread(
-            self._loads, clock, settings.spread_ms, self._dispatcher.look
+            self._loads, self._coordinators, clock, settings.spread_ms
+        )
+        named = (identity.name, identity.incarnation)
+        self._placements = PlacementClient(
+            *named, self._coordinators, self._loads, clock, self._spread.send
+        )
+        server = PlacementServer(
+            *named, self._queues.of, lambda: self._is_open, clock, self._spread.send
+        )
+        self._spread.serve(self._placements, server, self._queues.look_soon)
+        self._dispatcher = Dispatcher(
+            context, self._directory, self._placement_for, self._budgets, clock, events
         )
         self._in_force.listen(self._adopt)
         self._watch.listen(self._take_members)
@@ -165,6 +181,15 @@
         """Whether connections are closed after their answers."""
         return self._draining
 
+    @property
+    def _is_open(self) -> bool:
+        """Whether other gateways may have their requests placed here."""
+        return not self._draining and self._in_force.current is not None
+
+    @property
+    def _waiting(self) -> int:
+        return self._queues.waiting + self._placements.waiting
+
     @property
     def header_bytes(self) -> int:
         """Largest size of a request's headers."""
@@ -339,7 +364,7 @@
             status=ending.status,
             reason=ending.reason,
             taken_ms=round(taken_ms, 1),
-            waiting=self._dispatcher.waiting,
+            waiting=self._waiting,
             version=self._in_force.version,
             lease_age_ms=self._lease_age(),
         )
@@ -364,6 +389,9 @@
             self._settings.most_waiting,
         )
 
+    def _placement_for(self, service: str) -> CoordinatedPlacement:
+        return CoordinatedPlacement(service, self._queues.of(service), self._placements)
+
     def listen(self, listener: Callable[[Manifest], None]) -> None:
         """Call `listener` with each manifest that comes into force."""
         self._in_force.listen(listener)
@@ -375,13 +403,14 @@
         self._take_endpoints(set())
 
     def _take_members(self, members: dict[str, Member]) -> None:
-        peers = [
-            member.link_address
+        peers = {
+            member.name: member.link_address
             for member in members.values()
             if member.role == ROLE and member.name != self._identity.name
-        ]
+        }
         self._gateways = len(peers) + 1
-        self._spread.set_peers(peers)
+        self._spread.set_peers(peers.values())
+        self._coordinators.set_peers(peers)
         self._budgets.set_gateways(self._gateways)
 
     def _take_endpoints(self, ended: set[str]) -> None:
@@ -394,7 +423,7 @@
                 service = manifest.services_by_name.get(endpoint.service)
                 memory = service.memory_tokens if service else None
                 self._holdings.set_memory(endpoint.id, memory)
-        self._dispatcher.look()
+        self._queues.look_soon()
 
     async def _sweep(self) -> None:
         """Note changes of the lease and set the metrics."""
@@ -408,12 +437,12 @@
                     else EventKind.LEASE_LOST
                 )
                 self._events.write(kind, version=self._in_force.version)
-            metrics.WAITING.set(self._dispatcher.waiting)
+            metrics.WAITING.set(self._waiting)
             metrics.RUNNING.set(self._running)
 
     def _detail(self) -> StatusDetail:
         return StatusDetail(
-            waiting=self._dispatcher.waiting,
+            waiting=self._waiting,
             running=self._running,
             cpu_ms=cpu_ms(),
             control_bytes=self._watch.control_bytes,
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -1,14 +1,16 @@
 """Runs a request: waits for an endpoint, tries it, and decides about another try."""
 
 import asyncio
+from collections.abc import Callable
+from typing import Protocol
 
 from bulrushbend.core.budget import RetryBudget
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.gateway import metrics
-from bulrushbend.gateway.admission import AdmissionQueue, QueueFactory
 from bulrushbend.gateway.attempt import Attempt, AttemptContext, AttemptResult, Verdict
 from bulrushbend.gateway.call import Call, CallEnded, Placement, refused, unknown
+from bulrushbend.gateway.demand import Demand, demand_of
 from bulrushbend.gateway.endpoints import EndpointDirectory
 from bulrushbend.gateway.sink import AnswerSink
 from bulrushbend.wire.eventstream import EventFramer
@@ -20,6 +22,13 @@
 _REFUSED_RETRY_MS = 500.0
 
 
+class Placements(Protocol):
+    """Chooses the endpoints of one service."""
+
+    async def place(self, demand: Demand) -> Placement:
+        """Return the endpoint for a request; raises `CallEnded` if there is none."""
+
+
 class Dispatcher:
     """Runs requests at endpoints.
 
@@ -29,10 +38,10 @@
         What attempts share.
     directory : EndpointDirectory
         Endpoints.
-    queue_for : callable
-        Makes the queue of a service.
-    budgets : callable
-        Makes the retry budget of a service.
+    placement_for : callable
+        Returns the placement of a service.
+    budgets : BudgetBook
+        Retry budgets.
     clock : Clock
         Source of time.
     events : EventLog
@@ -43,28 +52,17 @@
         self,
         context: AttemptContext,
         directory: EndpointDirectory,
-        queue_for: QueueFactory,
+        placement_for: Callable[[str], Placements],
         budgets: "BudgetBook",
         clock: Clock,
         events: EventLog,
     ):
         self._context = context
         self._directory = directory
-        self._queue_for = queue_for
+        self._placement_for = placement_for
         self._budgets = budgets
         self._clock = clock
         self._events = events
-        self._queues: dict[str, AdmissionQueue] = {}
-
-    @property
-    def waiting(self) -> int:
-        """Number of requests that wait for an endpoint."""
-        return sum(queue.waiting for queue in self._queues.values())
-
-    def look(self) -> None:
-        """Look at all queues, after news about endpoints or their load."""
-        for queue in self._queues.values():
-            queue.look()
 
     async def serve(self, call: Call, sink: AnswerSink) -> AttemptResult:
         """Run `call` and pass its answer to `sink`.
@@ -109,11 +107,9 @@
                 call.last_event_id = framer.last_id or call.details.last_event_id
 
     async def _place(self, call: Call) -> Placement:
-        queue = self._queues.get(call.service)
-        if queue is None:
-            queue = self._queues[call.service] = self._queue_for(call.service)
+        demand = demand_of(call, self._clock.now_ms())
         try:
-            return await queue.place(call)
+            return await self._placement_for(call.service).place(demand)
         except CallEnded as error:
             if call.offered:
                 raise unknown("may-have-run", "an earlier try may have run") from error
@@ -129,8 +125,7 @@
         call.endpoint = placement.endpoint
         endpoint = self._directory.get(placement.endpoint)
         if endpoint is None:
-            self._context.loads.read(placement.endpoint, placement.unread_tokens)
-            self._context.loads.end(placement.endpoint)
+            self._context.loads.release(placement)
             return AttemptResult(Verdict.NOT_RUN, "endpoint gone")
         may_repeat = call.route.may_repeat and (
             call.offered + 1 < call.route.most_endpoints
--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -1,14 +1,16 @@
 """What is in progress at each endpoint, by this gateway and by all others."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.gateway.call import PromptPart
+from bulrushbend.gateway.call import Placement, PromptPart
+from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.holdings import PromptHoldings
 from bulrushbend.wire.fleet_pb2 import (
     EndpointLoad,
+    GrantMark,
     LoadReport,
     SharedPrompt,
     TeamUse,
@@ -18,8 +20,12 @@
 # Gateways repeat their reports at least every 500 ms; four lost ones in a row mean that
 # the gateway is gone or cut off, and its requests are no longer counted.
 REPORT_LIFE_MS = 2_000.0
-# What waits changes with every placement, so older news of it are not acted on.
-WAITING_LIFE_MS = 200.0
+# What waits changes with every placement, so older news of it are not acted on. Full
+# reports come every 200 ms.
+WAITING_LIFE_MS = 400.0
+# A grant that the asking gateway's reports do not include after this time was lost on
+# its way: changed work is reported within 10 ms.
+GRANT_LIFE_MS = 250.0
 
 
 @dataclass
@@ -46,6 +52,14 @@
     loads: dict[str, Load] = field(default_factory=dict)
     teams: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, float] = field(default_factory=dict)
+    full_ms: float = float("-inf")
+
+
+@dataclass
+class _Grant:
+    endpoint: str
+    unread_tokens: int
+    granted_ms: float
 
 
 class LoadView:
@@ -77,59 +91,77 @@
         self._used: list[tuple[str, int]] = []
         self._peers: dict[str, _Peer] = {}
         self._waiting: dict[str, float] = {}
+        self._grants: dict[str, dict[int, _Grant]] = defaultdict(dict)
+        self._serials: dict[str, int] = defaultdict(int)
+        self._marks: dict[str, tuple[int, int]] = {}
+        self._totals: dict[str, Load] = {}
+        self._totals_until_ms = float("-inf")
         self._sequence = 0
         self._changed = False
+        self._listeners: list[Callable[[], None]] = []
 
     @property
     def has_changed(self) -> bool:
-        """Whether own work has changed since the last report."""
+        """Whether own work has changed since the last full report."""
         return self._changed
 
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change of own work."""
+        self._listeners.append(listener)
+
     def total(self, endpoint: str) -> Load:
         """Return the work at an endpoint over all gateways."""
-        own = self._own.get(endpoint)
-        running = own.running if own else 0
-        unread = own.unread_tokens if own else 0
-        for peer in self._fresh_peers():
-            load = peer.loads.get(endpoint)
-            if load is not None:
-                running += load.running
-                unread += load.unread_tokens
-        return Load(running, unread)
+        if self._clock.now_ms() >= self._totals_until_ms:
+            self._add_up()
+        return self._totals.get(endpoint) or Load()
 
     def own(self, endpoint: str) -> Load:
         """Return the work of this gateway at an endpoint."""
         return self._own.get(endpoint) or Load()
 
-    def begin(
-        self,
-        endpoint: str,
-        team: str,
-        unread: int,
-        cost: int,
-        shared: Sequence[PromptPart] = (),
-    ) -> None:
-        """Count a request that is sent to an endpoint."""
-        if shared:
-            self._holdings.give(endpoint, shared)
+    def begin(self, placement: Placement, demand: Demand) -> Placement:
+        """Count a request that is placed, and return its placement.
+
+        One that another gateway asked for is a grant: it counts until the reports of
+        that gateway include it. The team is charged here in both cases.
+        """
+        if demand.shared:
+            self._holdings.give(placement.endpoint, demand.shared)
             self._prompts.append(
                 SharedPrompt(
-                    endpoint=endpoint,
-                    digests=[part.digest for part in shared],
-                    tokens=[part.tokens for part in shared],
+                    endpoint=placement.endpoint,
+                    digests=[part.digest for part in demand.shared],
+                    tokens=[part.tokens for part in demand.shared],
                 )
             )
-        load = self._own[endpoint]
-        load.running += 1
-        load.unread_tokens += unread
-        self._teams[team] += cost
-        self._used.append((team, cost))
-        self._changed = True
+        self._teams[demand.team] += demand.cost
+        self._used.append((demand.team, demand.cost))
+        if not demand.asker:
+            self._count(placement)
+            return placement
+        serial = self._serials[demand.asker] = self._serials[demand.asker] + 1
+        self._grants[demand.asker][serial] = _Grant(
+            placement.endpoint, placement.unread_tokens, self._clock.now_ms()
+        )
+        self._note_change()
+        return Placement(
+            placement.endpoint, placement.unread_tokens, placement.fetch_from, serial
+        )
+
+    def take(self, placement: Placement, coordinator: str, incarnation: int) -> None:
+        """Count a request that a coordinator placed for this gateway."""
+        self.mark(placement.serial, coordinator, incarnation)
+        self._count(placement)
+
+    def mark(self, serial: int, coordinator: str, incarnation: int) -> None:
+        """Note that a grant arrived, so that the coordinator stops counting it."""
+        newest = self._marks.get(coordinator, (0, 0))
+        self._marks[coordinator] = max(newest, (incarnation, serial))
 
     def read(self, endpoint: str, unread: int) -> None:
         """Count off the prompt of a request whose first event has come."""
         self._own[endpoint].unread_tokens -= unread
-        self._changed = True
+        self._note_change()
 
     def end(self, endpoint: str) -> None:
         """Count off a request that has ended."""
@@ -137,7 +169,16 @@
         load.running -= 1
         if load.running == 0 and load.unread_tokens == 0:
             del self._own[endpoint]
-        self._changed = True
+        self._note_change()
+
+    def release(self, placement: Placement, asker: str = "") -> None:
+        """Count off a placement that is not used."""
+        if asker:
+            self._grants[asker].pop(placement.serial, None)
+            self._note_change()
+        else:
+            self.read(placement.endpoint, placement.unread_tokens)
+            self.end(placement.endpoint)
 
     def set_waiting(self, service: str, level: float | None) -> None:
         """Take the level of the least served team that waits here, if any."""
@@ -151,10 +192,11 @@
 
     def waiting_elsewhere(self, service: str) -> float | None:
         """Return the lowest level of a team that waits at another gateway."""
+        oldest_ms = self._clock.now_ms() - WAITING_LIFE_MS
         levels = [
             peer.waiting[service]
-            for peer in self._fresh_peers(WAITING_LIFE_MS)
-            if service in peer.waiting
+            for peer in self._peers.values()
+            if service in peer.waiting and peer.full_ms >= oldest_ms
         ]
         return min(levels, default=None)
 
@@ -163,14 +205,14 @@
         used, self._used = self._used, []
         return used
 
-    def report(self) -> LoadReport:
-        """Return the report of own work for the other gateways."""
+    def report(self, is_brief: bool = False) -> LoadReport:
+        """Return the report of own work for other gateways.
+
+        A brief one tells only of the endpoints. It is meant for coordinators, which
+        need it soon after each change and know the rest from what they placed.
+        """
         self._sequence += 1
-        self._changed = False
-        prompts = self._repeated + self._prompts
-        self._repeated, self._prompts = self._prompts, []
-        return LoadReport(
-            prompts=prompts,
+        report = LoadReport(
             gateway=self._name,
             incarnation=self._incarnation,
             sequence=self._sequence,
@@ -182,12 +224,22 @@
                 )
                 for name, load in self._own.items()
             ],
-            teams=[TeamUse(team=t, tokens=n) for t, n in self._teams.items()],
-            waiting=[
-                WaitingLevel(service=s, level=level)
-                for s, level in self._waiting.items()
+            is_brief=is_brief,
+            grants=[
+                GrantMark(coordinator=name, incarnation=incarnation, serial=serial)
+                for name, (incarnation, serial) in self._marks.items()
             ],
         )
+        if is_brief:
+            return report
+        self._changed = False
+        report.prompts.extend(self._repeated + self._prompts)
+        self._repeated, self._prompts = self._prompts, []
+        report.teams.extend(TeamUse(team=t, tokens=n) for t, n in self._teams.items())
+        report.waiting.extend(
+            WaitingLevel(service=s, level=level) for s, level in self._waiting.items()
+        )
+        return report
 
     def learn(self, report: LoadReport) -> None:
         """Take the report of another gateway, unless a newer one was taken."""
@@ -197,27 +249,87 @@
         order = (report.incarnation, report.sequence)
         if known is not None and order <= (known.incarnation, known.sequence):
             return
-        teams = {use.team: use.tokens for use in report.teams}
-        if known is not None and known.incarnation == report.incarnation:
-            for team, tokens in teams.items():
-                gained = tokens - known.teams.get(team, 0)
-                if gained > 0:
-                    self._used.append((team, gained))
-        for prompt in report.prompts:
-            parts = [
-                PromptPart(digest, tokens)
-                for digest, tokens in zip(prompt.digests, prompt.tokens, strict=False)
-            ]
-            self._holdings.give(prompt.endpoint, parts)
-        self._peers[report.gateway] = _Peer(
+        is_same = known is not None and known.incarnation == report.incarnation
+        peer = _Peer(
             report.incarnation,
             report.sequence,
             self._clock.now_ms(),
             {e.endpoint: Load(e.running, e.unread_tokens) for e in report.endpoints},
-            teams,
-            {entry.service: entry.level for entry in report.waiting},
         )
+        if report.is_brief:
+            if is_same:
+                peer.teams, peer.waiting = known.teams, known.waiting
+                peer.full_ms = known.full_ms
+        else:
+            peer.full_ms = peer.heard_ms
+            peer.teams = {use.team: use.tokens for use in report.teams}
+            peer.waiting = {entry.service: entry.level for entry in report.waiting}
+            if is_same and known.full_ms > float("-inf"):
+                self._charge_gains(known.teams, peer.teams)
+            for prompt in report.prompts:
+                self._learn_prompt(prompt)
+        self._peers[report.gateway] = peer
+        for mark in report.grants:
+            if (mark.coordinator, mark.incarnation) == (self._name, self._incarnation):
+                self._drop_grants(report.gateway, mark.serial)
+        self._totals_until_ms = float("-inf")
+
+    def _charge_gains(self, before: dict[str, int], now: dict[str, int]) -> None:
+        for team, tokens in now.items():
+            gained = tokens - before.get(team, 0)
+            if gained > 0:
+                self._used.append((team, gained))
+
+    def _learn_prompt(self, prompt: SharedPrompt) -> None:
+        parts = [
+            PromptPart(digest, tokens)
+            for digest, tokens in zip(prompt.digests, prompt.tokens, strict=False)
+        ]
+        self._holdings.give(prompt.endpoint, parts)
+
+    def _drop_grants(self, asker: str, newest: int) -> None:
+        grants = self._grants[asker]
+        for serial in [serial for serial in grants if serial <= newest]:
+            del grants[serial]
+
+    def _count(self, placement: Placement) -> None:
+        load = self._own[placement.endpoint]
+        load.running += 1
+        load.unread_tokens += placement.unread_tokens
+        self._note_change()
+
+    def _note_change(self) -> None:
+        self._changed = True
+        self._totals_until_ms = float("-inf")
+        for listener in self._listeners:
+            listener()
+
+    def _add_up(self) -> None:
+        """Add up the work of all gateways; holds until something changes or expires."""
+        now_ms = self._clock.now_ms()
+        totals: dict[str, Load] = defaultdict(Load)
+        until_ms = float("inf")
+        for peer in self._fresh_peers(now_ms):
+            until_ms = min(until_ms, peer.heard_ms + REPORT_LIFE_MS)
+            _add(totals, peer.loads)
+        _add(totals, self._own)
+        for grants in self._grants.values():
+            for serial, grant in list(grants.items()):
+                if now_ms - grant.granted_ms >= GRANT_LIFE_MS:
+                    del grants[serial]
+                    continue
+                until_ms = min(until_ms, grant.granted_ms + GRANT_LIFE_MS)
+                totals[grant.endpoint].running += 1
+                totals[grant.endpoint].unread_tokens += grant.unread_tokens
+        self._totals, self._totals_until_ms = totals, until_ms
+
+    def _fresh_peers(self, now_ms: float) -> Iterator[_Peer]:
+        oldest_ms = now_ms - REPORT_LIFE_MS
+        return (peer for peer in self._peers.values() if peer.heard_ms > oldest_ms)
+
 
-    def _fresh_peers(self, life_ms: float = REPORT_LIFE_MS) -> Iterator[_Peer]:
-        oldest_ms = self._clock.now_ms() - life_ms
-        return (peer for peer in self._peers.values() if peer.heard_ms >= oldest_ms)
+def _add(totals: dict[str, Load], loads: dict[str, Load]) -> None:
+    for endpoint, load in loads.items():
+        total = totals[endpoint]
+        total.running += load.running
+        total.unread_tokens += load.unread_tokens
--- a/libs/gateway/src/bulrushbend/gateway/placing.py
+++ b/libs/gateway/src/bulrushbend/gateway/placing.py
@@ -10,7 +10,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from bulrushbend.gateway.call import Call, PromptPart
+from bulrushbend.gateway.call import PromptPart
+from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.endpoints import FoundEndpoint
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.holdings import PromptHoldings
@@ -98,7 +99,7 @@
         self._data_centre = data_centre
 
     def choose(
-        self, call: Call, endpoints: Sequence[FoundEndpoint], patience: float
+        self, demand: Demand, endpoints: Sequence[FoundEndpoint], patience: float
     ) -> Choice | None:
         """Return the endpoint for a request.
 
@@ -107,7 +108,7 @@
 
         Parameters
         ----------
-        call : Call
+        demand : Demand
             The request.
         endpoints : sequence of FoundEndpoint
             Endpoints of its service that take new work.
@@ -115,8 +116,9 @@
             Part of the request's waiting time that is left, from 1 to 0. With little of
             it any endpoint is better than one that holds the prompt but is busy.
         """
-        usable = self._health.usable([e for e in endpoints if e.id not in call.tried])
-        shared = call.details.shared_parts
+        candidates = [e for e in endpoints if e.id not in demand.avoided]
+        usable = self._health.usable(candidates)
+        shared = demand.shared
         home = _home(shared, endpoints)
         holder, most_held = self._best_holder(shared, endpoints)
         best: tuple[float, Choice, bool] | None = None
@@ -126,7 +128,7 @@
                 continue
             held = self._holdings.held_tokens(endpoint.id, shared)
             fetched = most_held - held if most_held - held >= LEAST_FETCHED else 0
-            unread = max(1, call.tokens - held - fetched)
+            unread = max(1, demand.tokens - held - fetched)
             cost = self._cost(endpoint, load, unread, fetched, patience)
             if endpoint.id == home:
                 cost -= HOME_TOKENS
--- a/libs/gateway/src/bulrushbend/gateway/spread.py
+++ b/libs/gateway/src/bulrushbend/gateway/spread.py
@@ -1,4 +1,4 @@
-"""Datagrams by which gateways tell each other what they have in progress."""
+"""Datagrams between gateways: reports of what is in progress, and placements."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -8,48 +8,72 @@
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.logs import part_logger
 from bulrushbend.core.settings import split_address
+from bulrushbend.gateway.coordination import (
+    Coordinators,
+    PlacementClient,
+    PlacementServer,
+)
 from bulrushbend.gateway.loads import LoadView
-from bulrushbend.wire.fleet_pb2 import LoadReport
+from bulrushbend.wire.fleet_pb2 import GatewayDatagram
 
 _log = part_logger("gateway.spread")
 
-# Reports are repeated at least so often, so that a lost datagram is made up for.
+# Full reports are repeated at least so often, so that a lost datagram is made up for.
 _REPEAT_MS = 500.0
+# Changed work is told to coordinators after this time. Reading a short prompt takes
+# about as long, so an endpoint waits for at most one.
+_BRIEF_MS = 10.0
 
 
 class LoadSpread(asyncio.DatagramProtocol):
-    """Sends own reports to all other gateways and takes theirs.
+    """Sends and receives the datagrams of a gateway.
 
     Parameters
     ----------
     loads : LoadView
         Source and receiver of the reports.
+    coordinators : Coordinators
+        Tells who needs brief reports after each change.
     clock : Clock
         Source of time.
     spread_ms : float
-        Shortest time between two reports in milliseconds.
-    on_news : callable
-        Called after a report of another gateway was taken.
+        Shortest time between two full reports in milliseconds.
     """
 
     def __init__(
         self,
         loads: LoadView,
+        coordinators: Coordinators,
         clock: Clock,
         spread_ms: float,
-        on_news: Callable[[], None],
     ):
         self._loads = loads
+        self._coordinators = coordinators
         self._clock = clock
         self._spread_ms = spread_ms
-        self._on_news = on_news
+        self._client: PlacementClient | None = None
+        self._server: PlacementServer | None = None
+        self._on_news: Callable[[], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
-        self._peers: list[tuple[str, int]] = []
+        self._peers: list[str] = []
         self._sent_ms = clock.now_ms()
+        self._is_brief_due = False
+        loads.listen(self._note_change)
+
+    def serve(
+        self,
+        client: PlacementClient,
+        server: PlacementServer,
+        on_news: Callable[[], None],
+    ) -> None:
+        """Take the receivers of placements, and who is called after a report."""
+        self._client = client
+        self._server = server
+        self._on_news = on_news
 
     def set_peers(self, addresses: Iterable[str]) -> None:
         """Take the addresses of the other gateways."""
-        self._peers = [split_address(address) for address in addresses]
+        self._peers = list(addresses)
 
     async def open(self, address: str) -> None:
         """Bind the socket.
@@ -65,37 +89,67 @@
         )
 
     async def run(self) -> None:
-        """Send reports until cancelled."""
+        """Send full reports until cancelled."""
         while True:
             await self._clock.sleep_ms(self._spread_ms)
             is_due = self._clock.now_ms() - self._sent_ms >= _REPEAT_MS
             if self._peers and (self._loads.has_changed or is_due):
-                self._send()
+                self._sent_ms = self._clock.now_ms()
+                self._send_all(GatewayDatagram(report=self._loads.report()))
+
+    def send(self, address: str, datagram: GatewayDatagram) -> None:
+        """Send one datagram; it is lost while the socket is closed."""
+        if self._transport is not None:
+            self._transport.sendto(datagram.SerializeToString(), split_address(address))
 
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Keep the bound socket."""
         self._transport = transport
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
-        """Take the report of another gateway."""
+        """Take a datagram of another gateway."""
         try:
-            report = LoadReport.FromString(data)
+            datagram = GatewayDatagram.FromString(data)
         except DecodeError as error:
-            _log.warning("unreadable report from %s: %s", address[0], error)
+            _log.warning("unreadable datagram from %s: %s", address[0], error)
             return
-        self._loads.learn(report)
-        self._on_news()
+        match datagram.WhichOneof("content"):
+            case "report":
+                self._loads.learn(datagram.report)
+                self._on_news()
+            case "request":
+                self._server.take(datagram.request, f"{address[0]}:{address[1]}")
+            case "reply":
+                self._client.take(datagram.reply)
+            case "cancel":
+                self._server.cancel(datagram.cancel)
+            case _:
+                _log.warning("datagram of an unknown kind from %s", address[0])
 
     def error_received(self, error: OSError) -> None:
         """Ignore a peer that does not listen; its reports stop as well."""
 
-    def _send(self) -> None:
-        self._sent_ms = self._clock.now_ms()
-        data = self._loads.report().SerializeToString()
+    def _send_all(self, datagram: GatewayDatagram) -> None:
+        data = datagram.SerializeToString()
         for peer in self._peers:
-            self._transport.sendto(data, peer)
+            self._transport.sendto(data, split_address(peer))
+
+    def _note_change(self) -> None:
+        if not self._is_brief_due and self._coordinators.addresses_in_use():
+            self._is_brief_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(_BRIEF_MS / 1000.0, self._send_brief)
+
+    def _send_brief(self) -> None:
+        self._is_brief_due = False
+        addresses = self._coordinators.addresses_in_use()
+        if addresses:
+            datagram = GatewayDatagram(report=self._loads.report(is_brief=True))
+            for address in addresses:
+                self.send(address, datagram)
--- a/libs/gateway/tests/fleet_model.py
+++ b/libs/gateway/tests/fleet_model.py
@@ -2,16 +2,23 @@
 
 import asyncio
 import random
-from collections import Counter, defaultdict, deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
-from gateway_builders import Parts, make_call, make_endpoint, make_route
+from gateway_builders import SERVICE, Parts, make_call, make_endpoint, make_route
 
 from bulrushbend.core.clock import ManualClock
 from bulrushbend.gateway.call import CallEnded
+from bulrushbend.gateway.coordination import (
+    CoordinatedPlacement,
+    Coordinators,
+    PlacementClient,
+    PlacementServer,
+)
+from bulrushbend.gateway.demand import demand_of
 
 STEP_MS = 5.0
-SPREAD_MS = 50.0
+FULL_REPORT_MS = 200.0
 READ_TOKENS_PER_MS = 64.0
 
 
@@ -37,6 +44,72 @@
     prompts: tuple[int, ...]
 
 
+class ModelGateway:
+    """One gateway whose datagrams go straight to the others.
+
+    Parameters
+    ----------
+    number : int
+        Number of the gateway.
+    endpoints : sequence of str
+        Names of the endpoints.
+    clock : ManualClock
+        Source of time.
+    fleet : dict
+        All gateways by name.
+    """
+
+    def __init__(self, number, endpoints, clock, fleet):
+        self.name = f"g{number}"
+        self.fleet = fleet
+        self.is_silent = False
+        self.is_leaving = False
+        self.lost_replies = 0
+        self.parts = Parts(
+            *[make_endpoint(name) for name in endpoints],
+            clock=clock,
+            name=self.name,
+            most_waiting=1000,
+        )
+        self.loads = self.parts.loads
+        self.coordinators = Coordinators(self.name, clock, self.parts.events)
+        self.client = PlacementClient(
+            self.name, 1, self.coordinators, self.loads, clock, self.send
+        )
+        self.server = PlacementServer(
+            self.name, 1, self.queue_of, self.is_open, clock, self.send
+        )
+        self.placement = CoordinatedPlacement(SERVICE, self.parts.queue, self.client)
+
+    def is_open(self):
+        return not self.is_leaving
+
+    def queue_of(self, service):
+        return self.parts.queue
+
+    def send(self, address, datagram):
+        target = self.fleet[address]
+        if target.is_silent or self.is_silent:
+            return
+        loop = asyncio.get_running_loop()
+        match datagram.WhichOneof("content"):
+            case "request":
+                loop.call_soon(target.server.take, datagram.request, self.name)
+            case "reply" if self.lost_replies:
+                self.lost_replies -= 1
+            case "reply":
+                loop.call_soon(target.client.take, datagram.reply)
+            case "cancel":
+                loop.call_soon(target.server.cancel, datagram.cancel)
+
+    def report(self, is_brief, targets):
+        report = self.loads.report(is_brief=is_brief)
+        for target in targets:
+            if target is not self and not target.is_silent and not self.is_silent:
+                target.loads.learn(report)
+                target.parts.queue.look()
+
+
 class OverloadModel:
     """Plays callers against gateways whose engines read prompts in order of arrival.
 
@@ -46,28 +119,30 @@
         Sizes of the fleet.
     loads : sequence of TeamLoad
         What the teams send. A refused caller comes back once, when it is told to.
+    has_coordinator : bool
+        Whether the gateways know one another, so that one places for all.
     """
 
-    def __init__(self, gateways, endpoints, loads, seed=1):
+    def __init__(self, gateways, endpoints, loads, seed=1, has_coordinator=False):
         self.clock = ManualClock()
         self.loads = loads
         self.random = random.Random(seed)
         names = [f"e{number}" for number in range(endpoints)]
-        self.gateways = [
-            Parts(
-                *[make_endpoint(name) for name in names],
-                clock=self.clock,
-                name=f"g{number}",
-                most_waiting=1000,
-            )
-            for number in range(gateways)
-        ]
+        self.fleet = {}
+        for number in range(gateways):
+            gateway = ModelGateway(number, names, self.clock, self.fleet)
+            self.fleet[gateway.name] = gateway
+        self.gateways = list(self.fleet.values())
+        if has_coordinator:
+            for gateway in self.gateways:
+                others = {name: name for name in self.fleet if name != gateway.name}
+                gateway.coordinators.set_peers(others)
         self.engines = {name: deque() for name in names}
         self.asked = Counter()
         self.given = Counter()
         self.read_tokens = 0.0
-        self.idle_ms = 0.0
-        self.waits_ms = defaultdict(list)
+        self.together = 0
+        self.placed = 0
         self.tasks = set()
         self.serial = 0
 
@@ -75,8 +150,8 @@
         """Play for a time."""
         due = {id(load): self.random.random() * 100 for load in self.loads}
         end_ms = self.clock.now_ms() + duration_ms
-        next_spread = [
-            self.clock.now_ms() + SPREAD_MS * (number + 1) / len(self.gateways)
+        next_full = [
+            self.clock.now_ms() + FULL_REPORT_MS * (number + 1) / len(self.gateways)
             for number in range(len(self.gateways))
         ]
         while self.clock.now_ms() < end_ms:
@@ -85,12 +160,14 @@
                 while due[id(load)] <= now_ms:
                     due[id(load)] += self.random.expovariate(load.per_s / 1000)
                     self._send(load)
-            for number, at_ms in enumerate(next_spread):
-                if at_ms <= now_ms:
-                    next_spread[number] += SPREAD_MS
-                    self._report(number)
+            for number, gateway in enumerate(self.gateways):
+                if next_full[number] <= now_ms:
+                    next_full[number] += FULL_REPORT_MS
+                    gateway.report(False, self.gateways)
+                in_use = gateway.coordinators.addresses_in_use()
+                gateway.report(True, [self.fleet[name] for name in in_use])
             await self.clock.advance(STEP_MS)
-            for _ in range(3):
+            for _ in range(6):
                 await asyncio.sleep(0)
             self._read()
         for task in self.tasks:
@@ -105,37 +182,33 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _call(self, load, tokens):
-        began_ms = self.clock.now_ms()
         for is_last in (False, True):
             self.serial += 1
             gateway = self.gateways[self.random.choice(load.gateways)]
+            now_ms = self.clock.now_ms()
             call = make_call(
                 load.team,
                 tokens,
-                now_ms=self.clock.now_ms(),
+                now_ms=now_ms,
                 route=make_route(objective_ms=400),
                 request_id=str(self.serial),
             )
             try:
-                placement = await gateway.queue.place(call)
+                placement = await gateway.placement.place(demand_of(call, now_ms))
             except CallEnded as ended:
                 if is_last:
                     return
                 await self.clock.sleep_ms(ended.retry_after_ms)
                 continue
             self.given[load.team] += tokens
-            self.waits_ms[load.team].append(self.clock.now_ms() - began_ms)
+            prompts = self.engines[placement.endpoint]
+            self.placed += 1
+            unread = sum(left for left, _, _ in prompts)
+            self.together += unread > 0 and unread + placement.unread_tokens > 2_048
             left = float(placement.unread_tokens)
-            self.engines[placement.endpoint].append([left, gateway, placement])
+            prompts.append([left, gateway, placement])
             return
 
-    def _report(self, number):
-        report = self.gateways[number].loads.report()
-        for other in self.gateways:
-            if other is not self.gateways[number]:
-                other.loads.learn(report)
-                other.queue.look()
-
     def _read(self):
         for name, prompts in self.engines.items():
             room = STEP_MS * READ_TOKENS_PER_MS
@@ -150,4 +223,3 @@
                     _, gateway, placement = prompt
                     gateway.loads.read(name, placement.unread_tokens)
                     gateway.loads.end(name)
-            self.idle_ms += room / READ_TOKENS_PER_MS
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -12,7 +12,8 @@
 from bulrushbend.core.events import MemoryEventLog
 from bulrushbend.core.manifest import Route, RouteKind, Split
 from bulrushbend.gateway.admission import AdmissionQueue
-from bulrushbend.gateway.call import Call, CallDetails, PromptPart
+from bulrushbend.gateway.call import Call, CallDetails, Placement, PromptPart
+from bulrushbend.gateway.demand import Demand, demand_of
 from bulrushbend.gateway.dialect import bearer_token, end_to_end, retry_after
 from bulrushbend.gateway.endpoints import EndpointDirectory, FoundEndpoint
 from bulrushbend.gateway.health import EndpointHealth
@@ -89,6 +90,21 @@
         return list(self.endpoints), 1
 
 
+def begin(loads, endpoint, team, tokens, cost, shared=(), asker=""):
+    """Count a placement with these figures, and return it."""
+    demand = Demand(
+        team=team,
+        tokens=tokens,
+        cost=cost,
+        shared=tuple(shared),
+        avoided=frozenset(),
+        since_ms=0.0,
+        until_ms=0.0,
+        asker=asker,
+    )
+    return loads.begin(Placement(endpoint, tokens), demand)
+
+
 class Parts:
     """The deciding parts of a gateway on a manual clock."""
 
@@ -129,7 +145,14 @@
         )
 
     def choose(self, call, patience=1.0):
-        return self.placer.choose(call, self.directory.of_service(SERVICE), patience)
+        demand = demand_of(call, self.clock.now_ms())
+        return self.placer.choose(demand, self.directory.of_service(SERVICE), patience)
+
+    async def place(self, call):
+        return await self.queue.place(demand_of(call, self.clock.now_ms()))
+
+    def begin(self, endpoint, team="other", tokens=0, cost=0, shared=()):
+        begin(self.loads, endpoint, team, tokens, cost, shared)
 
 
 class PlainDialect:
--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -14,18 +14,18 @@
 
 
 async def wait_for(parts, call):
-    task = asyncio.create_task(parts.queue.place(call))
+    task = asyncio.create_task(parts.place(call))
     await settle()
     return task
 
 
 def occupy(parts, endpoint="e1", tokens=9000):
-    parts.loads.begin(endpoint, "other", tokens, 0)
+    parts.begin(endpoint, tokens=tokens)
 
 
 async def test_request_goes_at_once_when_there_is_room():
     parts = Parts(make_endpoint("e1"))
-    placement = await parts.queue.place(make_call())
+    placement = await parts.place(make_call())
     assert placement.endpoint == "e1"
     assert parts.loads.total("e1").running == 1
     assert parts.loads.total("e1").unread_tokens == 1000
@@ -93,7 +93,7 @@
 async def test_service_without_endpoints_refuses_at_once():
     parts = Parts()
     with pytest.raises(CallEnded) as ended:
-        await parts.queue.place(make_call())
+        await parts.place(make_call())
     assert (ended.value.status, ended.value.code) == (503, "no-endpoint")
 
 
@@ -102,7 +102,7 @@
     occupy(parts)
     waiting = await wait_for(parts, make_call())
     with pytest.raises(CallEnded) as ended:
-        await parts.queue.place(make_call())
+        await parts.place(make_call())
     assert ended.value.code == "queue-full"
     waiting.cancel()
 
@@ -190,5 +190,5 @@
     parts.shares.charge([("large", 100_000)])
     tell_of_waiting(parts, 5_000.0)
     await parts.clock.advance(WAITING_LIFE_MS + 1)
-    placement = await parts.queue.place(make_call("large"))
+    placement = await parts.place(make_call("large"))
     assert placement.endpoint == "e1"
--- /dev/null
+++ b/libs/gateway/tests/test_coordination.py
@@ -0,0 +1,190 @@
+import asyncio
+
+import pytest
+from fleet_model import ModelGateway
+from gateway_builders import SERVICE, begin, make_call, make_route
+
+from bulrushbend.core.clock import ManualClock
+from bulrushbend.core.events import EventKind, MemoryEventLog
+from bulrushbend.gateway.call import CallEnded
+from bulrushbend.gateway.coordination import SUSPECT_MS, Coordinators
+from bulrushbend.gateway.demand import demand_of
+from bulrushbend.gateway.loads import GRANT_LIFE_MS, Load
+
+
+class Pair:
+    """The coordinator of the service and a gateway that asks it."""
+
+    def __init__(self, endpoints=("e1", "e2")):
+        self.clock = ManualClock()
+        fleet = {}
+        for number in (1, 2):
+            gateway = ModelGateway(number, endpoints, self.clock, fleet)
+            fleet[gateway.name] = gateway
+        for gateway in fleet.values():
+            others = {name: name for name in fleet if name != gateway.name}
+            gateway.coordinators.set_peers(others)
+        is_first = fleet["g1"].coordinators.choose(SERVICE) is None
+        names = ("g1", "g2") if is_first else ("g2", "g1")
+        self.coordinator, self.asker = (fleet[name] for name in names)
+
+    async def place(self, **fields):
+        call = make_call(now_ms=self.clock.now_ms(), **fields)
+        return await self.asker.placement.place(demand_of(call, self.clock.now_ms()))
+
+    def occupy(self, *endpoints):
+        for endpoint in endpoints:
+            begin(self.coordinator.loads, endpoint, "other", 9_000, 0)
+
+    def total(self, endpoint):
+        return self.coordinator.loads.total(endpoint)
+
+    def kinds(self):
+        return [record["kind"] for record in self.asker.parts.events.records]
+
+
+async def settle():
+    for _ in range(8):
+        await asyncio.sleep(0)
+
+
+def test_gateways_agree_on_the_coordinator():
+    # Guards against two coordinators of one service while all is well.
+    clock = ManualClock()
+    names = [f"g{number}" for number in range(9)]
+    for service in ("a", "b", "c", "d"):
+        chosen = set()
+        for name in names:
+            coordinators = Coordinators(name, clock, MemoryEventLog())
+            coordinators.set_peers({other: other for other in names if other != name})
+            chosen.add(coordinators.choose(service) or name)
+        assert len(chosen) == 1
+
+
+async def test_grant_counts_until_the_asker_reports_it():
+    # Guards against a second prompt on an endpoint whose first one is on its way.
+    pair = Pair()
+    placement = await pair.place()
+    assert pair.total(placement.endpoint) == Load(1, 1000)
+    pair.asker.report(True, [pair.coordinator])
+    assert pair.total(placement.endpoint) == Load(1, 1000)
+    pair.asker.loads.read(placement.endpoint, 1000)
+    pair.asker.loads.end(placement.endpoint)
+    pair.asker.report(True, [pair.coordinator])
+    assert pair.total(placement.endpoint) == Load()
+
+
+async def test_grant_that_never_arrived_expires():
+    # Guards against an endpoint that seems full for ever after a lost reply.
+    pair = Pair()
+    pair.coordinator.lost_replies = 100
+    placement = await pair.place()
+    assert pair.asker.loads.own(placement.endpoint) == Load(1, 1000)
+    await pair.clock.advance(GRANT_LIFE_MS)
+    totals = [pair.total(endpoint) for endpoint in ("e1", "e2")]
+    assert totals == [Load(), Load()]
+
+
+async def test_repeated_request_has_one_outcome():
+    # Guards against two endpoints taken for one request after a lost reply.
+    pair = Pair()
+    pair.coordinator.lost_replies = 1
+    placement = await pair.place()
+    assert placement.serial == 1
+    running = [pair.total(endpoint).running for endpoint in ("e1", "e2")]
+    assert sum(running) == 1
+
+
+async def test_silent_coordinator_is_done_without():
+    # Guards against requests that depend on one gateway.
+    pair = Pair()
+    pair.coordinator.is_silent = True
+    placement = await pair.place()
+    assert placement.serial == 0
+    assert EventKind.COORDINATOR_LOST in pair.kinds()
+    async with asyncio.timeout(0.02):
+        await pair.place()
+    pair.coordinator.is_silent = False
+    await pair.clock.advance(SUSPECT_MS)
+    placement = await pair.place()
+    assert placement.serial == 1
+    assert EventKind.COORDINATOR_REGAINED in pair.kinds()
+
+
+async def test_only_one_request_tries_a_silent_coordinator_again():
+    # Guards against a delay of all requests each time the coordinator is tried.
+    pair = Pair()
+    pair.coordinator.is_silent = True
+    await pair.place()
+    await pair.clock.advance(SUSPECT_MS)
+    trying = asyncio.create_task(pair.place())
+    await settle()
+    async with asyncio.timeout(0.02):
+        await pair.place()
+    await trying
+
+
+async def test_gateway_that_stops_declines():
+    # Guards against requests that wait in a queue which is about to end.
+    pair = Pair()
+    pair.coordinator.is_leaving = True
+    async with asyncio.timeout(0.02):
+        placement = await pair.place()
+    assert placement.serial == 0
+
+
+async def test_refusal_of_the_coordinator_is_passed_on():
+    pair = Pair()
+    pair.occupy("e1", "e2")
+    route = make_route(objective_ms=100)
+    task = asyncio.create_task(pair.place(route=route))
+    await settle()
+    await pair.clock.advance(80)
+    await settle()
+    with pytest.raises(CallEnded) as ended:
+        await task
+    assert (ended.value.status, ended.value.code) == (503, "no-capacity")
+    assert ended.value.retry_after_ms > 0
+
+
+async def test_waiting_request_goes_when_there_is_room():
+    pair = Pair()
+    pair.occupy("e1", "e2")
+    task = asyncio.create_task(pair.place())
+    await settle()
+    assert not task.done()
+    pair.coordinator.loads.read("e2", 9_000)
+    await pair.clock.advance(20)
+    placement = await task
+    assert placement.endpoint == "e2"
+
+
+async def test_request_of_a_caller_that_left_is_taken_back():
+    # Guards against room that is kept for a caller who is gone.
+    pair = Pair()
+    pair.occupy("e1", "e2")
+    task = asyncio.create_task(pair.place())
+    await settle()
+    assert pair.coordinator.parts.queue.waiting == 1
+    task.cancel()
+    await settle()
+    assert pair.coordinator.parts.queue.waiting == 0
+
+
+async def test_tokens_are_charged_once():
+    # Guards against a team that is charged by the coordinator and by the asker.
+    pair = Pair()
+    pair.coordinator.report(False, [pair.asker])
+    await pair.place(team="crew-a", tokens=1000)
+    for is_brief in (True, False, True, False):
+        pair.asker.report(is_brief, [pair.coordinator])
+        pair.coordinator.report(is_brief, [pair.asker])
+    for gateway in (pair.coordinator, pair.asker):
+        assert gateway.parts.shares.level("crew-a") == 1000
+
+
+async def test_request_without_a_prompt_saves_the_round_trip():
+    pair = Pair()
+    placement = await pair.place(tokens=0)
+    assert placement.serial == 0
+    assert pair.total(placement.endpoint).running == 0
--- a/libs/gateway/tests/test_loads.py
+++ b/libs/gateway/tests/test_loads.py
@@ -1,3 +1,5 @@
+from gateway_builders import begin
+
 from bulrushbend.core.clock import ManualClock
 from bulrushbend.gateway.call import PromptPart
 from bulrushbend.gateway.holdings import PromptHoldings
@@ -13,8 +15,8 @@
 def test_work_of_all_gateways_is_added_up():
     clock = ManualClock()
     first, second = make_view("g1", clock), make_view("g2", clock)
-    first.begin("e1", "crew-a", 700, 10)
-    second.begin("e1", "crew-b", 300, 10)
+    begin(first, "e1", "crew-a", 700, 10)
+    begin(second, "e1", "crew-b", 300, 10)
     first.learn(second.report())
     assert first.total("e1") == Load(2, 1000)
     assert first.own("e1") == Load(1, 700)
@@ -28,7 +30,7 @@
     # Guards against an endpoint that seems full for ever after a gateway died.
     clock = ManualClock()
     first, second = make_view("g1", clock), make_view("g2", clock)
-    second.begin("e1", "crew-b", 300, 10)
+    begin(second, "e1", "crew-b", 300, 10)
     first.learn(second.report())
     await clock.advance(REPORT_LIFE_MS + 1)
     assert first.total("e1") == Load()
@@ -37,7 +39,7 @@
 def test_late_and_repeated_reports_change_nothing():
     first, second = make_view("g1"), make_view("g2")
     old = second.report()
-    second.begin("e1", "crew-b", 300, 10)
+    begin(second, "e1", "crew-b", 300, 10)
     new = second.report()
     for report in (new, old, new):
         first.learn(report)
@@ -48,11 +50,11 @@
 def test_tokens_of_teams_are_learnt_as_differences():
     first, second = make_view("g1"), make_view("g2")
     first.learn(second.report())
-    second.begin("e1", "crew-b", 300, 40)
+    begin(second, "e1", "crew-b", 300, 40)
     first.learn(second.report())
     assert first.take_used() == [("crew-b", 40)]
     restarted = make_view("g2", incarnation=2)
-    restarted.begin("e1", "crew-b", 300, 5)
+    begin(restarted, "e1", "crew-b", 300, 5)
     first.learn(restarted.report())
     assert first.take_used() == []
 
@@ -62,7 +64,7 @@
     holdings = PromptHoldings()
     first = LoadView("g1", 1, clock, holdings)
     second = make_view("g2", clock)
-    second.begin("e1", "crew-b", 300, 10, PARTS)
+    begin(second, "e1", "crew-b", 300, 10, PARTS)
     second.report()
     first.learn(second.report())
     assert holdings.held_tokens("e1", PARTS) == 4500
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -23,7 +23,7 @@
 def test_busy_holder_gives_its_parts_to_another_endpoint():
     parts = Parts(make_endpoint("e1", "10.0.0.1:1"), make_endpoint("e2", "10.0.0.2:1"))
     give(parts, "e1", "p1", "p2")
-    parts.loads.begin("e1", "crew-b", 30_000, 0)
+    parts.begin("e1", "crew-b", 30_000, 0)
     choice = parts.choose(make_call(tokens=6000, prefix=PROMPT), patience=0.0)
     assert choice.endpoint.id == "e2"
     assert choice.source.address == "10.0.0.1:1"
@@ -40,7 +40,7 @@
 def test_one_long_prompt_is_read_at_a_time():
     # Guards against long pauses in the streams of an endpoint.
     parts = Parts(make_endpoint("e1"))
-    parts.loads.begin("e1", "crew-b", 9000, 0)
+    parts.begin("e1", "crew-b", 9000, 0)
     assert parts.choose(make_call(tokens=9000)) is None
     parts.loads.read("e1", 9000)
     assert parts.choose(make_call(tokens=9000)).endpoint.id == "e1"
@@ -48,7 +48,7 @@
 
 def test_small_prompts_are_read_together():
     parts = Parts(make_endpoint("e1"), unread_tokens=2048)
-    parts.loads.begin("e1", "crew-b", 1000, 0)
+    parts.begin("e1", "crew-b", 1000, 0)
     assert parts.choose(make_call(tokens=1000)) is not None
     assert parts.choose(make_call(tokens=1100)) is None
 
@@ -56,7 +56,7 @@
 def test_full_endpoint_gets_nothing():
     parts = Parts(make_endpoint("e1", slots=2))
     for _ in range(2):
-        parts.loads.begin("e1", "crew-b", 0, 0)
+        parts.begin("e1", "crew-b", 0, 0)
     assert parts.choose(make_call()) is None
 
 
