--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -23,7 +23,12 @@
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.identity import new_identity
 from bulrushbend.core.logs import part_logger
-from bulrushbend.core.settings import ControlSettings, PeerAddress, split_address
+from bulrushbend.core.settings import (
+    ControlSettings,
+    PeerAddress,
+    ProcessSettings,
+    split_address,
+)
 from bulrushbend.process.daemon import (
     listen_http,
     open_event_log,
@@ -324,6 +329,26 @@
     stopping.result()
 
 
+async def run_standby(settings: ProcessSettings) -> None:
+    """Run no replica until SIGTERM or SIGINT.
+
+    For a VM without a disk that is to run control: a replica there could not keep what
+    it acknowledged, and a process that ends would be started again and again.
+
+    Raises
+    ------
+    SettingsError
+        The event log cannot be opened.
+    """
+    clock = Clock()
+    with contextlib.ExitStack() as stack:
+        identity = new_identity(settings.name, clock)
+        events = open_event_log(stack, settings, identity, clock)
+        events.write(EventKind.PROCESS_STARTED, role="standby", reason="no data folder")
+        await run_until_signal(_nothing_to_drain)
+        events.write(EventKind.PROCESS_STOPPED)
+
+
 @dataclass
 class Contacts:
     """Replicas that may know a leader; a reload of the settings replaces them."""
--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -42,9 +42,11 @@
         self.cloud = Cloud(f"{_NETWORK}.200", 8781, self.engines)
         self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
 
-    async def start(self, host: str, role: str, bootstrap: bool = False) -> None:
+    async def start(
+        self, host: str, role: str, bootstrap: bool = False, has_disk: bool = True
+    ) -> None:
         """Start the process of a role on a machine."""
-        path = self._write_settings(host, role, bootstrap)
+        path = self._write_settings(host, role, bootstrap, has_disk)
         log = (self.folder / f"{host}-{role}.log").open("ab")
         self.processes[host, role] = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -125,7 +127,9 @@
             text += path.read_text().splitlines()[-lines:]
         return "\n".join(text)
 
-    def _write_settings(self, host: str, role: str, bootstrap: bool) -> Path:
+    def _write_settings(
+        self, host: str, role: str, bootstrap: bool, has_disk: bool
+    ) -> Path:
         settings = {
             "node": f"edge-{host}",
             "role": role,
@@ -140,6 +144,8 @@
             "bounds": {"grace_s": 8, "revoke_ms": 5000},
             "cloud": {"addr": self.cloud.address, "rate_per_s": 1000.0},
         }
+        if not has_disk:
+            del settings["data_dir"]
         path = self.folder / f"{host}-{role}.toml"
         path.write_text(tomli_w.dumps(settings))
         return path
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -195,3 +195,23 @@
         await asyncio.sleep(0.5)
         log = next(tmp_path.glob(f"{machines.hosts[0]}-gateway.log")).read_text()
         assert "request-abandoned" in log
+
+
+async def test_control_on_a_machine_without_a_disk_stays_up(tmp_path):
+    # Guards against a process that ends and is started again and again, on spare
+    # machines and on sites with fewer disks than machines that run control.
+    machines = Machines(tmp_path, size=1)
+    try:
+        host = machines.hosts[0]
+        await machines.start(host, "control", has_disk=False)
+
+        async def has_started():
+            return "no data folder" in machines.logs()
+
+        await machines.until(has_started, "the process says that it is up")
+        process = machines.processes[host, "control"]
+        machines.send(signal.SIGTERM, host, "control")
+        async with asyncio.timeout(10):
+            assert await process.wait() == 0
+    finally:
+        await machines.stop()
