Log who placed a request, and the refusals of a coordinator

Cause: with a coordinator the decision about a request is made by another process than the one that answers it, and its log line did not say which, nor why the coordinator refused. Change: the line of a request names the coordinator that granted its endpoint; the coordinator writes `placement-refused` with the caller's request id, the asking gateway, the time waited and the length of the queue. Ruled out: a line for each grant, since the asker's line has its outcome.

--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -64,6 +64,7 @@
     LEASE_REGAINED = "lease-regained"
     COORDINATOR_LOST = "coordinator-lost"
     COORDINATOR_REGAINED = "coordinator-regained"
+    PLACEMENT_REFUSED = "placement-refused"
     LINES_DROPPED = "lines-dropped"
     SETTINGS_RELOADED = "settings-reloaded"
 
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -72,6 +72,7 @@
     offered: int = 0
     last_event_id: str = ""
     endpoint: str = ""
+    coordinator: str = ""
     first_event_ms: float | None = None
     longest_pause_ms: float = 0.0
 
@@ -161,9 +162,12 @@
         Address of an endpoint that holds shared parts of the prompt, or empty.
     serial : int
         Number of the grant if another gateway asked for the placement, else 0.
+    coordinator : str
+        Gateway that chose the endpoint if it is another one, else empty.
     """
 
     endpoint: str
     unread_tokens: int
     fetch_from: str = ""
     serial: int = 0
+    coordinator: str = ""
--- a/libs/gateway/src/bulrushbend/gateway/coordination.py
+++ b/libs/gateway/src/bulrushbend/gateway/coordination.py
@@ -256,6 +256,7 @@
                 part_tokens=[part.tokens for part in demand.shared],
                 avoided=sorted(demand.avoided),
                 wait_ms=int(wait_ms),
+                request_id=demand.request_id,
             )
         )
 
@@ -275,7 +276,11 @@
 
 def _placement(reply: PlaceReply) -> Placement:
     return Placement(
-        reply.endpoint, reply.unread_tokens, reply.fetch_from, reply.serial
+        reply.endpoint,
+        reply.unread_tokens,
+        reply.fetch_from,
+        reply.serial,
+        reply.coordinator,
     )
 
 
@@ -300,6 +305,8 @@
         Whether this gateway takes requests of others now.
     clock : Clock
         Source of time.
+    events : EventLog
+        Receives refusals.
     send : callable
         Sends a datagram to an address.
     """
@@ -311,6 +318,7 @@
         queue_for: QueueFactory,
         is_open: Callable[[], bool],
         clock: Clock,
+        events: EventLog,
         send: Send,
     ):
         self._name = name
@@ -318,6 +326,7 @@
         self._queue_for = queue_for
         self._is_open = is_open
         self._clock = clock
+        self._events = events
         self._send = send
         self._served: dict[tuple[str, int, int], _Served] = {}
 
@@ -351,11 +360,21 @@
         request: PlaceRequest,
         address: str,
     ) -> None:
+        queue = self._queue_for(request.service)
+        began_ms = self._clock.now_ms()
         try:
-            placement = await self._queue_for(request.service).place(
-                _demand(request, self._clock.now_ms())
-            )
+            placement = await queue.place(_demand(request, began_ms))
         except CallEnded as error:
+            self._events.write(
+                EventKind.PLACEMENT_REFUSED,
+                request_id=request.request_id,
+                peer=request.gateway,
+                service=request.service,
+                team=request.team,
+                reason=error.code,
+                waited_ms=round(self._clock.now_ms() - began_ms, 1),
+                waiting=queue.waiting,
+            )
             # An asker whose list of endpoints is newer may know one.
             is_unknown = error.code == "no-endpoint"
             result = PlaceReply.DECLINED if is_unknown else PlaceReply.REFUSED
@@ -412,6 +431,7 @@
         avoided=frozenset(request.avoided),
         since_ms=now_ms,
         until_ms=now_ms + request.wait_ms,
+        request_id=request.request_id,
         asker=request.gateway,
     )
 
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -156,7 +156,12 @@
             *named, self._coordinators, self._loads, clock, self._spread.send
         )
         server = PlacementServer(
-            *named, self._queues.of, lambda: self._is_open, clock, self._spread.send
+            *named,
+            self._queues.of,
+            lambda: self._is_open,
+            clock,
+            events,
+            self._spread.send,
         )
         self._spread.serve(self._placements, server, self._queues.look_soon)
         self._dispatcher = Dispatcher(
@@ -466,6 +471,7 @@
         "team": call.team,
         "route": call.route.name,
         "endpoint": call.endpoint,
+        "coordinator": call.coordinator,
         "tried": sorted(call.tried),
         "first_event_ms": _rounded(call.first_event_ms),
         "longest_pause_ms": _rounded(call.longest_pause_ms),
--- a/libs/gateway/src/bulrushbend/gateway/demand.py
+++ b/libs/gateway/src/bulrushbend/gateway/demand.py
@@ -29,6 +29,8 @@
         Ids of endpoints that are no choice.
     since_ms, until_ms : float
         Time for which the request may wait.
+    request_id : str
+        Id that the caller gave, for logs.
     asker : str
         Name of the gateway that sends the request if it is another one, else empty.
     """
@@ -40,6 +42,7 @@
     avoided: frozenset[str]
     since_ms: float
     until_ms: float
+    request_id: str = ""
     asker: str = ""
 
     @property
@@ -72,4 +75,5 @@
         avoided=frozenset(call.tried),
         since_ms=now_ms,
         until_ms=until_ms,
+        request_id=call.details.request_id,
     )
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -123,6 +123,7 @@
         framer: EventFramer | None,
     ) -> AttemptResult:
         call.endpoint = placement.endpoint
+        call.coordinator = placement.coordinator
         endpoint = self._directory.get(placement.endpoint)
         if endpoint is None:
             self._context.loads.release(placement)
--- a/libs/gateway/tests/fleet_model.py
+++ b/libs/gateway/tests/fleet_model.py
@@ -77,7 +77,13 @@
             self.name, 1, self.coordinators, self.loads, clock, self.send
         )
         self.server = PlacementServer(
-            self.name, 1, self.queue_of, self.is_open, clock, self.send
+            self.name,
+            1,
+            self.queue_of,
+            self.is_open,
+            clock,
+            self.parts.events,
+            self.send,
         )
         self.placement = CoordinatedPlacement(SERVICE, self.parts.queue, self.client)
 
--- a/libs/gateway/tests/test_coordination.py
+++ b/libs/gateway/tests/test_coordination.py
@@ -145,6 +145,12 @@
         await task
     assert (ended.value.status, ended.value.code) == (503, "no-capacity")
     assert ended.value.retry_after_ms > 0
+    refusals = [
+        record
+        for record in pair.coordinator.parts.events.records
+        if record["kind"] == EventKind.PLACEMENT_REFUSED
+    ]
+    assert [record["request_id"] for record in refusals] == ["r1"]
 
 
 async def test_waiting_request_goes_when_there_is_room():
