--- a/libs/gateway/src/bulrushbend/gateway/coordination.py
+++ b/libs/gateway/src/bulrushbend/gateway/coordination.py
@@ -65,12 +65,14 @@
         self._addresses: dict[str, str] = {}
         self._suspects: dict[str, float] = {}
         self._in_use: dict[str, str] = {}
+        self._rankings: dict[str, list[str]] = {}
 
     def set_peers(self, addresses: Mapping[str, str]) -> None:
         """Take the other gateways and their addresses."""
         self._addresses = dict(addresses)
         self._suspects = {n: at for n, at in self._suspects.items() if n in addresses}
         self._in_use.clear()
+        self._rankings.clear()
 
     def address_of(self, name: str) -> str | None:
         """Return the address of another gateway, None if it is gone."""
@@ -109,8 +111,12 @@
             self._events.write(EventKind.COORDINATOR_REGAINED, peer=name)
 
     def _ranked(self, service: str) -> list[str]:
-        names = [self._name, *self._addresses]
-        return sorted(names, key=lambda name: _rank(service, name), reverse=True)
+        ranked = self._rankings.get(service)
+        if ranked is None:
+            names = [self._name, *self._addresses]
+            ranked = sorted(names, key=lambda name: _rank(service, name), reverse=True)
+            self._rankings[service] = ranked
+        return ranked
 
 
 def _rank(service: str, name: str) -> bytes:
