Ask refused callers back within the time that is left to them

Cause: with one queue for all gateways Retry-After grows to 3 s in a crowd, and callers with a time limit of 3 s were told to come back after it. Change: Retry-After is at most half of the time that is left to the caller. Ruled out: a shorter Retry-After for all, which brings callers with much time back into the crowd.

--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -20,6 +20,9 @@
 # Time that must be left for another try.
 _LEAST_RETRY_MS = 30.0
 _REFUSED_RETRY_MS = 500.0
+# A caller is asked to come back within this part of the time that is left to it; later,
+# the next try could not end in time either.
+_RETURN_SHARE = 0.5
 
 
 class Placements(Protocol):
@@ -114,6 +117,9 @@
         except CallEnded as error:
             if call.offered:
                 raise unknown("may-have-run", "an earlier try may have run") from error
+            if error.retry_after_ms is not None:
+                latest_ms = _RETURN_SHARE * call.remaining_ms(self._clock.now_ms())
+                error.retry_after_ms = min(error.retry_after_ms, max(0.0, latest_ms))
             raise
 
     async def _attempt(
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -266,3 +266,13 @@
         await asyncio.sleep(0.1)
         assert made.endpoints[0].left == 1
         assert made.is_idle
+
+
+async def test_caller_is_asked_back_within_its_time():
+    # Guards against a Retry-After that lies behind the caller's deadline.
+    async with rig([plain_answer()]) as one:
+        one.parts.begin("e0", tokens=9_000)
+        route = make_route(objective_ms=100)
+        error = await one.ended(tokens=5_000, route=route, limit_ms=600)
+    assert error.status == 503
+    assert 0 < error.retry_after_ms <= 300
