--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FOLDERS = $(LIBS:%=libs/%) platform
 export PYTHONPATH = $(subst $(eval ) ,:,$(FOLDERS:%=$(CURDIR)/%/src))
 
-.PHONY: setup demo test lint format proto build bench clean
+.PHONY: setup demo test soak lint format proto build bench clean
 
 setup: $(VENV)/.installed
 
@@ -21,6 +21,10 @@
 test: setup
 	$(BIN)/python -m pytest
 
+# A few minutes with fresh seeds; see tests/adapter/soak.py.
+soak: setup
+	cd tests/adapter && PYTHONPATH=..:$(PYTHONPATH) ../../$(BIN)/python soak.py --seeds 6
+
 lint: setup
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import tomli_w
+from forwarder import Network, Rule
 from standin_platform import Cloud, Engine
 
 from bulrushbend.core.errors import BulrushbendError
@@ -29,9 +30,11 @@
         Where settings, data and logs go.
     size : int, default=3
         Number of machines.
+    has_links : bool, default=False
+        Whether endpoints are reached through a proxy that can disturb the links.
     """
 
-    def __init__(self, folder: Path, size: int = 3):
+    def __init__(self, folder: Path, size: int = 3, has_links: bool = False):
         self.folder = folder
         self.hosts = [f"{_NETWORK}.{10 + number}" for number in range(size)]
         self.engines = [
@@ -39,6 +42,12 @@
             for number in range(2)
         ]
         self.engines.append(Engine("i-app", "app", f"{_NETWORK}.110", 8080))
+        self.links = Network(lambda port: "") if has_links else None
+        if self.links is not None:
+            for number, engine in enumerate(self.engines):
+                listen = f"{_NETWORK}.{150 + number}:8080"
+                self.links.forward(engine.name, listen, engine.address)
+                engine.listed_address = listen
         self.cloud = Cloud(f"{_NETWORK}.200", 8781, self.engines)
         self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
 
@@ -76,8 +85,18 @@
         process.kill()
         await process.wait()
 
+    def disturb(self, engine: Engine, rule: str) -> None:
+        """Cut (`drop`) or silence (`silent`) the links to an endpoint."""
+        self.links.set_rule(Rule(rule), engine.name)
+
+    def heal(self) -> None:
+        """End all disturbances of links."""
+        self.links.heal()
+
     async def stop(self) -> None:
         """End all processes and stand-ins."""
+        if self.links is not None:
+            await asyncio.to_thread(self.links.close)
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -22,6 +22,7 @@
         self.name = name
         self.service = service
         self.address = f"{host}:{port}"
+        self.listed_address = self.address
         self.slots = slots
         self.state = "ready"
         self.runs = []
@@ -36,7 +37,7 @@
         return {
             "id": self.name,
             "service": self.service,
-            "addr": self.address,
+            "addr": self.listed_address,
             "zone": "papantla",
             "slots": self.slots,
             "state": self.state,
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import signal
+from pathlib import Path
 
 import pytest
 from machines import Machines, is_loopback_range_usable
@@ -183,6 +184,33 @@
         assert machines.processes[host, "control"].returncode is None
 
 
+async def test_sighup_ends_nothing_while_a_process_starts(tmp_path):
+    # Guards against a process that is ended by SIGHUP before it has loaded, found by
+    # the soak as a gateway that never came back.
+    machines = Machines(tmp_path, size=1)
+    host = machines.hosts[0]
+    try:
+        await machines.start(host, "gateway")
+        process = machines.processes[host, "gateway"]
+        status = Path(f"/proc/{process.pid}/status")
+
+        async def disposition():
+            masks = dict(line.split(":\t") for line in status.read_text().splitlines())
+            bit = 1 << (signal.SIGHUP - 1)
+            return [name for name in ("SigIgn", "SigCgt") if int(masks[name], 16) & bit]
+
+        found = await machines.until(disposition, "SIGHUP does not end the process")
+        assert found == ["SigIgn"]
+        machines.send(signal.SIGHUP, host, "gateway")
+
+        async def has_started():
+            return "process-started" in machines.logs()
+
+        await machines.until(has_started, "the process is up")
+    finally:
+        await machines.stop()
+
+
 async def test_caller_that_leaves_ends_the_run(tmp_path):
     async with deployment(tmp_path) as machines:
         for engine in machines.engines:
