--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -28,8 +28,9 @@
 # Requests of a team that are looked at for one that can go.
 _LOOKED_AT = 8
 # Longest time for which room is left to a less served team elsewhere. Gateways without
-# a coordinator hear of room by full reports, up to 200 ms late; a prompt of 4,500 tokens
-# is read in the time below, and endpoints that idle for longer cost more than it gains.
+# a coordinator hear of room by full reports, up to 200 ms late; a prompt of 4,500
+# tokens is read in the time below, and endpoints that idle longer cost more than it
+# gains.
 _LONGEST_YIELD_MS = 70.0
 # A team is well served when it was given this much more than the other. A team is owed
 # half of what the best served one gets; half of that distance is left for reports that
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -23,12 +23,7 @@
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.budgets import BudgetBook
 from bulrushbend.gateway.call import Call, CallEnded, refused
-from bulrushbend.gateway.coordination import (
-    CoordinatedPlacement,
-    Coordinators,
-    PlacementClient,
-    PlacementServer,
-)
+from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.dialect import Dialect
 from bulrushbend.gateway.dispatch import Dispatcher
 from bulrushbend.gateway.endings import (
@@ -43,6 +38,8 @@
 from bulrushbend.gateway.holdings import PromptHoldings
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placing import Placer, PlacingLimits
+from bulrushbend.gateway.placing_client import CoordinatedPlacement, PlacementClient
+from bulrushbend.gateway.placing_server import PlacementServer
 from bulrushbend.gateway.routes import RouteTable, choose_service
 from bulrushbend.gateway.server import CallerServer
 from bulrushbend.gateway.shares import TeamShares
--- a/libs/gateway/src/bulrushbend/gateway/spread.py
+++ b/libs/gateway/src/bulrushbend/gateway/spread.py
@@ -8,12 +8,10 @@
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.logs import part_logger
 from bulrushbend.core.settings import split_address
-from bulrushbend.gateway.coordination import (
-    Coordinators,
-    PlacementClient,
-    PlacementServer,
-)
+from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.loads import LoadView
+from bulrushbend.gateway.placing_client import PlacementClient
+from bulrushbend.gateway.placing_server import PlacementServer
 from bulrushbend.wire.fleet_pb2 import GatewayDatagram
 
 _log = part_logger("gateway.spread")
--- a/libs/gateway/tests/fleet_model.py
+++ b/libs/gateway/tests/fleet_model.py
@@ -9,13 +9,10 @@
 
 from bulrushbend.core.clock import ManualClock
 from bulrushbend.gateway.call import CallEnded
-from bulrushbend.gateway.coordination import (
-    CoordinatedPlacement,
-    Coordinators,
-    PlacementClient,
-    PlacementServer,
-)
+from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.demand import demand_of
+from bulrushbend.gateway.placing_client import CoordinatedPlacement, PlacementClient
+from bulrushbend.gateway.placing_server import PlacementServer
 
 STEP_MS = 5.0
 FULL_REPORT_MS = 200.0
--- a/libs/gateway/tests/test_coordination.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -7,7 +7,7 @@
 from bulrushbend.core.clock import ManualClock
 from bulrushbend.core.events import EventKind, MemoryEventLog
 from bulrushbend.gateway.call import CallEnded
-from bulrushbend.gateway.coordination import SUSPECT_MS, Coordinators
+from bulrushbend.gateway.coordinators import SUSPECT_MS, Coordinators
 from bulrushbend.gateway.demand import demand_of
 from bulrushbend.gateway.loads import GRANT_LIFE_MS, Load
 
