--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -171,12 +171,13 @@
 
     async def _rule_for(self, connection: Connection) -> Rule:
         target = connection.target
-        if any(named == target and source for named, source in self._rules):
-            for _ in range(_LOOK_UPS):
-                if connection.source:
-                    break
-                await asyncio.sleep(_LOOK_UP_PAUSE_S)
         anyone = self._rules.get((target, ""), Rule.PASS)
+        if not any(named == target and source for named, source in self._rules):
+            return anyone
+        for _ in range(_LOOK_UPS):
+            if connection.source:
+                break
+            await asyncio.sleep(_LOOK_UP_PAUSE_S)
         return self._rules.get((target, connection.source), anyone)
 
     async def _serve(self, target, address, reader, writer) -> None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -71,3 +71,24 @@
                         accepted.recv(100)
         finally:
             network.close()
+
+
+def test_source_is_not_looked_up_without_a_rule_for_one():
+    # Guards against a look-up for each connection, which takes some 13 ms of the
+    # forwarder and counted as idle time of slots.
+    look_ups = SlowToKnow(0)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        network = Network(look_ups)
+        try:
+            (port,) = pick_ports(1)
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            network.forward("engine-1", f"127.0.0.1:{port}", address)
+            network.set_rule(Rule.SILENT, "control-1", "router-1")
+            with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
+                accepted, _ = server.accept()
+                with accepted:
+                    caller.sendall(b"work")
+                    assert accepted.recv(100) == b"work"
+        finally:
+            network.close()
+    assert look_ups.misses == 0
