Number placements so that replies to an earlier start match nothing

A gateway counted its requests to a coordinator from 1 at each start, and replies do not carry its incarnation: a grant to the process before could be taken for a request of the new one, with an endpoint of another service. Change: numbers begin at the incarnation. Ruled out: the incarnation in each reply, which is longer for the same end. Figures: the new test fails on the old code (both numbers are 1) and passes.

--- a/libs/gateway/src/bulrushbend/gateway/placing_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placing_client.py
@@ -24,6 +24,8 @@
 POLL_MS = 250.0
 # Requests without a reply after which the gateway places by itself.
 _MOST_SILENT = 2
+# Requests that one start of a gateway can number, as a power of two.
+_NUMBER_BITS = 24
 
 Send = Callable[[str, GatewayDatagram], None]
 
@@ -68,7 +70,9 @@
         self._loads = loads
         self._clock = clock
         self._send = send
-        self._number = 0
+        # Numbers of an earlier start are never used again: its late replies could grant
+        # an endpoint of another service.
+        self._number = (incarnation << _NUMBER_BITS) % (1 << 63)
         self._asked: dict[int, _Asked] = {}
 
     @property
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -10,6 +10,7 @@
 from bulrushbend.gateway.coordinators import SUSPECT_MS, Coordinators
 from bulrushbend.gateway.demand import demand_of
 from bulrushbend.gateway.loads import GRANT_LIFE_MS, Load
+from bulrushbend.gateway.placing_client import PlacementClient
 
 
 class Pair:
@@ -194,3 +195,25 @@
     placement = await pair.place(tokens=0)
     assert placement.serial == 0
     assert pair.total(placement.endpoint).running == 0
+
+
+async def test_late_reply_to_an_earlier_start_is_not_taken():
+    # Guards against a restarted gateway that takes the endpoint of another request.
+    pair = Pair()
+    pair.occupy("e1", "e2")
+    numbers = []
+    for incarnation in (1, 2):
+        client = PlacementClient(
+            pair.asker.name,
+            incarnation,
+            pair.asker.coordinators,
+            pair.asker.loads,
+            pair.clock,
+            lambda address, datagram: numbers.append(datagram.request.number),
+        )
+        call = make_call()
+        task = asyncio.create_task(client.ask(SERVICE, demand_of(call, 0.0)))
+        await settle()
+        task.cancel()
+    asked = [number for number in numbers if number]
+    assert len(asked) == len(set(asked)) == 2
