--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -11,8 +11,9 @@
 from bulrushbend.core.settings import split_address
 
 _CHUNK_BYTES = 65_536
-# Look-ups of a connection's source, and the time between two. Reading the open files
-# of a process is not atomic, and one reading can miss a socket.
+# Look-ups of a connection's source over all its life, and the time between two. Reading
+# the open files of a process is not atomic, and one reading can miss a socket; a
+# connection from outside the fleet is never found.
 _LOOK_UPS = 10
 _LOOK_UP_PAUSE_S = 0.02
 
@@ -41,14 +42,16 @@
     silent: bool = False
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     closed: asyncio.Event = field(default_factory=asyncio.Event)
-    _source: str = ""
+    source: str = ""
+    look_ups: int = 0
 
-    @property
-    def source(self) -> str:
-        # A look-up that finds nothing is repeated.
-        if not self._source:
-            self._source = self.find_source()
-        return self._source
+    async def identify(self) -> None:
+        """Look up the source, again if a look-up found nothing."""
+        while not self.source and self.look_ups < _LOOK_UPS:
+            if self.look_ups:
+                await asyncio.sleep(_LOOK_UP_PAUSE_S)
+            self.look_ups += 1
+            self.source = self.find_source()
 
     def abort(self) -> None:
         self.closed.set()
@@ -156,11 +159,8 @@
 
         A rule for a source reaches only the connections whose source is known.
         """
-        for _ in range(_LOOK_UPS):
-            to_target = [c for c in self._connections if c.target == target]
-            if all([connection.source for connection in to_target]):
-                return
-            await asyncio.sleep(_LOOK_UP_PAUSE_S)
+        to_target = [c for c in self._connections if c.target == target]
+        await asyncio.gather(*(connection.identify() for connection in to_target))
 
     def _matching(self, target: str, source: str) -> list[Connection]:
         return [
@@ -174,10 +174,7 @@
         anyone = self._rules.get((target, ""), Rule.PASS)
         if not any(named == target and source for named, source in self._rules):
             return anyone
-        for _ in range(_LOOK_UPS):
-            if connection.source:
-                break
-            await asyncio.sleep(_LOOK_UP_PAUSE_S)
+        await connection.identify()
         return self._rules.get((target, connection.source), anyone)
 
     async def _serve(self, target, address, reader, writer) -> None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -4,7 +4,7 @@
 
 import pytest
 from fleet import _open_files
-from forwarder import Network, Rule
+from forwarder import _LOOK_UPS, Network, Rule
 from localfleet import pick_ports
 
 BUSY = """
@@ -92,3 +92,23 @@
         finally:
             network.close()
     assert look_ups.misses == 0
+
+
+def test_connection_from_outside_the_fleet_is_looked_up_a_few_times_in_all():
+    # Guards against look-ups that each rule repeats for connections without a source:
+    # they held up 12 rules for seconds, and agents were cut off for that much longer.
+    nobody = SlowToKnow(1_000)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        network = Network(nobody)
+        try:
+            (port,) = pick_ports(1)
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            network.forward("control-1", f"127.0.0.1:{port}", address)
+            with socket.create_connection(("127.0.0.1", port), timeout=5):
+                accepted, _ = server.accept()
+                with accepted:
+                    for number in range(5):
+                        network.set_rule(Rule.SILENT, "control-1", f"agent-{number}")
+        finally:
+            network.close()
+    assert nobody.misses == 1_000 - _LOOK_UPS
