Call one piece of code where the change had written several

Placing computed paces for short prompts that do not use them. `Call.objective_ms` and `CallEnded.headers` had no reader. Ruled out: one rank with the replicas' choice in control/watcher, which hashes to another length.

--- a/libs/control/src/bulrushbend/control/publishing.py
+++ b/libs/control/src/bulrushbend/control/publishing.py
@@ -8,7 +8,7 @@
 from bulrushbend.store.base import BaseReplica
 from bulrushbend.wire.control_pb2 import Command
 from bulrushbend.wire.documents import pack_manifest, unpack_manifest
-from bulrushbend.wire.fleet_pb2 import PublishReply
+from bulrushbend.wire.fleet_pb2 import ManifestDocument, PublishReply
 
 PUBLISH_TIMEOUT_MS = 2500
 READ_TIMEOUT_MS = 800
@@ -41,6 +41,20 @@
         ...
 
 
+async def propose_manifest(
+    replica: BaseReplica, clock: Clock, document: ManifestDocument, timeout_ms: float
+) -> PublishReply:
+    """Propose a manifest and return what became of it.
+
+    Raises
+    ------
+    NoQuorum
+        No leader accepted it in time.
+    """
+    command = Command(time_ms=clock.wall_ms(), put_manifest=document)
+    return PublishReply.FromString(await replica.propose(command, timeout_ms))
+
+
 class HighestVersionPublisher:
     """Acknowledges a version that is not higher without any effect.
 
@@ -61,11 +75,9 @@
 
     async def publish(self, manifest: Manifest) -> int:
         """Publish a manifest; see `Publisher.publish`."""
-        command = Command(
-            time_ms=self._clock.wall_ms(), put_manifest=pack_manifest(manifest)
+        reply = await propose_manifest(
+            self._replica, self._clock, pack_manifest(manifest), PUBLISH_TIMEOUT_MS
         )
-        result = await self._replica.propose(command, PUBLISH_TIMEOUT_MS)
-        reply = PublishReply.FromString(result)
         if reply.result == PublishReply.INVALID:
             raise ManifestError(reply.message, step="publish")
         return reply.version
--- a/libs/control/src/bulrushbend/control/service.py
+++ b/libs/control/src/bulrushbend/control/service.py
@@ -8,6 +8,7 @@
 from grpclib.exceptions import GRPCError
 
 from bulrushbend.control.membership import Membership
+from bulrushbend.control.publishing import propose_manifest
 from bulrushbend.control.watcher import Confirmation, Watcher, WatchOptions
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import ManifestError, NoQuorum
@@ -130,12 +131,12 @@
             unpack_manifest(request.manifest, "publish")
         except ManifestError as error:
             return PublishReply(result=PublishReply.INVALID, message=str(error))
-        command = Command(time_ms=self._clock.wall_ms(), put_manifest=request.manifest)
         try:
-            result = await self._replica.propose(command, WRITE_TIMEOUT_MS)
+            return await propose_manifest(
+                self._replica, self._clock, request.manifest, WRITE_TIMEOUT_MS
+            )
         except NoQuorum as error:
             return PublishReply(result=PublishReply.UNAVAILABLE, message=str(error))
-        return PublishReply.FromString(result)
 
     async def write_key(
         self, request: KeyRequest, build: Callable[[KeyRequest, int], Command]
--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -90,7 +89,7 @@
         self._shares = shares
         self._clock = clock
         self._most_waiting = most_waiting
-        self._teams: dict[str, deque[_Waiting]] = {}
+        self._teams: dict[str, list[_Waiting]] = {}
         self._left_since_ms: float | None = None
         self._is_look_due = False
         self._looking: asyncio.Task[None] | None = None
@@ -123,7 +122,7 @@
             raise self._overload("no-time")
         future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
         entry = _Waiting(demand, future)
-        self._teams.setdefault(demand.team, deque()).append(entry)
+        self._teams.setdefault(demand.team, []).append(entry)
         self._start_looking()
         try:
             return await future
@@ -152,7 +151,7 @@
                 break
             queue = self._teams[team]
             if queue and self._must_yield(team, elsewhere):
-                if not self._has_room(queue[0].demand):
+                if not self._could_place(queue[0].demand):
                     continue
                 is_left = True
                 if self._leave_room():
@@ -190,11 +189,11 @@
             self._left_since_ms = now_ms
         return now_ms - self._left_since_ms < _LONGEST_YIELD_MS
 
-    def _has_room(self, demand: Demand) -> bool:
+    def _could_place(self, demand: Demand) -> bool:
         endpoints = self._directory.of_service(self._service)
         return self._placer.choose(demand, endpoints, patience=1.0) is not None
 
-    def _place_one(self, queue: deque[_Waiting]) -> None:
+    def _place_one(self, queue: list[_Waiting]) -> None:
         """Place the smallest request of a team for which there is room.
 
         The share of a team is counted in tokens, so smallest first serves the most
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -1,6 +1,5 @@
 """A caller's request as the gateway holds it, and how it can end."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders
@@ -86,11 +85,6 @@
         """Tokens that the request is charged: read once, generated twice."""
         return self.tokens + 2.0 * self.details.output_tokens
 
-    @property
-    def objective_ms(self) -> float:
-        """Time at which the answer, or its first event, is late."""
-        return self.received_ms + self.route.objective_ms
-
     def note_first_event(self, now_ms: float) -> None:
         """Note when the first piece of the answer came."""
         if self.first_event_ms is None:
@@ -127,13 +121,11 @@
         message: str,
         *,
         retry_after_ms: float | None = None,
-        headers: Mapping[str, str] | None = None,
     ):
         super().__init__(message, step=code)
         self.status = status
         self.code = code
         self.retry_after_ms = retry_after_ms
-        self.headers = dict(headers or {})
 
 
 def refused(
--- a/libs/gateway/src/bulrushbend/gateway/coordinators.py
+++ b/libs/gateway/src/bulrushbend/gateway/coordinators.py
@@ -8,11 +8,11 @@
 no request depends on the coordinator.
 """
 
-import hashlib
 from collections.abc import Mapping
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.rendezvous import rendezvous_rank
 
 # Time for which a silent coordinator is left out; one request tries it afterwards.
 SUSPECT_MS = 1_000.0
@@ -90,10 +90,8 @@
         ranked = self._rankings.get(service)
         if ranked is None:
             names = [self._name, *self._addresses]
-            ranked = sorted(names, key=lambda name: _rank(service, name), reverse=True)
+            ranked = sorted(
+                names, key=lambda name: rendezvous_rank(service, name), reverse=True
+            )
             self._rankings[service] = ranked
         return ranked
-
-
-def _rank(service: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{service}/{name}".encode(), digest_size=8).digest()
--- a/libs/gateway/src/bulrushbend/gateway/placing.py
+++ b/libs/gateway/src/bulrushbend/gateway/placing.py
@@ -6,11 +6,10 @@
 and by those of the new request that it does not hold yet.
 """
 
-import functools
-import hashlib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from bulrushbend.core.rendezvous import rendezvous_rank
 from bulrushbend.gateway.call import PromptPart
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.endpoints import FoundEndpoint
@@ -147,7 +146,9 @@
         }
         holder = self._best_holder(held_by, endpoints)
         most_held = held_by[holder.id] if holder else 0
-        paces = self._health.relative_pace(endpoints)
+        paces: Mapping[str, float] = {}
+        if demand.tokens > self._limits.unread_tokens:
+            paces = self._health.relative_pace(endpoints)
         best: tuple[float, Choice, bool] | None = None
         for endpoint in usable:
             load = self._loads.total(endpoint.id)
@@ -206,9 +207,4 @@
     if not parts or not endpoints:
         return None
     key = parts[-1].digest
-    return max(endpoints, key=lambda endpoint: _rank(key, endpoint.id)).id
-
-
-@functools.lru_cache(maxsize=100_000)
-def _rank(key: str, endpoint_id: str) -> bytes:
-    return hashlib.blake2b(f"{key}/{endpoint_id}".encode(), digest_size=8).digest()
+    return max(endpoints, key=lambda endpoint: rendezvous_rank(key, endpoint.id)).id
--- a/libs/gateway/src/bulrushbend/gateway/spread.py
+++ b/libs/gateway/src/bulrushbend/gateway/spread.py
@@ -93,12 +93,12 @@
             is_due = self._clock.now_ms() - self._sent_ms >= _REPEAT_MS
             if self._peers and (self._loads.has_changed or is_due):
                 self._sent_ms = self._clock.now_ms()
-                self._send_all(GatewayDatagram(report=self._loads.report()))
+                report = GatewayDatagram(report=self._loads.report())
+                self._send_to(self._peers, report)
 
     def send(self, address: str, datagram: GatewayDatagram) -> None:
         """Send one datagram; it is lost while the socket is closed."""
-        if self._transport is not None:
-            self._transport.sendto(datagram.SerializeToString(), split_address(address))
+        self._send_to([address], datagram)
 
     def close(self) -> None:
         """Close the socket."""
@@ -133,10 +133,12 @@
     def error_received(self, error: OSError) -> None:
         """Ignore a peer that does not listen; its reports stop as well."""
 
-    def _send_all(self, datagram: GatewayDatagram) -> None:
+    def _send_to(self, addresses: Iterable[str], datagram: GatewayDatagram) -> None:
+        if self._transport is None:
+            return
         data = datagram.SerializeToString()
-        for peer in self._peers:
-            self._transport.sendto(data, split_address(peer))
+        for address in addresses:
+            self._transport.sendto(data, split_address(address))
 
     def _note_change(self) -> None:
         if not self._is_brief_due and self._coordinators.addresses_in_use():
@@ -148,6 +150,5 @@
         self._is_brief_due = False
         addresses = self._coordinators.addresses_in_use()
         if addresses:
-            datagram = GatewayDatagram(report=self._loads.report(is_brief=True))
-            for address in addresses:
-                self.send(address, datagram)
+            report = GatewayDatagram(report=self._loads.report(is_brief=True))
+            self._send_to(addresses, report)
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -19,7 +19,9 @@
 import tempfile
 import traceback
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import fire
@@ -33,6 +35,7 @@
     make_route("gen", service="llm", type="streaming"),
     make_route("book", service="app", type="non_idempotent", resumable=False),
 ]
+ProcessFault = Callable[[str, str], Awaitable[None]]
 KEY = "Token k1"
 EVENTS = 5
 # Callers that send one request after the other.
@@ -164,9 +167,9 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + self.seconds
         faults = (
-            self._pause,
-            self._kill,
-            self._stop,
+            partial(self._disturb_process, self._pause),
+            partial(self._disturb_process, self._kill),
+            partial(self._disturb_process, self._stop),
             self._hang_up,
             self._refuse,
             self._cut,
@@ -189,37 +192,32 @@
             free = [key for key in free if key[1] != "control"]
         return self._random.choice(sorted(free)) if free else None
 
-    async def _pause(self) -> None:
+    async def _disturb_process(self, disturb: ProcessFault) -> None:
+        """Give a process a fault of its own, if one is free."""
         key = self._choose_process()
         if key is None:
             return
-        self._begin("pause", key)
-        self.machines.send(signal.SIGSTOP, *key)
-        await self._hold()
-        self.machines.send(signal.SIGCONT, *key)
+        self.faults.append(f"{disturb.__name__} {key}")
+        self._busy.add(key)
+        await disturb(*key)
         self._busy.discard(key)
 
-    async def _kill(self) -> None:
-        key = self._choose_process()
-        if key is None:
-            return
-        self._begin("kill", key)
-        await self.machines.kill(*key)
+    async def _pause(self, host: str, role: str) -> None:
+        self.machines.send(signal.SIGSTOP, host, role)
         await self._hold()
-        await self.machines.start(*key)
-        self._busy.discard(key)
+        self.machines.send(signal.SIGCONT, host, role)
 
-    async def _stop(self) -> None:
-        key = self._choose_process()
-        if key is None:
-            return
-        self._begin("stop", key)
-        process = self.machines.processes[key]
-        self.machines.send(signal.SIGTERM, *key)
+    async def _kill(self, host: str, role: str) -> None:
+        await self.machines.kill(host, role)
+        await self._hold()
+        await self.machines.start(host, role)
+
+    async def _stop(self, host: str, role: str) -> None:
+        process = self.machines.processes[host, role]
+        self.machines.send(signal.SIGTERM, host, role)
         await process.wait()
-        del self.machines.processes[key]
-        await self.machines.start(*key)
-        self._busy.discard(key)
+        del self.machines.processes[host, role]
+        await self.machines.start(host, role)
 
     async def _hang_up(self) -> None:
         key = self._choose_process()
@@ -248,10 +246,6 @@
         await self._hold()
         self.machines.links.set_delay(0.0)
 
-    def _begin(self, name: str, key: tuple[str, str]) -> None:
-        self.faults.append(f"{name} {key}")
-        self._busy.add(key)
-
     async def _until_all_serve(self, what: str) -> None:
         for host in self.machines.hosts:
 
