Forget placements whose task ended without an outcome

Cause: read again, an entry was dropped inside the task that places the request. One that is taken back before its task begins, or whose task fails, stayed for good, and a repeated request was told without end that it waits. Change: the end of the task decides, in one place: without an outcome the entry goes at once, with one it stays for repeated requests as before.

--- a/libs/gateway/src/bulrushbend/gateway/placing_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placing_server.py
@@ -82,7 +82,8 @@
             self._answer(address, declined)
             return
         served = self._served[key] = _Served()
-        served.task = asyncio.create_task(self._place(key, served, request, address))
+        served.task = asyncio.create_task(self._place(served, request, address))
+        served.task.add_done_callback(lambda _: self._forget(key, served))
         loop = asyncio.get_running_loop()
         loop.call_later(NOTICE_MS / 1000.0, self._give_notice, served, request, address)
 
@@ -94,11 +95,7 @@
             served.task.cancel()
 
     async def _place(
-        self,
-        key: tuple[str, int, int],
-        served: _Served,
-        request: PlaceRequest,
-        address: str,
+        self, served: _Served, request: PlaceRequest, address: str
     ) -> None:
         queue = self._queue_for(request.service)
         began_ms = self._clock.now_ms()
@@ -124,9 +121,6 @@
                 code=error.code,
                 retry_after_ms=error.retry_after_ms or 0.0,
             )
-        except asyncio.CancelledError:
-            del self._served[key]
-            raise
         else:
             served.reply = self._reply(
                 request,
@@ -137,6 +131,12 @@
                 serial=placement.serial,
             )
         self._answer(address, served.reply)
+
+    def _forget(self, key: tuple[str, int, int], served: _Served) -> None:
+        """Forget a request that ended; one with an outcome may be repeated a while."""
+        if served.reply is None:
+            del self._served[key]
+            return
         loop = asyncio.get_running_loop()
         loop.call_later(_OUTCOME_LIFE_MS / 1000.0, self._served.pop, key, None)
 
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -11,6 +11,7 @@
 from bulrushbend.gateway.demand import demand_of
 from bulrushbend.gateway.loads import GRANT_LIFE_MS, Load
 from bulrushbend.gateway.placing_client import PlacementClient
+from bulrushbend.wire.fleet_pb2 import PlaceCancel, PlaceRequest
 
 
 class Pair:
@@ -217,3 +218,18 @@
         task.cancel()
     asked = [number for number in numbers if number]
     assert len(asked) == len(set(asked)) == 2
+
+
+async def test_request_taken_back_before_it_is_looked_at_is_forgotten():
+    # Guards against a request that is said to wait for ever when it is sent again.
+    pair = Pair()
+    server = pair.coordinator.server
+    request = PlaceRequest(
+        gateway="g9", incarnation=1, number=1, service=SERVICE, tokens=9, wait_ms=100
+    )
+    server.take(request, pair.asker.name)
+    server.cancel(PlaceCancel(gateway="g9", incarnation=1, number=1))
+    await settle()
+    server.take(request, pair.asker.name)
+    await settle()
+    assert sum(pair.total(endpoint).running for endpoint in ("e1", "e2")) == 1
