Log the load of a gateway and what its teams asked for and were given

The log could not tell apart a gateway without processor time, one without descriptors and a fleet whose endpoints are full.

--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -67,6 +67,7 @@
     PLACEMENT_REFUSED = "placement-refused"
     GATEWAY_STRAINED = "gateway-strained"
     GATEWAY_EASED = "gateway-eased"
+    GATEWAY_LOAD = "gateway-load"
     LINES_DROPPED = "lines-dropped"
     SETTINGS_RELOADED = "settings-reloaded"
 
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -72,6 +72,7 @@
     last_event_id: str = ""
     endpoint: str = ""
     coordinator: str = ""
+    waited_ms: float | None = None
     first_event_ms: float | None = None
     longest_pause_ms: float = 0.0
 
@@ -85,6 +86,11 @@
         """Tokens that the request is charged: read once, generated twice."""
         return self.tokens + 2.0 * self.details.output_tokens
 
+    def note_placed(self, now_ms: float) -> None:
+        """Note when the first endpoint was chosen."""
+        if self.waited_ms is None:
+            self.waited_ms = now_ms - self.received_ms
+
     def note_first_event(self, now_ms: float) -> None:
         """Note when the first piece of the answer came."""
         if self.first_event_ms is None:
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -46,6 +46,7 @@
 from bulrushbend.gateway.sink import ConnectionSink
 from bulrushbend.gateway.spread import LoadSpread
 from bulrushbend.gateway.strain import LoopStrain
+from bulrushbend.gateway.usage import UsageMeter
 from bulrushbend.process.daemon import (
     cpu_ms,
     describe_member,
@@ -67,6 +68,8 @@
 # Callers return through another gateway, which has time at once.
 _STRAINED_RETRY_MS = 100.0
 _SWEEP_MS = 200.0
+# Time between two lines about load; faults of the fleet show within a few seconds.
+_LOAD_LINE_MS = 1_000.0
 # Tornado answers nothing when its own bounds are exceeded, so they lie above those of
 # the manifest.
 _LARGEST_BODY_BYTES = 1 << 30
@@ -149,6 +152,8 @@
         )
         self._strain = LoopStrain(clock)
         self._was_strained = False
+        self._usage = UsageMeter(clock)
+        self._server = CallerServer(self)
         self._queues = QueueBook(self._new_queue)
         self._coordinators = Coordinators(identity.name, clock, events)
         self._spread = LoadSpread(
@@ -174,6 +179,11 @@
         self._watch.listen(self._take_members)
         self._directory.listen(self._take_endpoints)
 
+    @property
+    def server(self) -> CallerServer:
+        """What reads the callers' requests."""
+        return self._server
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should come to this gateway."""
@@ -277,6 +287,7 @@
             group.create_task(self._spread.run())
             group.create_task(self._sweep())
             group.create_task(self._strain.run())
+            group.create_task(self._write_load())
 
     def take_contacts(self, replicas: Sequence[PeerAddress]) -> None:
         """Take the control replicas of changed settings."""
@@ -335,7 +346,7 @@
             if found is None or not details.token:
                 raise CallEnded(401, "bad-token", "the token is not known")
             team = found.name
-        return Call(
+        call = Call(
             details=details,
             method=start_line.method,
             target=start_line.path,
@@ -348,6 +359,8 @@
             limit_ms=received_ms + limit_ms,
             last_event_id=details.last_event_id,
         )
+        self._usage.note_asked(team, call.cost)
+        return call
 
     async def _answer(
         self, request_headers: HTTPHeaders, error: CallEnded, sink: ConnectionSink
@@ -373,6 +386,8 @@
         reason = ending.reason.partition(":")[0]
         metrics.REQUESTS.labels(service, str(ending.status), reason).inc()
         metrics.LATENCY.labels(service).observe(taken_ms / 1000.0)
+        if call is not None and call.first_event_ms is not None:
+            self._usage.note_given(call.team, call.cost)
         details = _describe(call) if call else {"request_id": self._id_of(headers)}
         self._events.write(
             ending.kind,
@@ -467,6 +482,23 @@
                 )
             metrics.WAITING.set(self._waiting)
             metrics.RUNNING.set(self._running)
+            metrics.CONNECTIONS.set(self._server.connections)
+            metrics.LOOP_DELAY.set(self._strain.delay_ms / 1000.0)
+
+    async def _write_load(self) -> None:
+        """Write a line about the load each second while there are requests."""
+        while True:
+            await self._clock.sleep_ms(_LOAD_LINE_MS)
+            fields = self._usage.take()
+            if fields["asked"] or self._running:
+                self._events.write(
+                    EventKind.GATEWAY_LOAD,
+                    **fields,
+                    delay_ms=round(self._strain.delay_ms, 1),
+                    running=self._running,
+                    waiting=self._waiting,
+                    connections=self._server.connections,
+                )
 
     def _detail(self) -> StatusDetail:
         return StatusDetail(
@@ -492,6 +524,8 @@
         "request_id": call.details.request_id,
         "service": call.service,
         "team": call.team,
+        "cost": int(call.cost),
+        "waited_ms": _rounded(call.waited_ms),
         "route": call.route.name,
         "endpoint": call.endpoint,
         "coordinator": call.coordinator,
@@ -540,7 +574,7 @@
         gateway = Gateway(settings, identity, clock, events, dialect, source)
         await gateway.open(stack)
         front = HTTPServer(
-            CallerServer(gateway),
+            gateway.server,
             max_header_size=_LARGEST_HEADER_BYTES,
             max_body_size=_LARGEST_BODY_BYTES,
             body_timeout=_BODY_TIMEOUT_S,
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -130,6 +130,7 @@
         framer: EventFramer | None,
     ) -> AttemptResult:
         call.endpoint = placement.endpoint
+        call.note_placed(self._clock.now_ms())
         call.coordinator = placement.coordinator
         endpoint = self._directory.get(placement.endpoint)
         if endpoint is None:
--- a/libs/gateway/src/bulrushbend/gateway/metrics.py
+++ b/libs/gateway/src/bulrushbend/gateway/metrics.py
@@ -17,6 +17,11 @@
 )
 WAITING = Gauge("bulrushbend_gateway_waiting", "Requests that wait for an endpoint.")
 RUNNING = Gauge("bulrushbend_gateway_running", "Requests in progress.")
+CONNECTIONS = Gauge("bulrushbend_gateway_connections", "Open connections of callers.")
+LOOP_DELAY = Gauge(
+    "bulrushbend_gateway_loop_delay_seconds",
+    "Mean delay with which tasks of the process run.",
+)
 DROPPED_LINES = Counter(
     "bulrushbend_log_lines_dropped_total", "Log lines over the bound on their rate."
 )
--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -60,6 +60,12 @@
     def __init__(self, desk: Desk):
         self._desk = desk
         self._tasks: set[asyncio.Task[None]] = set()
+        self._connections: set[object] = set()
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections that have carried a request."""
+        return len(self._connections)
 
     @property
     def running(self) -> int:
@@ -70,8 +76,13 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return the reader of one request."""
+        self._connections.add(server_conn)
         return _RequestReader(self._desk, request_conn, self._tasks)
 
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that has ended."""
+        self._connections.discard(server_conn)
+
 
 class _RequestReader(HTTPMessageDelegate):
     """Collects one request; its answer starts when the request is complete."""
