--- /dev/null
+++ b/tests/adapter/stream_peers.py
@@ -0,0 +1,185 @@
+"""Engines and callers of event streams that cost little processor time themselves.
+
+A test that measures a gateway must not be bound by its own peers, so both speak raw
+HTTP over asyncio protocols.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+HEAD_END = b"\r\n\r\n"
+END_OF_CHUNKS = b"0\r\n\r\n"
+
+
+def headers_of(head: bytes) -> dict[bytes, bytes]:
+    """Return the headers of a request or an answer by lowercase name."""
+    lines = (line.partition(b":") for line in head.split(b"\r\n")[1:])
+    return {name.lower(): value.strip() for name, _, value in lines}
+
+
+@dataclass
+class StreamPlan:
+    """What an engine sends: a number of events with a pause before each."""
+
+    events: int = 49
+    pause_s: float = 0.03
+    event_bytes: int = 60
+
+
+class StreamEngine(asyncio.Protocol):
+    """One connection to an engine that streams events; it keeps the connection."""
+
+    def __init__(self, plan: StreamPlan):
+        self._plan = plan
+        self._buffer = b""
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def connection_lost(self, error):
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def data_received(self, data):
+        self._buffer += data
+        head, end, rest = self._buffer.partition(HEAD_END)
+        if not end:
+            return
+        headers = headers_of(head)
+        if len(rest) < int(headers.get(b"content-length", b"0")):
+            return
+        self._buffer = b""
+        self._closes = headers.get(b"connection", b"").lower() == b"close"
+        self._transport.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Instance-Seal: s.1\r\nTransfer-Encoding: chunked\r\n"
+            b"Attempt-Id: " + headers[b"attempt-id"] + HEAD_END
+        )
+        self._wait(1)
+
+    def _wait(self, number):
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._plan.pause_s, self._send, number)
+
+    def _send(self, number):
+        event = b"id: %d\ndata: %s\n\n" % (number, b"x" * self._plan.event_bytes)
+        self._transport.write(b"%x\r\n%s\r\n" % (len(event), event))
+        if number < self._plan.events:
+            self._wait(number + 1)
+            return
+        self._transport.write(END_OF_CHUNKS)
+        if self._closes:
+            self._transport.close()
+
+
+class StreamCaller(asyncio.Protocol):
+    """One connection of a caller, for one request."""
+
+    def __init__(self, request: bytes):
+        self._request = request
+        self._buffer = b""
+        self.answer = asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport):
+        transport.write(self._request)
+
+    def data_received(self, data):
+        self._buffer += data
+        if not self.answer.done() and self._is_whole():
+            self.answer.set_result(self._buffer)
+
+    def connection_lost(self, error):
+        if not self.answer.done():
+            self.answer.set_exception(ConnectionResetError("the answer is not whole"))
+
+    def _is_whole(self) -> bool:
+        if self._buffer.endswith(END_OF_CHUNKS):
+            return True
+        head, end, body = self._buffer.partition(HEAD_END)
+        length = headers_of(head).get(b"content-length")
+        return bool(end) and length is not None and len(body) >= int(length)
+
+
+@dataclass
+class Load:
+    """Requests of one team at one gateway, each on a connection of its own.
+
+    Attributes
+    ----------
+    host : str
+        Address of the gateway.
+    key : str
+        Key of the team.
+    per_s : float
+        Requests a second.
+    tokens : int
+        Size of each prompt.
+    served, refused, failed : int
+        How the requests ended.
+    """
+
+    host: str
+    key: str
+    per_s: float
+    port: int = 8783
+    path: str = "/r-1/x"
+    tokens: int = 300
+    deadline_ms: int = 15_000
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    keeps_connections: bool = False
+    _open: list[asyncio.Transport] = field(default_factory=list, repr=False)
+
+    async def play(self, duration_s: float) -> None:
+        """Send requests at an even pace and wait for their ends."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        count = int(duration_s * self.per_s)
+        async with asyncio.TaskGroup() as group:
+            for number in range(count):
+                group.create_task(self._call(number))
+                due = began + (number + 1) / self.per_s
+                await asyncio.sleep(max(0.0, due - loop.time()))
+
+    def close(self) -> None:
+        """Close the connections that were kept."""
+        for transport in self._open:
+            transport.close()
+        self._open.clear()
+
+    async def _call(self, number: int) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self.deadline_ms / 1000.0):
+                transport, caller = await loop.create_connection(
+                    lambda: StreamCaller(self._request(number)), self.host, self.port
+                )
+                self._open.append(transport)
+                answer = await caller.answer
+        except (OSError, TimeoutError):
+            self.failed += 1
+            return
+        status = answer[9:12]
+        self.served += status == b"200"
+        self.refused += status == b"503"
+        self.failed += status not in (b"200", b"503")
+        if not self.keeps_connections:
+            transport.close()
+
+    def _request(self, number: int) -> bytes:
+        body = b"y" * 830
+        lines = [
+            f"POST {self.path}{number} HTTP/1.1",
+            "Host: a.example",
+            f"Attempt-Id: {self.key}-{number}",
+            "Model: m",
+            f"Token-Usage: {self.tokens},294",
+            f"Prefix-Hash: 5c{number % 16:x}:119,91{number % 993:x}:79,e{number:x}:102",
+            f"Deadline-Ms: {self.deadline_ms}",
+            f"Authorization: Token {self.key}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+        ]
+        return "\r\n".join(lines).encode() + HEAD_END + body
