Read answers in a C parser, without a task for each exchange

A streamed event cost it 0.27 ms: Tornado reads a chunk in several coroutines, and a queue with a timeout hands it to the reading task.

The exchange is an asyncio protocol with the parser httptools now. `forward` gives pieces to a function as they arrive; `chunks` stays for agents and routers. The head of an answer is bounded, so a peer that sends bytes without end is given up; before, only its time limit ended it.

--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -1,27 +1,16 @@
-"""One HTTP request and its answer over a connection of its own.
+"""HTTP/1.1 exchanges with one peer over a connection of their own.
 
-A connection carries a single exchange, so an answer can never reach another request,
-and closing the connection abandons exactly one request. Built on Tornado's client
-side of `tornado.http1connection`.
+An answer is passed on while it arrives, so the reader decides nothing before the end:
+an answer counts as complete only when its framing says so.
 """
 
 import asyncio
-import contextlib
-import socket
-from collections.abc import AsyncIterator
+from collections import deque
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPInputError,
-    HTTPMessageDelegate,
-    RequestStartLine,
-    ResponseStartLine,
-)
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import is_valid_ip
-from tornado.tcpclient import TCPClient
+import httptools
+from tornado.httputil import HTTPHeaders, HTTPInputError
 
 from bulrushbend.core.errors import (
     ConnectFailed,
@@ -32,11 +21,14 @@
 )
 from bulrushbend.core.settings import split_address
 
-_MAX_BODY_BYTES = 1 << 40
-_MAX_HEADER_BYTES = 1 << 16
-_READ_CHUNK_BYTES = 1 << 16
-# Chunks held between the socket and a slow reader; reading stops when it is full.
-_BUFFERED_CHUNKS = 16
+# Bounds what a peer can make this process read that never ends a head.
+_MAX_HEAD_BYTES = 1 << 16
+# Bytes held between the socket and a slow reader; reading stops above it.
+_MOST_BUFFERED_BYTES = 1 << 18
+# Status codes of answers that have no body (RFC 9110, section 6.4.1).
+_WITHOUT_BODY = frozenset({204, 304})
+
+Taker = Callable[[bytes], None]
 
 
 @dataclass(frozen=True)
@@ -68,65 +60,209 @@
     idle_ms: float = 60_000.0
 
 
-class _Collector(HTTPMessageDelegate):
-    """Hands the parts of an answer to the reading task."""
+class _AnswerReader(asyncio.Protocol):
+    """Reads one answer from a connection.
 
-    def __init__(self) -> None:
-        self.start: asyncio.Future[tuple[ResponseStartLine, HTTPHeaders]] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self.pieces: asyncio.Queue[bytes | None] = asyncio.Queue(_BUFFERED_CHUNKS)
-        self.complete = False
-        self.closed = False
-        self.ends_with_connection = False
-
-    def headers_received(self, start_line, headers):
-        if start_line.code >= 200 and not self.start.done():
-            self.start.set_result((start_line, headers))
-            self.ends_with_connection = not (
-                "Content-Length" in headers or "Transfer-Encoding" in headers
-            )
-
-    async def data_received(self, chunk: bytes) -> None:
-        try:
-            await self.pieces.put(chunk)
-        except asyncio.CancelledError:
-            # Tornado would log the cancel of a closed exchange as an error of the
-            # delegate; without it the read ends at the closed stream.
-            if not self.closed:
-                raise
+    Pieces go to the taker as they arrive, or are kept until there is one.
+    """
 
-    def finish(self) -> None:
-        self.complete = True
+    def __init__(self, peer: str):
+        loop = asyncio.get_running_loop()
+        self.peer = peer
+        self.transport: asyncio.Transport | None = None
+        self.status = 0
+        self.headers = HTTPHeaders()
+        # Set when the headers are read, and when the answer has ended.
+        self.head: asyncio.Future[None] = loop.create_future()
+        self.end: asyncio.Future[None] = loop.create_future()
+        self.is_head_request = False
+        self.heard_s = loop.time()
+        self._loop = loop
+        self._parser = httptools.HttpResponseParser(self)
+        self._head_bytes = 0
+        self._is_head_read = False
+        self._ends_with_connection = False
+        self._pieces: deque[bytes] = deque()
+        self._buffered = 0
+        self._taker: Taker | None = None
+        self._news: asyncio.Future[None] | None = None
+        self._is_paused = False
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether reading has stopped until the pieces are taken."""
+        return self._is_paused
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if self.end.done():
+            return
+        self.heard_s = self._loop.time()
+        if not self._is_head_read:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            # Raised by a header that is not valid, or by the taker of the pieces.
+            cause = error.__context__ or error
+            if isinstance(cause, HTTPInputError):
+                cause = self._broken(f"bad header: {cause}", ProtocolFault)
+            self.fail(cause)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            # No effect after a complete answer: more bytes belong to no request.
+            self.fail(self._broken(f"the answer is not HTTP: {error}", ProtocolFault))
+        if not self._is_head_read and self._head_bytes > _MAX_HEAD_BYTES:
+            self.fail(self._broken("the head of the answer has no end", ProtocolFault))
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        # A connection that was reset does not end a body without a length.
+        if self._is_head_read and self._ends_with_connection and error is None:
+            self._finish()
+        step = "before the body was complete"
+        if not self._is_head_read:
+            step = "before the headers"
+        self.fail(self._broken(f"connection ended {step}", TruncatedAnswer))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._is_head_read:
+            self.headers.add(name.decode("latin1"), value.decode("latin1"))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if 100 <= status < 200 and status != 101:
+            self.headers = HTTPHeaders()
+            return
+        self.status = status
+        self._is_head_read = True
+        coding = self.headers.get("Transfer-Encoding")
+        self._ends_with_connection = (
+            coding is None and "Content-Length" not in self.headers
+        )
+        if coding is not None and coding.lower() != "chunked":
+            self.fail(self._broken(f"unknown coding {coding}", ProtocolFault))
+        elif not 200 <= status <= 599:
+            self.fail(self._broken(f"status {status} is not valid", ProtocolFault))
+        elif not self.head.done():
+            self.head.set_result(None)
+        if self.is_head_request or status in _WITHOUT_BODY:
+            self._finish()
+
+    def on_body(self, piece: bytes) -> None:
+        if self.end.done():
+            return
+        if self._taker is not None:
+            self._taker(piece)
+            return
+        self._pieces.append(piece)
+        self._buffered += len(piece)
+        self._wake()
+        if self._buffered > _MOST_BUFFERED_BYTES:
+            self.pause()
+
+    def on_message_complete(self) -> None:
+        if self._is_head_read:
+            self._finish()
+
+    def pause(self) -> None:
+        """Read no more until `resume`."""
+        if not self._is_paused and self.transport is not None:
+            self._is_paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read on; the time of the pause counts as no silence of the peer."""
+        if self._is_paused and self.transport is not None:
+            self._is_paused = False
+            self.heard_s = self._loop.time()
+            self.transport.resume_reading()
+
+    def give_to(self, taker: Taker) -> None:
+        """Give the kept pieces and all later ones to `taker`."""
+        self._taker = taker
+        while self._pieces:
+            taker(self._pieces.popleft())
+        self._buffered = 0
+        self.resume()
+
+    def take(self) -> bytes | None:
+        """Return the first kept piece, if any."""
+        if not self._pieces:
+            return None
+        piece = self._pieces.popleft()
+        self._buffered -= len(piece)
+        if self._buffered <= _MOST_BUFFERED_BYTES // 2:
+            self.resume()
+        return piece
+
+    def next_piece(self) -> asyncio.Future[None]:
+        """Return a future that is done when a piece is kept or the answer has ended."""
+        self._news = self._loop.create_future()
+        if self._pieces or self.end.done():
+            self._news.set_result(None)
+        return self._news
+
+    def fail(self, error: BaseException) -> None:
+        """End the answer as broken, unless it has ended."""
+        for future in (self.head, self.end):
+            if not future.done():
+                future.set_exception(error)
+                # Nobody may be left who waits for it.
+                future.exception()
+        self._wake()
+        self._close()
+
+    def abandon(self) -> None:
+        """Close the connection and forget the kept pieces."""
+        self._pieces.clear()
+        self._buffered = 0
+        self._close()
+
+    def _close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _finish(self) -> None:
+        if not self.end.done():
+            self.end.set_result(None)
+        self._wake()
+        self._close()
+
+    def _wake(self) -> None:
+        if self._news is not None and not self._news.done():
+            self._news.set_result(None)
+
+    def _broken(self, message: str, kind: type[PeerError]) -> PeerError:
+        step = "body" if self._is_head_read else "headers"
+        return kind(message, step=step, peer=self.peer)
 
 
 class Exchange:
     """An HTTP exchange in progress; create it with `Exchange.open`."""
 
-    def __init__(self, stream: IOStream, peer: str, timeouts: ExchangeTimeouts):
-        self._stream = stream
-        self._peer = peer
+    def __init__(self, reader: _AnswerReader, timeouts: ExchangeTimeouts):
+        self._reader = reader
         self._timeouts = timeouts
-        self._collector = _Collector()
-        self._reader: asyncio.Task[None] | None = None
         self._failure: PeerError | None = None
-        self._status = 0
-        self._headers = HTTPHeaders()
 
     @property
     def peer(self) -> str:
         """Address of the peer."""
-        return self._peer
+        return self._reader.peer
 
     @property
     def status(self) -> int:
         """Status code of the answer."""
-        return self._status
+        return self._reader.status
 
     @property
     def headers(self) -> HTTPHeaders:
         """Headers of the answer."""
-        return self._headers
+        return self._reader.headers
 
     @classmethod
     async def open(
@@ -177,8 +313,21 @@
         ConnectFailed
             No connection was made; nothing was sent.
         """
-        stream = await _connect(address, timeouts.connect_ms)
-        return cls(stream, address, timeouts)
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeouts.connect_ms / 1000.0):
+                _, reader = await loop.create_connection(
+                    lambda: _AnswerReader(address), host, port
+                )
+        except TimeoutError:
+            raise ConnectFailed(
+                "no connection within the connect timeout", step="connect", peer=address
+            ) from None
+        except OSError as error:
+            reason = error.strerror or str(error) or type(error).__name__
+            raise ConnectFailed(reason, step="connect", peer=address) from None
+        return cls(reader, timeouts)
 
     async def send(self, request: ExchangeRequest) -> None:
         """Send `request` and wait for the headers of the answer.
@@ -197,9 +346,19 @@
         ProtocolFault
             The answer is not HTTP.
         """
+        reader = self._reader
+        reader.is_head_request = request.method == "HEAD"
         try:
-            await self._send(request)
-            await self._receive_headers()
+            reader.transport.write(_encode(request, self.peer))
+            async with asyncio.timeout(self._timeouts.first_byte_ms / 1000.0):
+                await asyncio.shield(reader.head)
+        except TimeoutError:
+            self.close()
+            raise PeerSilent(
+                "no answer within the first-byte timeout",
+                step="headers",
+                peer=self.peer,
+            ) from None
         except BaseException:
             self.close()
             raise
@@ -215,14 +374,34 @@
             Why the exchange is given up.
         """
         self._failure = error
-        if not self._collector.start.done():
-            self._collector.start.set_exception(error)
-            self._collector.start.exception()
-        self.close()
-        pieces = self._collector.pieces
-        while not pieces.empty():
-            pieces.get_nowait()
-        pieces.put_nowait(None)
+        self._reader.abandon()
+        self._reader.fail(error)
+
+    async def forward(self, taker: Taker) -> None:
+        """Give each piece of the body to `taker` when it arrives.
+
+        Returning means that the body is complete. `taker` is called by the event loop,
+        with no task between: a stream costs a fraction of what `chunks` does.
+
+        Raises
+        ------
+        PeerSilent
+            Nothing arrived for `ExchangeTimeouts.idle_ms`.
+        TruncatedAnswer
+            The connection ended before the body was complete.
+        ProtocolFault
+            The rest of the answer is not HTTP.
+        """
+        self._reader.give_to(taker)
+        await self._wait_for(self._reader.end)
+
+    def pause(self) -> None:
+        """Read no more of the answer until `resume`."""
+        self._reader.pause()
+
+    def resume(self) -> None:
+        """Read on after `pause`."""
+        self._reader.resume()
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the pieces of the body; returning means that it is complete.
@@ -233,27 +412,19 @@
             Nothing arrived for `ExchangeTimeouts.idle_ms`.
         TruncatedAnswer
             The connection ended before the body was complete.
+        ProtocolFault
+            The rest of the answer is not HTTP.
         """
+        reader = self._reader
         while True:
-            try:
-                async with asyncio.timeout(self._timeouts.idle_ms / 1000.0):
-                    piece = await self._collector.pieces.get()
-            except TimeoutError:
-                self.close()
-                raise PeerSilent(
-                    "no data within the idle timeout", step="body", peer=self._peer
-                ) from None
-            if piece is None:
+            while (piece := reader.take()) is not None:
+                yield piece
+            if reader.end.done():
                 break
-            yield piece
+            await self._wait_for(reader.next_piece())
         if self._failure is not None:
             raise self._failure
-        if not self._collector.complete:
-            raise TruncatedAnswer(
-                "connection ended before the body was complete",
-                step="body",
-                peer=self._peer,
-            )
+        reader.end.result()
 
     async def body(self) -> bytes:
         """Return the whole body; raises the errors of `chunks`."""
@@ -261,109 +432,45 @@
 
     def close(self) -> None:
         """Close the connection; an unfinished exchange is abandoned."""
-        self._collector.closed = True
-        if self._reader is not None:
-            self._reader.cancel()
-        self._stream.close()
-
-    async def _send(self, request: ExchangeRequest) -> None:
-        parameters = HTTP1ConnectionParameters(
-            no_keep_alive=True,
-            chunk_size=_READ_CHUNK_BYTES,
-            max_header_size=_MAX_HEADER_BYTES,
-            max_body_size=_MAX_BODY_BYTES,
-        )
-        connection = HTTP1Connection(self._stream, True, parameters)
-        self._reader = asyncio.create_task(self._read(connection))
-        headers = request.headers.copy()
-        if "Host" not in headers:
-            headers["Host"] = self._peer
-        headers["Connection"] = "close"
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            headers["Content-Length"] = str(len(request.body))
-        start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
-        with contextlib.suppress(StreamClosedError):
-            # A peer that refuses early may close before the body is sent; its
-            # answer, if any, is still read.
-            await connection.write_headers(start_line, headers, request.body or None)
-        connection.finish()
-
-    async def _read(self, connection: HTTP1Connection) -> None:
-        collector = self._collector
-        try:
-            await connection.read_response(collector)
-            if collector.ends_with_connection:
-                await self._read_rest()
-        except (StreamClosedError, HTTPInputError, OSError):
-            pass
-        finally:
-            if not collector.start.done():
-                collector.start.set_exception(
-                    TruncatedAnswer(
-                        "connection ended before the headers",
-                        step="headers",
-                        peer=self._peer,
-                    )
+        self._reader.abandon()
+
+    async def _wait_for(self, news: asyncio.Future[None]) -> None:
+        """Wait for `news` as long as the peer goes on sending."""
+        loop = asyncio.get_running_loop()
+        idle_s = self._timeouts.idle_ms / 1000.0
+        while not news.done():
+            left_s = self._reader.heard_s + idle_s - loop.time()
+            if self._reader.is_paused:
+                left_s = idle_s
+            if left_s <= 0.0:
+                self.close()
+                raise PeerSilent(
+                    "no data within the idle timeout", step="body", peer=self.peer
                 )
-                collector.start.exception()
-        # Nobody may be left to make room after a close.
-        if not collector.closed:
-            await collector.pieces.put(None)
+            await asyncio.wait((news,), timeout=left_s)
+        news.result()
 
-    async def _read_rest(self) -> None:
-        """Read what is left of a body without a length after its connection ended.
 
-        Tornado reports the end of the connection before a piece that arrived with it.
-        A connection that was reset does not end a body.
-        """
-        collector = self._collector
-        with contextlib.suppress(StreamClosedError):
-            while True:
-                await collector.data_received(
-                    await self._stream.read_bytes(_READ_CHUNK_BYTES, partial=True)
-                )
-        if self._stream.error is not None:
-            collector.complete = False
+def _encode(request: ExchangeRequest, peer: str) -> bytes:
+    """Return the bytes of a request, which asks the peer to close the connection.
 
-    async def _receive_headers(self) -> None:
-        try:
-            async with asyncio.timeout(self._timeouts.first_byte_ms / 1000.0):
-                start_line, headers = await asyncio.shield(self._collector.start)
-        except TimeoutError:
-            raise PeerSilent(
-                "no answer within the first-byte timeout",
-                step="headers",
-                peer=self._peer,
-            ) from None
-        if not 200 <= start_line.code <= 599:
-            raise ProtocolFault(
-                f"status {start_line.code} is not valid",
-                step="headers",
-                peer=self._peer,
-            )
-        self._status = start_line.code
-        self._headers = headers
-
-
-async def _connect(address: str, timeout_ms: float) -> IOStream:
-    host, port = split_address(address)
-    try:
-        async with asyncio.timeout(timeout_ms / 1000.0):
-            if not is_valid_ip(host):
-                return await TCPClient().connect(host, port)
-            # Processes know each other by IP address. Tornado's client would hand
-            # it to a resolver thread, which costs 0.2 ms of processor time.
-            family = socket.AF_INET6 if ":" in host else socket.AF_INET
-            stream = IOStream(socket.socket(family))
-            try:
-                return await stream.connect((host, port))
-            except BaseException:
-                stream.close()
-                raise
-    except TimeoutError:
-        raise ConnectFailed(
-            "no connection within the connect timeout", step="connect", peer=address
-        ) from None
-    except OSError as error:
-        reason = error.strerror or str(error) or type(error).__name__
-        raise ConnectFailed(reason, step="connect", peer=address) from None
+    Raises
+    ------
+    ValueError
+        A line contains the end of a line.
+    """
+    lines = [f"{request.method} {request.path} HTTP/1.1"]
+    if "Host" not in request.headers:
+        lines.append(f"Host: {peer}")
+    lines += [
+        f"{name}: {value}"
+        for name, value in request.headers.get_all()
+        if name not in ("Connection", "Content-Length")
+    ]
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(request.body)}")
+    lines.append("Connection: close")
+    head = "\r\n".join(lines)
+    if head.count("\n") >= len(lines) or head.count("\r") >= len(lines):
+        raise ValueError("a header contains the end of a line")
+    return f"{head}\r\n\r\n".encode("latin1") + request.body
