Choose coordinators among the gateways with a large processor

What callers saw: no-capacity refusals and late placements on all gateways while engines had room. Cause: rendezvous hashing chose edge-cusco-d-4, a VM with 0.39 cores, to place for 23 gateways.

Gateways tell their cores with their membership, and rank those with at least half of the most first. The cores come from the settings of the VM; the tests fail on the old ranking.

--- a/libs/core/src/bulrushbend/core/settings.py
+++ b/libs/core/src/bulrushbend/core/settings.py
@@ -154,7 +154,8 @@
     """Settings of a gateway.
 
     `front_address` serves callers, `http_address` the operational pages. Gateways tell
-    each other of their load in datagrams to `spread_address`.
+    each other of their load in datagrams to `spread_address`. `processor` is the part
+    of the VM's processor that the gateway gets, in cores.
     """
 
     front_address: Address
@@ -168,6 +169,7 @@
     retry_share: float = Field(0.1, ge=0.0, le=1.0)
     retry_burst: float = Field(50.0, ge=0.0)
     drain_notice_ms: PositiveMs = 2500
+    processor: float = Field(1.0, ge=0.0)
 
 
 SettingsModel = TypeVar("SettingsModel", bound=_Settings)
--- a/libs/gateway/src/bulrushbend/gateway/coordinators.py
+++ b/libs/gateway/src/bulrushbend/gateway/coordinators.py
@@ -6,6 +6,9 @@
 therefore places for all, with one queue for all teams (`placing_server`). The others
 ask it by datagram (`placing_client`); whoever gets no reply places by its own view, so
 no request depends on the coordinator.
+
+A coordinator works for the whole fleet beside its own callers. One on a small VM runs
+out of processor time first, and all teams wait for it.
 """
 
 from collections.abc import Mapping
@@ -16,13 +19,17 @@
 
 # Time for which a silent coordinator is left out; one request tries it afterwards.
 SUSPECT_MS = 1_000.0
+# Gateways with less than this part of the largest processor of the fleet come last: on
+# the users' fleets the small VMs have under a third of the large ones.
+_LEAST_PROCESSOR = 0.5
 
 
 class Coordinators:
     """Which gateway coordinates a service.
 
-    All gateways rank the members of the fleet the same way, by rendezvous hashing, so
-    few services change their coordinator when gateways come and go.
+    All gateways rank the members of the fleet the same way: first those with a large
+    processor, and among them by rendezvous hashing, so few services change their
+    coordinator when gateways come and go.
 
     Parameters
     ----------
@@ -32,10 +39,16 @@
         Source of time.
     events : EventLog
         Receives lost and regained coordinators.
+    processor : float, default=0.0
+        Cores of this gateway, 0 if not known.
     """
 
-    def __init__(self, name: str, clock: Clock, events: EventLog):
+    def __init__(
+        self, name: str, clock: Clock, events: EventLog, processor: float = 0.0
+    ):
         self._name = name
+        self._processor = processor
+        self._processors: dict[str, float] = {name: processor}
         self._clock = clock
         self._events = events
         self._addresses: dict[str, str] = {}
@@ -43,9 +56,14 @@
         self._in_use: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
 
-    def set_peers(self, addresses: Mapping[str, str]) -> None:
-        """Take the other gateways and their addresses."""
+    def set_peers(
+        self,
+        addresses: Mapping[str, str],
+        processors: Mapping[str, float] | None = None,
+    ) -> None:
+        """Take the other gateways: their addresses and cores."""
         self._addresses = dict(addresses)
+        self._processors = {**(processors or {}), self._name: self._processor}
         self._suspects = {n: at for n, at in self._suspects.items() if n in addresses}
         self._in_use.clear()
         self._rankings.clear()
@@ -89,9 +107,13 @@
     def _ranked(self, service: str) -> list[str]:
         ranked = self._rankings.get(service)
         if ranked is None:
+            least = _LEAST_PROCESSOR * max(self._processors.values())
+
+            def rank(name: str) -> tuple[bool, bytes]:
+                is_large = self._processors.get(name, 0.0) >= least
+                return is_large, rendezvous_rank(service, name)
+
             names = [self._name, *self._addresses]
-            ranked = sorted(
-                names, key=lambda name: rendezvous_rank(service, name), reverse=True
-            )
+            ranked = sorted(names, key=rank, reverse=True)
             self._rankings[service] = ranked
         return ranked
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -119,7 +119,11 @@
         self._in_force = ManifestInForce(events)
         self._lease = ManifestLease(clock, settings.lease_ms)
         member = describe_member(
-            settings, identity, ROLE, link_address=settings.spread_address
+            settings,
+            identity,
+            ROLE,
+            link_address=settings.spread_address,
+            processor=settings.processor,
         )
         self._watch = FleetWatch(
             settings, member, self._in_force, clock, events, self._detail, self._lease
@@ -149,7 +153,9 @@
         self._usage = UsageMeter(clock)
         self._server = CallerServer(self, settings.header_timeout_ms, _most_connections)
         self._queues = QueueBook(self._new_queue)
-        self._coordinators = Coordinators(identity.name, clock, events)
+        self._coordinators = Coordinators(
+            identity.name, clock, events, settings.processor
+        )
         self._spread = LoadSpread(
             self._loads, self._coordinators, clock, settings.spread_ms
         )
@@ -433,14 +439,16 @@
         self._take_endpoints(set())
 
     def _take_members(self, members: dict[str, Member]) -> None:
-        peers = {
-            member.name: member.link_address
+        gateways = [
+            member
             for member in members.values()
             if member.role == ROLE and member.name != self._identity.name
-        }
+        ]
+        peers = {member.name: member.link_address for member in gateways}
+        processors = {member.name: member.processor for member in gateways}
         self._gateways = len(peers) + 1
         self._spread.set_peers(peers.values())
-        self._coordinators.set_peers(peers)
+        self._coordinators.set_peers(peers, processors)
         self._budgets.set_gateways(self._gateways)
 
     def _take_endpoints(self, ended: set[str]) -> None:
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -63,6 +63,30 @@
         assert len(chosen) == 1
 
 
+def test_coordinator_is_a_gateway_with_a_large_processor():
+    # Guards against a whole fleet that waits for its smallest VM.
+    clock = ManualClock()
+    processors = {f"g{n}": 1.38 if n < 3 else 0.387 for n in range(12)}
+    for service in ("a", "b", "c", "d"):
+        chosen = set()
+        for name, own in processors.items():
+            coordinators = Coordinators(name, clock, MemoryEventLog(), own)
+            others = {other: other for other in processors if other != name}
+            coordinators.set_peers(others, processors)
+            chosen.add(coordinators.choose(service) or name)
+        assert len(chosen) == 1
+        assert processors[chosen.pop()] == 1.38
+
+
+def test_small_gateways_coordinate_when_the_large_ones_are_silent():
+    # Guards against a fleet without a coordinator after the loss of its large VMs.
+    coordinators = Coordinators("g0", ManualClock(), MemoryEventLog(), 0.387)
+    coordinators.set_peers({"g1": "g1", "g2": "g2"}, {"g1": 1.38, "g2": 0.387})
+    assert coordinators.choose(SERVICE) == "g1"
+    coordinators.suspect("g1", "no reply")
+    assert coordinators.choose(SERVICE) in (None, "g2")
+
+
 async def test_grant_counts_until_the_asker_reports_it():
     # Guards against a second prompt on an endpoint whose first one is on its way.
     pair = Pair()
--- a/libs/process/src/bulrushbend/process/daemon.py
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -131,7 +131,7 @@
 
 
 def describe_member(
-    settings: ProcessSettings, identity: Identity, role: str, **fields: str
+    settings: ProcessSettings, identity: Identity, role: str, **fields: str | float
 ) -> Member:
     """Return the `Member` message of this process.
 
@@ -143,7 +143,7 @@
         Name and incarnation.
     role : {"control", "router", "agent"}
         Role of the process.
-    **fields : str
+    **fields : str or float
         Further fields of `Member`.
     """
     return Member(
--- a/tests/adapter/platform_builders.py
+++ b/tests/adapter/platform_builders.py
@@ -17,6 +17,10 @@
 front = "10.1.0.35:8783"
 ready = "10.1.0.35:8780"
 control = "10.1.0.35:8785"
+[limits]
+cpu_share = 0.688
+cpu_speed = 2
+memory_mb = 200
 [fault_tolerance]
 machines = 2
 [bounds]
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -26,6 +26,7 @@
     assert gateway.front_address == "10.1.0.35:8783"
     assert gateway.spread_address == "10.1.0.35:7401"
     assert gateway.lease_ms < 5000
+    assert gateway.processor == pytest.approx(1.376)
     assert control.link_address == "10.1.0.35:7400"
     assert control.voters == 5
     names = [replica.name for replica in control.control]
