Look only at waiting requests that fit somewhere

Cause: a look at 150 waiting requests of 12 teams took a coordinator 10 ms, and every report of 23 gateways led to one: it tried 96 placements over 20 endpoints although hardly any had room, and asked for the health of each endpoint twice per try.

Change: a request whose unread tokens exceed the room of every endpoint is passed over, brief reports without less work lead to no look, and a try reads loads, holders and health once.

--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -146,8 +146,9 @@
         is_left = False
         elsewhere = self._loads.waiting_elsewhere(self._service)
         endpoints = self._directory.of_service(self._service)
+        room = self._placer.room(endpoints)
         for team in sorted(self._teams, key=self._shares.level):
-            if not self._placer.has_room(endpoints):
+            if room <= 0:
                 break
             queue = self._teams[team]
             if queue and self._must_yield(team, elsewhere):
@@ -156,7 +157,8 @@
                 is_left = True
                 if self._leave_room():
                     continue
-            self._place_one(queue)
+            if self._place_one(queue, room):
+                room = self._placer.room(endpoints)
         if not is_left:
             self._left_since_ms = None
         self._teams = {team: queue for team, queue in self._teams.items() if queue}
@@ -193,7 +195,7 @@
         endpoints = self._directory.of_service(self._service)
         return self._placer.choose(demand, endpoints, patience=1.0) is not None
 
-    def _place_one(self, queue: list[_Waiting]) -> None:
+    def _place_one(self, queue: list[_Waiting], room: float) -> bool:
         """Place the smallest request of a team for which there is room.
 
         The share of a team is counted in tokens, so smallest first serves the most
@@ -204,11 +206,14 @@
             if entry.placed.done():
                 queue.remove(entry)
                 continue
+            if entry.demand.least_unread > room:
+                continue
             placement = self._try(entry.demand)
             if placement is not None:
                 queue.remove(entry)
                 entry.placed.set_result(placement)
-                return
+                return True
+        return False
 
     def _try(self, demand: Demand) -> Placement | None:
         endpoints = self._directory.of_service(self._service)
--- a/libs/gateway/src/bulrushbend/gateway/demand.py
+++ b/libs/gateway/src/bulrushbend/gateway/demand.py
@@ -1,5 +1,6 @@
 """What has to be known of a request to choose its endpoint."""
 
+import functools
 from dataclasses import dataclass
 
 from bulrushbend.gateway.call import Call, PromptPart
@@ -45,6 +46,11 @@
     request_id: str = ""
     asker: str = ""
 
+    @functools.cached_property
+    def least_unread(self) -> int:
+        """Prompt tokens to read at an endpoint that holds all shared parts."""
+        return max(1, self.tokens - sum(part.tokens for part in self.shared))
+
     @property
     def reads_prompt(self) -> bool:
         """Whether the endpoint has a prompt to read."""
--- a/libs/gateway/src/bulrushbend/gateway/health.py
+++ b/libs/gateway/src/bulrushbend/gateway/health.py
@@ -49,10 +49,14 @@
         self._clock = clock
         self._events = events
         self._records: dict[str, _Record] = {}
+        # No endpoint is avoided beyond this time.
+        self._avoided_until_ms = float("-inf")
 
     def usable(self, endpoints: Sequence[FoundEndpoint]) -> Sequence[FoundEndpoint]:
         """Return the endpoints that are not avoided now."""
         now_ms = self._clock.now_ms()
+        if now_ms >= self._avoided_until_ms:
+            return endpoints
         sound = [e for e in endpoints if self._avoided_until(e.id) <= now_ms]
         if len(sound) >= len(endpoints) * (1 - _MOST_AVOIDED):
             return sound
@@ -97,6 +101,7 @@
         record.failures += 1
         pause_ms = min(_LONGEST_PAUSE_MS, _FIRST_PAUSE_MS * 2 ** (record.failures - 1))
         record.avoided_until_ms = self._clock.now_ms() + pause_ms
+        self._avoided_until_ms = max(self._avoided_until_ms, record.avoided_until_ms)
         self._events.write(
             EventKind.ENDPOINT_AVOIDED,
             endpoint=endpoint,
--- a/libs/gateway/src/bulrushbend/gateway/holdings.py
+++ b/libs/gateway/src/bulrushbend/gateway/holdings.py
@@ -39,6 +39,20 @@
                 held += part.tokens
         return held
 
+    def held_by(self, parts: Sequence[PromptPart]) -> dict[str, int]:
+        """Return the tokens that each endpoint holds of the start of a prompt.
+
+        Endpoints that hold none are left out.
+        """
+        if not parts:
+            return {}
+        first = parts[0].digest
+        return {
+            endpoint: self.held_tokens(endpoint, parts)
+            for endpoint, known in self._parts.items()
+            if first in known
+        }
+
     def give(self, endpoint: str, parts: Sequence[PromptPart]) -> None:
         """Note that an endpoint reads these parts."""
         known = self._parts.setdefault(endpoint, OrderedDict())
--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -1,7 +1,7 @@
 """What is in progress at each endpoint, by this gateway and by all others."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
@@ -111,9 +111,13 @@
 
     def total(self, endpoint: str) -> Load:
         """Return the work at an endpoint over all gateways."""
+        return self.totals().get(endpoint) or Load()
+
+    def totals(self) -> Mapping[str, Load]:
+        """Return the work at each endpoint that has any, over all gateways."""
         if self._clock.now_ms() >= self._totals_until_ms:
             self._add_up()
-        return self._totals.get(endpoint) or Load()
+        return self._totals
 
     def own(self, endpoint: str) -> Load:
         """Return the work of this gateway at an endpoint."""
@@ -241,14 +245,18 @@
         )
         return report
 
-    def learn(self, report: LoadReport) -> None:
-        """Take the report of another gateway, unless a newer one was taken."""
+    def learn(self, report: LoadReport) -> bool:
+        """Take the report of another gateway, unless a newer one was taken.
+
+        Returns whether something that waits may go now: an endpoint has less work, or
+        other teams wait elsewhere.
+        """
         if report.gateway == self._name:
-            return
+            return False
         known = self._peers.get(report.gateway)
         order = (report.incarnation, report.sequence)
         if known is not None and order <= (known.incarnation, known.sequence):
-            return
+            return False
         is_same = known is not None and known.incarnation == report.incarnation
         peer = _Peer(
             report.incarnation,
@@ -273,6 +281,9 @@
             if (mark.coordinator, mark.incarnation) == (self._name, self._incarnation):
                 self._drop_grants(report.gateway, mark.serial)
         self._totals_until_ms = float("-inf")
+        return (
+            known is None or not report.is_brief or _has_less(known.loads, peer.loads)
+        )
 
     def _charge_gains(self, before: dict[str, int], now: dict[str, int]) -> None:
         for team, tokens in now.items():
@@ -328,6 +339,19 @@
         return (peer for peer in self._peers.values() if peer.heard_ms > oldest_ms)
 
 
+def _has_less(before: dict[str, Load], now: dict[str, Load]) -> bool:
+    """Return whether any endpoint has less work than before."""
+    for endpoint, load in before.items():
+        left = now.get(endpoint)
+        if (
+            left is None
+            or left.running < load.running
+            or left.unread_tokens < load.unread_tokens
+        ):
+            return True
+    return False
+
+
 def _add(totals: dict[str, Load], loads: dict[str, Load]) -> None:
     for endpoint, load in loads.items():
         total = totals[endpoint]
--- a/libs/gateway/src/bulrushbend/gateway/placing.py
+++ b/libs/gateway/src/bulrushbend/gateway/placing.py
@@ -6,6 +6,7 @@
 and by those of the new request that it does not hold yet.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -38,6 +39,8 @@
 FAR_TOKENS = 10.0
 HOME_TOKENS = 500.0
 
+_NO_LOAD = Load()
+
 
 @dataclass(frozen=True)
 class PlacingLimits:
@@ -104,19 +107,22 @@
         self._limits = limits
         self._data_centre = data_centre
 
-    def has_room(self, endpoints: Sequence[FoundEndpoint]) -> bool:
-        """Return whether any endpoint could take a request, however small.
+    def room(self, endpoints: Sequence[FoundEndpoint]) -> float:
+        """Return the most prompt tokens that some endpoint could be given to read.
 
-        It spares a look at each request while all endpoints are at their limits.
+        It spares a look at each request that fits nowhere: infinity if an endpoint has
+        no prompt to read, 0 if all are at their limits.
         """
+        room = 0.0
+        totals = self._loads.totals()
         for endpoint in endpoints:
-            load = self._loads.total(endpoint.id)
-            if (
-                load.running < endpoint.slots
-                and load.unread_tokens < self._limits.unread_tokens
-            ):
-                return True
-        return False
+            load = totals.get(endpoint.id, _NO_LOAD)
+            if load.running >= endpoint.slots:
+                continue
+            if load.unread_tokens <= 0:
+                return math.inf
+            room = max(room, self._limits.unread_tokens - load.unread_tokens)
+        return room
 
     def choose(
         self, demand: Demand, endpoints: Sequence[FoundEndpoint], patience: float
@@ -136,25 +142,25 @@
             Part of the request's waiting time that is left, from 1 to 0. With little of
             it any endpoint is better than one that holds the prompt but is busy.
         """
-        candidates = [e for e in endpoints if e.id not in demand.avoided]
-        usable = self._health.usable(candidates)
+        sound = usable = self._health.usable(endpoints)
+        if demand.avoided:
+            candidates = [e for e in endpoints if e.id not in demand.avoided]
+            usable = self._health.usable(candidates)
         shared = demand.shared
         home = _home(shared, endpoints)
-        held_by = {
-            endpoint.id: self._holdings.held_tokens(endpoint.id, shared)
-            for endpoint in endpoints
-        }
-        holder = self._best_holder(held_by, endpoints)
+        held_by = self._holdings.held_by(shared)
+        holder = _best_holder(held_by, sound)
         most_held = held_by[holder.id] if holder else 0
         paces: Mapping[str, float] = {}
         if demand.tokens > self._limits.unread_tokens:
             paces = self._health.relative_pace(endpoints)
-        best: tuple[float, Choice, bool] | None = None
+        best: tuple[float, FoundEndpoint, int, int, bool] | None = None
+        totals = self._loads.totals()
         for endpoint in usable:
-            load = self._loads.total(endpoint.id)
+            load = totals.get(endpoint.id, _NO_LOAD)
             if load.running >= endpoint.slots:
                 continue
-            held = held_by[endpoint.id]
+            held = held_by.get(endpoint.id, 0)
             fetched = most_held - held if most_held - held >= LEAST_FETCHED else 0
             unread = max(1, demand.tokens - held - fetched)
             cost = self._cost(endpoint, load, unread, fetched, patience)
@@ -167,19 +173,11 @@
                 and load.unread_tokens + unread > self._limits.unread_tokens
             )
             if best is None or cost < best[0]:
-                source = holder if fetched else None
-                best = (cost, Choice(endpoint, unread, source), is_full)
-        if best is None or best[2]:
+                best = (cost, endpoint, unread, fetched, is_full)
+        if best is None or best[-1]:
             return None
-        return best[1]
-
-    def _best_holder(
-        self, held_by: Mapping[str, int], endpoints: Sequence[FoundEndpoint]
-    ) -> FoundEndpoint | None:
-        """Return the endpoint that holds most of a prompt, None if none has a part."""
-        usable = self._health.usable(endpoints)
-        holders = [endpoint for endpoint in usable if held_by[endpoint.id]]
-        return max(holders, key=lambda endpoint: held_by[endpoint.id], default=None)
+        _, endpoint, unread, fetched, _ = best
+        return Choice(endpoint, unread, holder if fetched else None)
 
     def _cost(
         self,
@@ -196,6 +194,16 @@
         return work * self._health.slowness(endpoint.id) + distance
 
 
+def _best_holder(
+    held_by: Mapping[str, int], endpoints: Sequence[FoundEndpoint]
+) -> FoundEndpoint | None:
+    """Return the endpoint that holds most of a prompt, None if none has a part."""
+    if not held_by:
+        return None
+    holders = [endpoint for endpoint in endpoints if endpoint.id in held_by]
+    return max(holders, key=lambda endpoint: held_by[endpoint.id], default=None)
+
+
 def _home(
     parts: Sequence[PromptPart], endpoints: Sequence[FoundEndpoint]
 ) -> str | None:
--- a/libs/gateway/src/bulrushbend/gateway/spread.py
+++ b/libs/gateway/src/bulrushbend/gateway/spread.py
@@ -119,8 +119,8 @@
             return
         match datagram.WhichOneof("content"):
             case "report":
-                self._loads.learn(datagram.report)
-                self._on_news()
+                if self._loads.learn(datagram.report):
+                    self._on_news()
             case "request":
                 self._server.take(datagram.request, f"{address[0]}:{address[1]}")
             case "reply":
--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -192,3 +192,25 @@
     await parts.clock.advance(WAITING_LIFE_MS + 1)
     placement = await parts.place(make_call("large"))
     assert placement.endpoint == "e1"
+
+
+async def test_look_does_not_try_what_fits_nowhere():
+    # Guards against a coordinator whose processor goes into hopeless tries.
+    parts = Parts(make_endpoint("e1"), make_endpoint("e2"), most_waiting=1000)
+    occupy(parts, "e1", 2_000)
+    occupy(parts, "e2", 2_000)
+    waiting = [
+        await wait_for(parts, make_call(f"t{n}", 500, request_id=str(n)))
+        for n in range(20)
+    ]
+    tried = []
+    choose = parts.placer.choose
+    parts.placer.choose = lambda *given: tried.append(given) or choose(*given)
+    parts.queue.look()
+    assert tried == []
+    parts.loads.read("e1", 2_000)
+    parts.queue.look()
+    await settle()
+    assert sum(task.done() for task in waiting) == 4
+    for task in waiting:
+        task.cancel()
--- a/libs/gateway/tests/test_loads.py
+++ b/libs/gateway/tests/test_loads.py
@@ -84,3 +84,16 @@
     holdings.give("e1", PARTS)
     holdings.forget("e1")
     assert holdings.held_tokens("e1", PARTS) == 0
+
+
+def test_only_less_work_is_news_for_what_waits():
+    # Guards against a look at the whole queue for each request that starts somewhere.
+    first, second = make_view("g1"), make_view("g2")
+    assert first.learn(second.report())
+    begin(second, "e1", "crew-b", 300, 10)
+    assert not first.learn(second.report(is_brief=True))
+    second.read("e1", 300)
+    assert first.learn(second.report(is_brief=True))
+    second.end("e1")
+    assert first.learn(second.report(is_brief=True))
+    assert not first.learn(second.report(is_brief=True))
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -1,4 +1,6 @@
-from gateway_builders import Parts, make_call, make_endpoint
+import math
+
+from gateway_builders import SERVICE, Parts, make_call, make_endpoint
 
 from bulrushbend.gateway.call import PromptPart
 
@@ -117,3 +119,26 @@
     parts.health.streamed("e1", [22.0] * 10)
     parts.health.streamed("e2", [21.0] * 10)
     assert parts.health.relative_pace(parts.directory.of_service("flor-llm")) == {}
+
+
+def test_room_is_the_most_that_an_endpoint_can_be_given():
+    # Guards against requests that are left out of a look though they would fit.
+    parts = Parts(make_endpoint("e1"), make_endpoint("e2", slots=1))
+    endpoints = parts.directory.of_service(SERVICE)
+    assert parts.placer.room(endpoints) == math.inf
+    parts.begin("e1", tokens=1500)
+    parts.begin("e2", tokens=0)
+    assert parts.placer.room(endpoints) == 548
+    assert parts.choose(make_call(tokens=548)) is not None
+    assert parts.choose(make_call(tokens=549)) is None
+    parts.begin("e1", tokens=600)
+    assert parts.placer.room(endpoints) <= 0
+
+
+def test_endpoint_is_avoided_only_as_long_as_it_was_said():
+    # Guards against a shortcut that forgets who is avoided, or for how long.
+    parts = Parts(make_endpoint("e1"), make_endpoint("e2"))
+    endpoints = parts.directory.of_service(SERVICE)
+    assert list(parts.health.usable(endpoints)) == list(endpoints)
+    parts.health.failed("e1", "silent")
+    assert [e.id for e in parts.health.usable(endpoints)] == ["e2"]
