--- a/tests/adapter/test_small_gateways.py
+++ b/tests/adapter/test_small_gateways.py
@@ -89,6 +89,20 @@
         assert hot.served >= LEAST_PART * wide.served, str(hot)
 
 
+async def test_small_team_beside_a_hot_one_at_a_small_gateway_is_served(tmp_path):
+    # Guards against a lack of processor time that is charged to all teams alike.
+    async with fleet(tmp_path) as machines:
+        hot = Load(machines.hosts[0], "k1", 400, keeps_connections=True)
+        small = Load(machines.hosts[0], "k2", 5)
+        limit = ProcessorLimit(pid_of(machines, machines.hosts[0]), SMALL_SHARE)
+        limiting = asyncio.create_task(limit.run())
+        await asyncio.gather(hot.play(8.0), small.play(8.0))
+        limiting.cancel()
+        await asyncio.gather(limiting, return_exceptions=True)
+        hot.close()
+        assert small.served >= LEAST_PART * 8.0 * small.per_s, f"{small} {hot}"
+
+
 async def test_stream_costs_a_gateway_little_processor_time(tmp_path):
     # Guards against a path of events that a small gateway cannot afford.
     async with fleet(tmp_path) as machines:
