--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -201,6 +201,10 @@
         self._waits_since_s = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def _desk(self) -> Desk:
+        return self._server.desk
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
         transport.set_write_buffer_limits(high=_MOST_UNSENT_BYTES)
@@ -322,10 +326,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    @property
-    def _desk(self) -> Desk:
-        return self._server.desk
-
     def _begin_reading(self) -> None:
         if not self._is_reading:
             self._is_reading = True
