--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -13,7 +13,6 @@
 from tornado.web import Application
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import SettingsError
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.identity import Identity, new_identity
 from bulrushbend.core.logs import part_logger, set_verbosity
@@ -51,6 +50,7 @@
 from bulrushbend.process.daemon import (
     cpu_ms,
     describe_member,
+    listen_error,
     listen_http,
     open_event_log,
     operational_routes,
@@ -276,8 +276,7 @@
         try:
             await self._spread.open(address)
         except OSError as error:
-            reason = error.strerror or str(error)
-            raise SettingsError(reason, step="listen", peer=address) from None
+            raise listen_error(error, address) from None
         stack.callback(self._spread.close)
 
     async def run(self) -> None:
@@ -537,8 +536,7 @@
     try:
         await server.listen(host, port)
     except OSError as error:
-        reason = error.strerror or str(error)
-        raise SettingsError(reason, step="listen", peer=address) from None
+        raise listen_error(error, address) from None
 
 
 def _describe(call: Call) -> dict[str, Any]:
--- a/libs/process/src/bulrushbend/process/daemon.py
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -95,8 +95,12 @@
     try:
         server.add_sockets(bind_sockets(port, host))
     except OSError as error:
-        reason = error.strerror or str(error)
-        raise SettingsError(reason, step="listen", peer=address) from None
+        raise listen_error(error, address) from None
+
+
+def listen_error(error: OSError, address: str) -> SettingsError:
+    """Return the error of an address that cannot be bound."""
+    return SettingsError(error.strerror or str(error), step="listen", peer=address)
 
 
 def open_event_log(
--- a/tests/adapter/test_small_gateways.py
+++ b/tests/adapter/test_small_gateways.py
@@ -88,16 +88,21 @@
     return used_ms * peer_ms / peers_ms
 
 
+async def play_at_small_gateway(machines, duration_s, *loads):
+    """Play loads while the first gateway has the processor of a small VM."""
+    limit = ProcessorLimit(pid_of(machines, machines.hosts[0]), SMALL_SHARE)
+    limiting = asyncio.create_task(limit.run())
+    await asyncio.gather(*[load.play(duration_s) for load in loads])
+    limiting.cancel()
+    await asyncio.gather(limiting, return_exceptions=True)
+
+
 async def test_team_behind_one_small_gateway_gets_half_of_the_best_served(tmp_path):
     # Guards against a hot team that gets only what one gateway's processor can carry.
     async with fleet(tmp_path) as machines:
         hot = Load(machines.hosts[0], "k1", 240, keeps_connections=True)
         wide = Load(machines.hosts[1], "k2", 60)
-        limit = ProcessorLimit(pid_of(machines, machines.hosts[0]), SMALL_SHARE)
-        limiting = asyncio.create_task(limit.run())
-        await asyncio.gather(hot.play(8.0), wide.play(8.0))
-        limiting.cancel()
-        await asyncio.gather(limiting, return_exceptions=True)
+        await play_at_small_gateway(machines, 8.0, hot, wide)
         assert wide.served >= LEAST_PART * 8.0 * wide.per_s
         hot.close()
         assert hot.served >= LEAST_PART * wide.served, str(hot)
@@ -108,11 +113,7 @@
     async with fleet(tmp_path) as machines:
         hot = Load(machines.hosts[0], "k1", 400, keeps_connections=True)
         small = Load(machines.hosts[0], "k2", 5)
-        limit = ProcessorLimit(pid_of(machines, machines.hosts[0]), SMALL_SHARE)
-        limiting = asyncio.create_task(limit.run())
-        await asyncio.gather(hot.play(8.0), small.play(8.0))
-        limiting.cancel()
-        await asyncio.gather(limiting, return_exceptions=True)
+        await play_at_small_gateway(machines, 8.0, hot, small)
         hot.close()
         assert small.served >= LEAST_PART * 8.0 * small.per_s, f"{small} {hot}"
 
