--- a/libs/wire/tests/test_exchange.py
+++ b/libs/wire/tests/test_exchange.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from bulrushbend.core.errors import (
     ConnectFailed,
@@ -273,3 +274,20 @@
         request = ExchangeRequest("GET", "/x HTTP/1.1\r\nA: b\r\n\r\nGET /y")
         with pytest.raises(ValueError):
             await Exchange.open(address, request, TIMEOUTS)
+
+
+@pytest.mark.parametrize("loop_factory", [None, uvloop.new_event_loop])
+def test_flow_control_after_the_end_has_no_effect(loop_factory):
+    # Guards against a caller that reads on after its endpoint's connection has ended.
+    async def play():
+        server, address = await serve_raw(CHUNKED, keep_open=True)
+        async with server:
+            for first, second in (("pause", "resume"), ("resume", "pause")):
+                exchange = await Exchange.open(address, REQUEST, TIMEOUTS)
+                getattr(exchange, first)()
+                exchange.close()
+                await asyncio.sleep(0.05)
+                getattr(exchange, second)()
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(play())
