Remove what the new HTTP path does not use, and name the statuses without a body once

The end of a connection is handled by the protocols' default, nobody reads whether a sink closes, and three modules listed 204 and 304. No behaviour changes.

--- a/libs/agent/src/bulrushbend/agent/attempt.py
+++ b/libs/agent/src/bulrushbend/agent/attempt.py
@@ -23,7 +23,7 @@
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.identity import Identity
 from bulrushbend.core.logs import part_logger
-from bulrushbend.wire.exchange import Exchange, ExchangeRequest
+from bulrushbend.wire.exchange import STATUSES_WITHOUT_BODY, Exchange, ExchangeRequest
 from bulrushbend.wire.names import AttemptState
 
 _log = part_logger("agent.attempt")
@@ -214,9 +214,8 @@
 
     def _check_framing(self, exchange: Exchange) -> None:
         """Refuse an answer that ends with the connection: a cut would look whole."""
-        has_no_body = self._request.forward.method == "HEAD" or exchange.status in (
-            204,
-            304,
+        has_no_body = self._request.forward.method == "HEAD" or (
+            exchange.status in STATUSES_WITHOUT_BODY
         )
         headers = exchange.headers
         if has_no_body or "Content-Length" in headers or "Transfer-Encoding" in headers:
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -369,8 +369,8 @@
             sink.break_off()
             return
         if error.retry_after_ms is not None:
-            # Callers come back on a connection of its own, so this one would only use
-            # up a descriptor.
+            # Callers come back on another connection, so this one would only use up a
+            # descriptor.
             sink.close_after()
         status, headers, content = self.refuse(request_headers, error)
         sink.start(status, headers)
@@ -390,12 +390,12 @@
         reason = ending.reason.partition(":")[0]
         metrics.REQUESTS.labels(service, str(ending.status), reason).inc()
         metrics.LATENCY.labels(service).observe(taken_ms / 1000.0)
-        if call is not None and call.first_event_ms is not None:
-            self._usage.note_given(call.team, call.cost)
-        if call is not None:
-            details = _describe(call)
-        else:
+        if call is None:
             details = {"request_id": self._dialect.read_request_id(headers)}
+        else:
+            details = _describe(call)
+            if call.first_event_ms is not None:
+                self._usage.note_given(call.team, call.cost)
         self._events.write(
             ending.kind,
             **details,
--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -26,7 +26,7 @@
 _VERSIONS = ("1.0", "1.1")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Time for the headers of a request on a connection that was idle.
-HEADER_TIME_MS = 3_000.0
+_HEADER_TIME_MS = 3_000.0
 # Time between two pieces of a body.
 _BODY_TIME_MS = 30_000.0
 # A caller whose request was refused before it was read gets this time to read the
@@ -220,9 +220,6 @@
         if self._task is not None:
             self._task.cancel()
 
-    def eof_received(self) -> bool:
-        return False
-
     def pause_writing(self) -> None:
         if self._sink is not None:
             self._sink.note_full(True)
@@ -390,7 +387,7 @@
 
     def _watch_time(self) -> None:
         """Close the connection when its caller is silent for too long."""
-        limit_ms = self._server.idle_ms + HEADER_TIME_MS
+        limit_ms = self._server.idle_ms + _HEADER_TIME_MS
         if self._request is not None:
             limit_ms = _BODY_TIME_MS
         left_s = self._waits_since_s + limit_ms / 1000.0 - self._loop.time()
--- a/libs/gateway/src/bulrushbend/gateway/sink.py
+++ b/libs/gateway/src/bulrushbend/gateway/sink.py
@@ -9,10 +9,10 @@
 
 from tornado.httputil import HTTPHeaders
 
+from bulrushbend.wire.exchange import STATUSES_WITHOUT_BODY
+
 # struct linger: on, no time. A reset cannot be taken for the end of an answer.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-# Status codes of answers that have no body (RFC 9110, section 6.4.1).
-_WITHOUT_BODY = frozenset({204, 304})
 
 FlowControl = Callable[[], None]
 
@@ -85,11 +85,6 @@
         """Whether the caller has been sent anything."""
         return self._started
 
-    @property
-    def closes(self) -> bool:
-        """Whether the connection ends after the answer."""
-        return self._closes
-
     def close_after(self) -> None:
         """End the connection after this answer, which has not started."""
         self._closes = True
@@ -149,7 +144,7 @@
         assert self._head is not None
         self._started = True
         status, headers = self._head
-        self._has_body = not (self._is_head_request or status in _WITHOUT_BODY)
+        self._has_body = not (self._is_head_request or status in STATUSES_WITHOUT_BODY)
         if self._has_body and "Content-Length" not in headers:
             self._is_chunked = self._can_chunk
             if self._is_chunked:
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -26,7 +26,7 @@
 # Bytes held between the socket and a slow reader; reading stops above it.
 _MOST_BUFFERED_BYTES = 1 << 18
 # Status codes of answers that have no body (RFC 9110, section 6.4.1).
-_WITHOUT_BODY = frozenset({204, 304})
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 Taker = Callable[[bytes], None]
 
@@ -116,9 +116,6 @@
         if not self._is_head_read and self._head_bytes > _MAX_HEAD_BYTES:
             self.fail(self._broken("the head of the answer has no end", ProtocolFault))
 
-    def eof_received(self) -> bool:
-        return False
-
     def connection_lost(self, error: Exception | None) -> None:
         # A connection that was reset does not end a body without a length.
         if self._is_head_read and self._ends_with_connection and error is None:
@@ -149,7 +146,7 @@
             self.fail(self._broken(f"status {status} is not valid", ProtocolFault))
         elif not self.head.done():
             self.head.set_result(None)
-        if self.is_head_request or status in _WITHOUT_BODY:
+        if self.is_head_request or status in STATUSES_WITHOUT_BODY:
             self._finish()
 
     def on_body(self, piece: bytes) -> None:
