Draw the addresses of an agent's tests at one time

The builder drew each address by itself and closed its port before the next one, so control and the endpoint could get the same port. With both set to one address the test fails in the same way; the builder now holds all four ports while it draws. The test is unchanged.

--- a/libs/agent/tests/builders.py
+++ b/libs/agent/tests/builders.py
@@ -38,22 +38,31 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(data), data)
 
 
+def free_addresses(count):
+    """Return addresses that nobody listens on, no two of them the same."""
+    with contextlib.ExitStack() as stack:
+        # A port that is closed before the next one is drawn can be drawn again.
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
+
+
 def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    return free_addresses(1)[0]
 
 
 def build_settings(**changes):
+    http, link, control, endpoint = free_addresses(4)
     values = {
         "name": "agent-1",
         "vm": "vm-1",
         "data_centre": "papantla",
-        "http_address": free_address(),
-        "link_address": free_address(),
-        "control": (PeerAddress(name="control-1", address=free_address()),),
+        "http_address": http,
+        "link_address": link,
+        "control": (PeerAddress(name="control-1", address=control),),
         "endpoint": "flor-1",
-        "endpoint_address": free_address(),
+        "endpoint_address": endpoint,
         "heartbeat_ms": 50,
         "silence_ms": 400,
         "spread_ms": 20,
