Read slot time from the agents in the session about idle slots

Cause: the test read the account from `bulrushbend status`, which shows the latest report to control, up to one heartbeat (500 ms) old. When the command is quick, the first reading is of a time before the flood reached the agents, so the window holds the start of the flood: 150 to 310 ms in which the eight idle slots take their first requests. Read every 20 ms from the agents over four floods, the account grew only in that start and in the drain after the last request was sent, but for two steps of 14 and 21 ms in one of them.

Evidence: eight floods read at the same moments both ways, without the start-up time of the command line. Control's reports gave idle parts of 0.008 to 0.039 at report ages of 6 to 373 ms, six of them over the bound; the agents' own account gave 0 to 0.0024.

The session now reads the agents' metrics and waits until each account was renewed after the reading was asked for.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,6 +11,7 @@
 
 from forwarder import Network
 from localfleet import FleetPlan, LocalFleet, Unit, fetch, token_of
+from prometheus_client.parser import text_string_to_metric_families
 
 from bulrushbend.cli.timeline import Event, read_logs
 
@@ -130,6 +131,17 @@
         address = self.units[stand_in].listen_address
         return json.loads(fetch(f"http://{address}/runs{query}")[2])
 
+    def gauges(self, name: str) -> dict[str, float]:
+        """Return the unlabelled gauges that a process shows now."""
+        address = self.units[name].settings["http_address"]
+        page = fetch(f"http://{address}/metrics")[2].decode()
+        return {
+            sample.name: sample.value
+            for family in text_string_to_metric_families(page)
+            for sample in family.samples
+            if family.type == "gauge" and not sample.labels
+        }
+
     def _add_unit(self, name: str, role: str, command, settings) -> Unit:
         unit = super()._add_unit(name, role, command, settings)
         if role in ("control", "router", "agent"):
--- a/tests/test_fair_sessions.py
+++ b/tests/test_fair_sessions.py
@@ -25,6 +25,8 @@
 IDLE_PER_REQUEST_MS = 0.01 * 2900.0
 # Half of heartbeat_ms: a slot that waits for a periodic message is idle for longer.
 LONGEST_IDLE_MS = 250.0
+USABLE = "bulrushbend_agent_slot_usable_ms"
+IDLE = "bulrushbend_agent_slot_idle_while_waiting_ms"
 FLOOD_COST = {"kind": "log-uniform", "low_ms": 200.0, "high_ms": LARGEST_COST_MS}
 
 
@@ -60,9 +62,16 @@
 
 
 def slot_time_ms(fleet):
-    endpoints = fleet.status()["endpoints"]
-    keys = ("usable_ms", "idle_while_waiting_ms")
-    return [sum(endpoint[key] for endpoint in endpoints) for key in keys]
+    """Return the slot time offered and idle, as accounted after this call began."""
+    agents = [agent.name for agent in fleet.of_role("agent")]
+    asked = {name: fleet.gauges(name)[USABLE] for name in agents}
+
+    def renewed():
+        shown = {name: fleet.gauges(name) for name in agents}
+        return shown if all(shown[n][USABLE] > asked[n] for n in agents) else None
+
+    shown = fleet.wait_until(renewed, "agents renew their account").values()
+    return [sum(gauges[key] for gauges in shown) for key in (USABLE, IDLE)]
 
 
 def count_runs(fleet):
