Draw the addresses of rigs and tests in one place, each of them once

Cause: five copies of one function bound a socket to port 0, closed it and returned the port.

The tests of agent, router and control and both rigs call it.

--- a/libs/agent/tests/builders.py
+++ b/libs/agent/tests/builders.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import contextlib
-import socket
 from dataclasses import dataclass, field
 
 from grpclib.client import Channel
 from tornado.httputil import HTTPHeaders
 
 from bulrushbend.agent.daemon import Agent
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.core.manifest import Endpoint, Manifest, Service, Team
 from bulrushbend.core.settings import AgentSettings, PeerAddress, split_address
 from bulrushbend.wire.documents import pack_manifest
@@ -38,31 +38,16 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(data), data)
 
 
-def free_addresses(count):
-    """Return addresses that nobody listens on, no two of them the same."""
-    with contextlib.ExitStack() as stack:
-        # A port that is closed before the next one is drawn can be drawn again.
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-
-
-def free_address():
-    return free_addresses(1)[0]
-
-
 def build_settings(**changes):
-    http, link, control, endpoint = free_addresses(4)
     values = {
         "name": "agent-1",
         "vm": "vm-1",
         "data_centre": "papantla",
-        "http_address": http,
-        "link_address": link,
-        "control": (PeerAddress(name="control-1", address=control),),
+        "http_address": free_address(),
+        "link_address": free_address(),
+        "control": (PeerAddress(name="control-1", address=free_address()),),
         "endpoint": "flor-1",
-        "endpoint_address": endpoint,
+        "endpoint_address": free_address(),
         "heartbeat_ms": 50,
         "silence_ms": 400,
         "spread_ms": 20,
--- a/libs/agent/tests/test_dataport.py
+++ b/libs/agent/tests/test_dataport.py
@@ -6,6 +6,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.core.errors import TruncatedAnswer
 from bulrushbend.core.settings import split_address
 
@@ -14,7 +15,6 @@
     LAST_CHUNK,
     chunk,
     eventually,
-    free_address,
     running_agent,
     whole,
 )
--- a/libs/agent/tests/test_leaving.py
+++ b/libs/agent/tests/test_leaving.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.core.errors import ConnectFailed
 from bulrushbend.wire.documents import pack_manifest
 
@@ -17,7 +18,6 @@
     build_manifest,
     chunk,
     eventually,
-    free_address,
     running_agent,
     until_refused,
     whole,
--- a/libs/agent/tests/test_load.py
+++ b/libs/agent/tests/test_load.py
@@ -1,13 +1,13 @@
 import asyncio
 
 from bulrushbend.agent.load import LoadPoll
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.core.clock import Clock
 
 from .builders import (
     FakeEndpoint,
     build_manifest,
     eventually,
-    free_address,
     running_agent,
     whole,
 )
--- a/libs/bench/src/bulrushbend/bench/agent_rig.py
+++ b/libs/bench/src/bulrushbend/bench/agent_rig.py
@@ -4,7 +4,6 @@
 import contextlib
 import os
 import resource
-import socket
 import sys
 import time
 from collections.abc import AsyncIterator
@@ -15,6 +14,7 @@
 from grpclib.server import Server
 from tornado.httputil import HTTPHeaders
 
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.core.manifest import Endpoint, Manifest, Service, Team
 from bulrushbend.core.settings import AgentSettings, PeerAddress, split_address
 from bulrushbend.wire import names
@@ -40,13 +40,6 @@
 TIMEOUTS = ExchangeTimeouts()
 
 
-def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 class PacedEndpoint:
     """Endpoint that stamps each chunk with the time at which it is sent.
 
--- a/libs/bench/src/bulrushbend/bench/control_replicas.py
+++ b/libs/bench/src/bulrushbend/bench/control_replicas.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import contextlib
-import socket
 import tempfile
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.control.daemon import ControlDaemon
 from bulrushbend.core.events import MemoryEventLog
 from bulrushbend.core.settings import ControlSettings
@@ -57,7 +57,7 @@
         self.files = _CountingFiles()
         self.transports: list[_CountingTransport] = []
         self.daemons: dict[str, ControlDaemon] = {}
-        self.control = [{"name": n, "address": _free_address()} for n in NAMES]
+        self.control = [{"name": n, "address": free_address()} for n in NAMES]
 
     @property
     def peer_bytes(self) -> int:
@@ -85,7 +85,7 @@
             name=name,
             vm=name,
             data_centre="papantla",
-            http_address=_free_address(),
+            http_address=free_address(),
             control=self.control,
             link_address=self.address(name),
             data_folder=str(self._folder / name),
@@ -137,9 +137,3 @@
         finally:
             for name in list(replicas.daemons):
                 await replicas.stop(name)
-
-
-def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
--- a/libs/control/tests/control_builders.py
+++ b/libs/control/tests/control_builders.py
@@ -1,19 +1,12 @@
 """Builders of settings, members and manifests for the tests of control."""
 
-import socket
-
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.core.manifest import parse_manifest
 from bulrushbend.core.settings import ControlSettings, RouterSettings
 from bulrushbend.wire.documents import pack_manifest
 from bulrushbend.wire.fleet_pb2 import KeyRequest, Member, PublishRequest
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def control_settings(folder, names=("c1",), **changes):
     control = [{"name": name, "address": free_address()} for name in names]
     return [
--- a/libs/control/tests/test_repair.py
+++ b/libs/control/tests/test_repair.py
@@ -5,11 +5,12 @@
 import shutil
 from pathlib import Path
 
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.control.daemon import ControlDaemon
 from bulrushbend.core.settings import PeerAddress
 from bulrushbend.wire.control_pb2 import Command
 
-from .control_builders import control_settings, free_address, publish_request
+from .control_builders import control_settings, publish_request
 
 NAMES = ("c1", "c2", "c3")
 FAST = {"election_timeout_ms": 200, "append_interval_ms": 40, "voters": 3}
--- a/libs/router/tests/builders.py
+++ b/libs/router/tests/builders.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import contextlib
-import socket
 from collections import Counter
 
 from grpclib.server import Server
 
+from bulrushbend.bench.addresses import free_address
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import MemoryEventLog
 from bulrushbend.core.identity import new_identity
@@ -28,12 +28,6 @@
 CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def make_manifest(version=1, **limits):
     return Manifest.model_validate(
         {
