Report links and answers when a session of keyed requests fails

A step now fails with the answer of a call that ended before it was reached, and the check that nothing was recorded prints the open links with their sources.

--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -119,6 +119,18 @@
 
         return self._call(change())
 
+    def describe(self) -> str:
+        """Return a line about each open connection, for the report of a failure."""
+
+        async def read():
+            return [
+                f"{c.target} from {c.source or 'unknown'}:"
+                f" {'silent' if c.silent else 'open'}, {c.look_ups} look-ups"
+                for c in self._connections
+            ]
+
+        return "\n".join(sorted(self._call(read())))
+
     def set_delay(self, delay_ms: float) -> None:
         """Delay all data one way by `delay_ms`."""
         self._delay_ms = delay_ms
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -47,6 +47,11 @@
         )
         self._thread.start()
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the call has returned or raised."""
+        return not self._thread.is_alive()
+
     def result(self, timeout_s: float = 20.0) -> Any:
         """Return what the call returned, or raise what it raised."""
         self._thread.join(timeout_s)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -67,6 +67,8 @@
                         network.set_rule(Rule.SILENT, "control-1", "router-1")
                     caller.sendall(b"record")
                     accepted.settimeout(0.3)
+                    described = network.describe()
+                    assert described == "control-1 from router-1: silent, 4 look-ups"
                     with pytest.raises(TimeoutError):
                         accepted.recv(100)
         finally:
--- a/tests/test_key_sessions.py
+++ b/tests/test_key_sessions.py
@@ -84,20 +84,32 @@
         call = Call(self.send)
         if step == "before the record":
             # The router counts a request that is being read as waiting.
-            fleet.wait_until(self.is_admitted, "the request is admitted")
-            assert self.count_events("key-recorded") == recorded
+            self.await_step(call, self.is_admitted, "the request is admitted")
+            now_recorded = self.count_events("key-recorded")
+            assert now_recorded == recorded, fleet.network.describe()
         if step == "before dispatch":
 
             def is_recorded():
                 return self.count_events("key-recorded") > recorded
 
-            fleet.wait_until(is_recorded, "the key is recorded")
+            self.await_step(call, is_recorded, "the key is recorded")
         if step == "while running":
-            fleet.wait_until(self.runs, "the request runs")
+            self.await_step(call, self.runs, "the request runs")
         if step == "before the answer":
-            fleet.wait_until(self.has_ended, "the run has ended")
+            self.await_step(call, self.has_ended, "the run has ended")
         return call
 
+    def await_step(self, call, condition, what):
+        """Wait for the step; a call that ends before it fails with its answer."""
+
+        def is_reached():
+            if condition():
+                return True
+            assert not call.has_ended, f"before {what}: {call.result()}"
+            return False
+
+        self.fleet.wait_until(is_reached, what)
+
     def is_admitted(self):
         address = self.fleet.units["router-1"].listen_address
         host, _, port = address.partition(":")
