--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -42,7 +42,7 @@
             for number in range(2)
         ]
         self.engines.append(Engine("i-app", "app", f"{_NETWORK}.110", 8080))
-        self.links = Network(lambda port: "") if has_links else None
+        self.links = Network(lambda client_port, server_port: "") if has_links else None
         if self.links is not None:
             for number, engine in enumerate(self.engines):
                 listen = f"{_NETWORK}.{150 + number}:8080"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -29,7 +29,7 @@
     """
 
     def __init__(self, folder: Path, plan: FleetPlan | None = None):
-        self.network = Network(self._owner_of_port)
+        self.network = Network(self._owner_of_connection)
         super().__init__(folder, plan or FleetPlan())
 
     def __exit__(self, *arguments: object) -> None:
@@ -169,9 +169,9 @@
             self.network.forward(target, announced, address)
             settings[key] = settings[key].replace(address, announced)
 
-    def _owner_of_port(self, port: int) -> str:
-        """Return the name of the process of the fleet that has a client port."""
-        inode = _socket_inode(port)
+    def _owner_of_connection(self, client_port: int, server_port: int) -> str:
+        """Return the name of the process of the fleet that made a connection."""
+        inode = _socket_inode(client_port, server_port)
         if inode is None:
             return ""
         link = f"socket:[{inode}]"
@@ -181,11 +181,13 @@
         return ""
 
 
-def _socket_inode(port: int) -> str | None:
-    local = f":{port:04X}"
+def _socket_inode(client_port: int, server_port: int) -> str | None:
+    # One client port may have connections to several servers at the same time.
+    local, remote = f":{client_port:04X}", f":{server_port:04X}"
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[1].endswith(local) and fields[9] != "0":
+        ends = fields[1].endswith(local) and fields[2].endswith(remote)
+        if ends and fields[9] != "0":
             return fields[9]
     return None
 
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -65,10 +65,11 @@
     Parameters
     ----------
     identify : callable
-        Returns the name of the process that has the client port, or "".
+        Returns the name of the process that made the connection from a client port
+        to a server port, or "".
     """
 
-    def __init__(self, identify: Callable[[int], str]):
+    def __init__(self, identify: Callable[[int, int], str]):
         self._identify = identify
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -190,8 +191,8 @@
         return self._rules.get((target, connection.source), anyone)
 
     async def _serve(self, target, address, reader, writer) -> None:
-        port = writer.get_extra_info("peername")[1]
-        identify = functools.partial(self._identify, port)
+        ports = [writer.get_extra_info(end)[1] for end in ("peername", "sockname")]
+        identify = functools.partial(self._identify, *ports)
         connection = Connection(target, identify, writers=[writer])
         rule = await self._rule_for(connection)
         connection.silent = rule is Rule.SILENT
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,9 +1,11 @@
+import contextlib
+import os
 import socket
 import subprocess
 import sys
 
 import pytest
-from fleet import _open_files
+from fleet import _open_files, _socket_inode
 from forwarder import _LOOK_UPS, Network, Rule
 from localfleet import pick_ports
 
@@ -38,13 +40,34 @@
     assert missed == 0
 
 
+def test_connections_from_one_port_to_two_servers_are_told_apart():
+    # Guards against a look-up by the client's port alone: the system gives one port
+    # to connections to different servers, and a rule for a source missed its link.
+    with contextlib.ExitStack() as stack:
+        servers = [
+            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+            for _ in range(2)
+        ]
+        port, found, expected = 0, [], []
+        for server in servers:
+            caller = stack.enter_context(socket.socket())
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            caller.bind(("127.0.0.1", port))
+            caller.connect(server.getsockname())
+            port = caller.getsockname()[1]
+            expected.append(str(os.fstat(caller.fileno()).st_ino))
+        for server in servers:
+            found.append(_socket_inode(port, server.getsockname()[1]))
+    assert found == expected
+
+
 class SlowToKnow:
     """Look-up that finds a source only after some calls."""
 
     def __init__(self, misses):
         self.misses = misses
 
-    def __call__(self, port):
+    def __call__(self, client_port, server_port):
         self.misses -= 1
         return "" if self.misses >= 0 else "router-1"
 
