Count only the links of the running process in sessions

Cause: `Fleet.all_linked` reads event logs, and the links of a killed process stay in its log until its successor writes its first line. While the peers are too busy to log that their links to it are down, the fleet looks linked before the new router has started, and the next request finds nobody there.

The new test in tests/test_fleet.py failed before.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -30,12 +30,19 @@
 
     def __init__(self, folder: Path, plan: FleetPlan | None = None):
         self.network = Network(self._owner_of_connection)
+        self._started_ms: dict[str, int] = {}
         super().__init__(folder, plan or FleetPlan())
 
     def __exit__(self, *arguments: object) -> None:
         super().__exit__(*arguments)
         self.network.close()
 
+    def start(self, *names: str) -> None:
+        """Start the named processes, or all of them."""
+        now_ms = int(time.time() * 1000)
+        self._started_ms |= dict.fromkeys(names or self.units, now_ms)
+        super().start(*names)
+
     def boot(self, version: int = 1) -> None:
         """Start everything, publish a manifest and wait until all links are up."""
         self.start()
@@ -61,8 +68,9 @@
         """Return the peers to which the process has an open stream."""
         peers: set[str] = set()
         for event in self.events(name):
-            if event.kind == "process-started":
-                peers.clear()
+            # A process that was killed does not log the end of its links.
+            if event.wall_ms < self._started_ms.get(name, 0):
+                continue
             if event.kind == "link-up":
                 peers.add(event.details["peer"])
             if event.kind == "link-down":
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -54,6 +54,24 @@
         assert set(fleet.stop().values()) == {0}
 
 
+def test_links_of_a_killed_process_do_not_count_for_the_next(tmp_path):
+    # Guards against a restarted router that counts as linked before it has started,
+    # seen while its peers were too busy to log that their links were down.
+    with Fleet(tmp_path, PLAN) as fleet:
+        fleet.boot()
+        for agent in fleet.of_role("agent"):
+            fleet.pause(agent.name)
+        fleet.kill("router-1")
+        fleet.start("router-1")
+        fleet.pause("router-1")
+        assert not fleet.all_linked()
+        fleet.resume("router-1")
+        for agent in fleet.of_role("agent"):
+            fleet.resume(agent.name)
+        fleet.wait_until(fleet.all_linked, "all links are up", WITHIN_S)
+        assert ask(fleet) == 200
+
+
 def test_ports_of_two_fleets_differ():
     # Guards against two fleets on one machine that meet on a port not yet in use.
     code = "import localfleet; print(*localfleet.pick_ports(400)); input()"
