Call one piece of code for bind errors of links, and for gauges in sessions

`bind_link_socket` built the error that `listen_error` builds for the other listeners, and the session of keyed requests read the router's metrics page with a client of its own beside `Fleet.gauges`. Messages, fields and assertions are unchanged. `gauges` asks the process itself, as the other look-ups of sessions do, and not through the forwarder.

--- a/libs/agent/src/bulrushbend/agent/link.py
+++ b/libs/agent/src/bulrushbend/agent/link.py
@@ -11,11 +11,12 @@
 
 from bulrushbend.agent import metrics
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import PeerSilent, SettingsError
+from bulrushbend.core.errors import PeerSilent
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.identity import Identity
 from bulrushbend.core.logs import part_logger
 from bulrushbend.core.settings import AgentSettings, split_address
+from bulrushbend.process.daemon import listen_error
 from bulrushbend.wire.fleet_grpc import LinkBase
 from bulrushbend.wire.fleet_pb2 import (
     AgentBatch,
@@ -372,8 +373,7 @@
         family = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0][0]
         sock = socket.create_server((host, port), family=family, backlog=1024)
     except OSError as error:
-        reason = error.strerror or str(error)
-        raise SettingsError(reason, step="listen", peer=address) from None
+        raise listen_error(error, address) from None
     seconds = max(1, int(silence_ms / 1000))
     # asyncio sets this only on sockets that name their protocol, which the ones
     # accepted here do not. Without it a claim waits for a delayed ACK of 40 ms.
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -141,7 +141,7 @@
 
     def gauges(self, name: str) -> dict[str, float]:
         """Return the unlabelled gauges that a process shows now."""
-        address = self.units[name].settings["http_address"]
+        address = self.units[name].listen_address
         page = fetch(f"http://{address}/metrics")[2].decode()
         return {
             sample.name: sample.value
--- a/tests/test_key_sessions.py
+++ b/tests/test_key_sessions.py
@@ -111,13 +111,7 @@
         self.fleet.wait_until(is_reached, what)
 
     def is_admitted(self):
-        address = self.fleet.units["router-1"].listen_address
-        host, _, port = address.partition(":")
-        page = http.client.HTTPConnection(host, int(port), timeout=5)
-        page.request("GET", "/metrics")
-        text = page.getresponse().read().decode()
-        page.close()
-        return "bulrushbend_router_waiting 1.0" in text
+        return self.fleet.gauges("router-1")["bulrushbend_router_waiting"] == 1.0
 
     def has_ended(self):
         return self.runs() and self.fleet.runs("application-1")["running"] == 0
