Wait for /readyz before the request to a restarted router

Cause: the test sent its request as soon as all links were up. The router adopts its manifest some milliseconds later and refuses requests as "starting" until then, which its interface allows (events of the failed run: links up at 445 ms, manifest in force at 455 ms, refusal at 457 ms).

Change: the test waits for /readyz, as the other tests of restarted routers do, and then demands the same 200. The check on links is unchanged.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -72,6 +72,7 @@
         for agent in fleet.of_role("agent"):
             fleet.resume(agent.name)
         fleet.wait_until(fleet.all_linked, "all links are up", RECONNECT_TIMEOUT_S)
+        fleet.wait_for("/readyz", ["router-1"])
         assert send_chat_request(fleet) == 200
 
 
