Accept the listen backlog before a planned stop closes the socket

Cause: the kernel completes connections and takes their first request before the process accepts them, and resets those in the backlog when the listening socket is closed. The router waited 20 ms and then closed the socket; what arrived between the last poll of the event loop and the close was reset. The gateway closed its socket with no wait at all, then ended at once if no request was running, and cut responses that were still in the write buffer of a slow caller's connection.

Evidence: with the event loop held between the caller's connect and the stop, every such request fails that way. The two new tests of the gateway fail on the code before (no answer; the unsent response does not count).

Change: both accept what is in the backlog right before the close (process/listening.py). The gateway gives the last connections 300 ms to send their request, as the router does, and waits for requests that are being read and responses that are being sent, up to the end of its drain.

Ruled out: a longer wait before the close, which makes the window no smaller. What remains are the microseconds between the last accept and the close, which Linux offers no way to close.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -68,6 +68,8 @@
 _DRAINING_RETRY_AFTER_MS = 100.0
 # Short, because callers retry through another gateway, which may be idle.
 _OVERLOADED_RETRY_AFTER_MS = 100.0
+# Time in which requests on the connections accepted last can arrive and be refused.
+_LATE_REQUESTS_GRACE_MS = 300.0
 _MONITOR_INTERVAL_MS = 200.0
 # Interval of the load events. It is short, because the effects of a fault in the fleet
 # appear within a few seconds.
@@ -327,7 +329,10 @@
         await self._clock.sleep_ms(self._settings.drain_notice_ms)
         self._rejects_requests = True
         stop_listening()
-        while self._running and self._clock.now_ms() < self._drain_deadline_ms:
+        await self._clock.sleep_ms(_LATE_REQUESTS_GRACE_MS)
+        while (
+            self._running or self._server.has_unfinished_work
+        ) and self._clock.now_ms() < self._drain_deadline_ms:
             await self._clock.sleep_ms(20)
 
     def _create_call(
--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import RequestError
 from bulrushbend.gateway.sink import ConnectionSink
+from bulrushbend.process.listening import accept_pending
 
 _log = get_logger("gateway.server")
 _BODY_TOO_LARGE = RequestError(413, "body-too-large", "the body is too large")
@@ -102,6 +104,15 @@
         # Idle connections, the longest idle first.
         self._idle: OrderedDict[_Connection, None] = OrderedDict()
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._accepting: set[asyncio.Task[object]] = set()
+
+    @property
+    def has_unfinished_work(self) -> bool:
+        """Whether a request is being read or handled, or a response is being sent."""
+        return bool(self._accepting) or any(
+            connection.is_busy for connection in self._connections
+        )
 
     @property
     def connections(self) -> int:
@@ -131,15 +142,27 @@
             The address cannot be bound.
         """
         loop = asyncio.get_running_loop()
+        self._listener = socket.create_server((host, port), backlog=_LISTEN_BACKLOG)
+        self._listener.setblocking(False)
         self._server = await loop.create_server(
-            lambda: _Connection(self), host, port, backlog=_LISTEN_BACKLOG
+            self._create_connection, sock=self._listener, backlog=_LISTEN_BACKLOG
         )
 
     def stop(self) -> None:
-        """Stop accepting connections."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        """Stop accepting connections after those in the listen backlog."""
+        if self._server is None:
+            return
+        loop = asyncio.get_running_loop()
+        for connection, _ in accept_pending(self._listener):
+            opening = loop.connect_accepted_socket(self._create_connection, connection)
+            task = loop.create_task(opening)
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
+        self._server.close()
+        self._server = self._listener = None
+
+    def _create_connection(self) -> "_Connection":
+        return _Connection(self)
 
     def close_connections(self) -> None:
         """Close all connections."""
@@ -207,6 +230,18 @@
     def _handler(self) -> CallerRequestHandler:
         return self._server.handler
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request or a response on this connection is unfinished."""
+        return (
+            self._is_reading
+            or self._task is not None
+            or (
+                self._transport is not None
+                and self._transport.get_write_buffer_size() > 0
+            )
+        )
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
         transport.set_write_buffer_limits(high=_MAX_UNSENT_BYTES)
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 from tornado.httputil import HTTPHeaders
@@ -361,3 +362,41 @@
     async with serving(handler) as (_, port):
         response = await send_request(port, get("/x"))
     assert b"Connection: close" in response
+
+
+async def test_connection_in_the_listen_backlog_is_answered_after_the_stop():
+    # Guards against a planned stop that resets requests which were just sent.
+    loop = asyncio.get_running_loop()
+    async with serving(EchoHandler()) as (server, port):
+        # The event loop does not run meanwhile, so the server has not accepted it.
+        with socket.create_connection(("127.0.0.1", port)) as caller:
+            caller.sendall(get("/late"))
+            server.stop()
+            assert server.has_unfinished_work
+            caller.setblocking(False)
+            async with asyncio.timeout(2.0):
+                response = await loop.sock_recv(caller, 65_536)
+    assert b"GET /late" in response
+
+
+async def test_response_that_is_not_sent_yet_is_unfinished_work():
+    # Guards against a planned stop that cuts off a response to a slow caller.
+    handler = EchoHandler()
+    size = 8 << 20
+
+    async def respond(start_line, headers, body, sink):
+        sink.start(200, HTTPHeaders({"Content-Length": str(size)}))
+        sink.write(b"x" * size)
+        sink.finish()
+
+    handler.respond = respond
+    async with serving(handler) as (server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(get("/large"))
+        await reader.readuntil(END)
+        await asyncio.sleep(0.05)
+        assert server.has_unfinished_work
+        await reader.readexactly(size)
+        await asyncio.sleep(0.05)
+        assert not server.has_unfinished_work
+        writer.close()
--- a/libs/process/src/bulrushbend/process/daemon.py
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -5,6 +5,7 @@
 import re
 import resource
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
@@ -83,8 +84,8 @@
     ]
 
 
-def listen_http(server: HTTPServer, address: str) -> None:
-    """Bind `server` to ``"host:port"``.
+def listen_http(server: HTTPServer, address: str) -> list[socket.socket]:
+    """Bind `server` to ``"host:port"`` and return its listening sockets.
 
     Raises
     ------
@@ -93,9 +94,11 @@
     """
     host, port = split_address(address)
     try:
-        server.add_sockets(bind_sockets(port, host))
+        listeners = bind_sockets(port, host)
     except OSError as error:
         raise listen_error(error, address) from None
+    server.add_sockets(listeners)
+    return listeners
 
 
 def listen_error(error: OSError, address: str) -> SettingsError:
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -22,6 +22,7 @@
     run_until_stopped,
 )
 from bulrushbend.process.fleet_client import FleetClient
+from bulrushbend.process.listening import stop_http
 from bulrushbend.router import metrics
 from bulrushbend.router.attempt import AttemptContext
 from bulrushbend.router.dispatch import Dispatcher
@@ -318,9 +319,11 @@
             body_timeout=_BODY_TIMEOUT_S,
             idle_connection_timeout=_IDLE_CONNECTION_TIMEOUT_S,
         )
-        listen_http(server, settings.http_bind)
+        listeners = listen_http(server, settings.http_bind)
         stack.callback(server.stop)
         events.write(EventKind.PROCESS_STARTED)
-        await run_until_stopped(router.run(), lambda: router.drain(server.stop))
+        await run_until_stopped(
+            router.run(), lambda: router.drain(lambda: stop_http(server, listeners))
+        )
         await server.close_all_connections()
         events.write(EventKind.PROCESS_STOPPED)
