--- a/libs/bench/src/bulrushbend/bench/all_sweeps.py
+++ b/libs/bench/src/bulrushbend/bench/all_sweeps.py
@@ -6,6 +6,7 @@
 from bulrushbend.bench.control_sweeps import control
 from bulrushbend.bench.data_costs import agent, router
 from bulrushbend.bench.message_costs import messages
+from bulrushbend.bench.placement_costs import placement_cost
 from bulrushbend.bench.policy_sweeps import policy
 from bulrushbend.bench.registry import command
 from bulrushbend.bench.relay_costs import relay
@@ -22,6 +23,7 @@
         ("router", lambda: router(1, folder=folder)),
         ("agent", lambda: agent(1, folder=folder)),
         ("accounting", lambda: accounting(1, folder)),
+        ("placement-cost", lambda: placement_cost(1, folder=folder)),
         (
             "policy",
             lambda: policy(spreads_ms=250.0, seconds=60.0, seeds=1, folder=folder),
--- a/libs/bench/src/bulrushbend/bench/registry.py
+++ b/libs/bench/src/bulrushbend/bench/registry.py
@@ -12,6 +12,7 @@
     "policy_sweeps",
     "accounting_costs",
     "message_costs",
+    "placement_costs",
     "relay_costs",
     "control_sweeps",
     "data_costs",
--- a/libs/gateway/src/bulrushbend/gateway/coordinators.py
+++ b/libs/gateway/src/bulrushbend/gateway/coordinators.py
@@ -12,7 +12,7 @@
 for it.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
@@ -24,6 +24,9 @@
 # Gateways with less than this fraction of the cores of the largest gateway are ranked
 # last: in the users' fleets, small VMs have under a third of the cores of large ones.
 _MIN_CORES_SHARE = 0.5
+# Gateways that are ranked first for a service and get the full load reports: the
+# coordinator and those that take over from it.
+_REPORTED_RANKS = 3
 
 
 class Coordinators:
@@ -55,6 +58,7 @@
         self._probe_times_ms: dict[str, float] = {}
         self._in_use: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
+        self._services: frozenset[str] = frozenset()
 
     @property
     def has_suspects(self) -> bool:
@@ -75,6 +79,10 @@
         self._in_use.clear()
         self._rankings.clear()
 
+    def set_services(self, services: Iterable[str]) -> None:
+        """Set the services whose requests are placed by coordinators."""
+        self._services = frozenset(services)
+
     def address_of(self, name: str) -> str | None:
         """Return the address of another gateway, None if it is gone."""
         return self._addresses.get(name)
@@ -100,6 +108,20 @@
         found = {self._addresses.get(name) for name in self._in_use.values()}
         return {address for address in found if address}
 
+    def report_addresses(self) -> set[str]:
+        """Return the addresses of the gateways that need full load reports.
+
+        For each service these are the coordinator and the gateways that are next in
+        rank, so their number does not grow with the fleet.
+        """
+        services = self._services | self._rankings.keys()
+        names = {
+            name
+            for service in services
+            for name in self._ranked(service)[:_REPORTED_RANKS]
+        }
+        return {self._addresses[name] for name in names if name in self._addresses}
+
     def suspect(self, name: str, reason: str) -> None:
         """Skip a coordinator that does not reply until `PROBE_DELAY_MS` have passed."""
         if name not in self._probe_times_ms:
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -25,6 +25,7 @@
 from bulrushbend.gateway.call import Call, RequestError, not_run_error
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.dispatch import Dispatcher
+from bulrushbend.gateway.endpoint_sharing import EndpointListExchange, reader_rank
 from bulrushbend.gateway.endpoints import EndpointDirectory, EndpointSource
 from bulrushbend.gateway.header_codec import HeaderCodec
 from bulrushbend.gateway.health import EndpointHealth
@@ -116,7 +117,7 @@
         self._control_replicas = settings.control
         self._had_lease = False
         self._running = 0
-        self._gateway_count = 1
+        self._data_centre_count = 1
         self._routes = RouteTable(())
         self._limits = Limits()
         self._in_force = ActiveManifest(events)
@@ -142,7 +143,7 @@
             clock,
             events,
             settings.endpoints_poll_ms,
-            lambda: self._gateway_count,
+            lambda: self._data_centre_count,
         )
         self._prefix_cache = PrefixCacheIndex()
         self._loads = LoadView(
@@ -179,6 +180,7 @@
             self._loads,
             clock,
             self._peer_protocol.send,
+            settings.data_centre,
         )
         server = PlacementServer(
             *identity_args,
@@ -188,8 +190,14 @@
             events,
             self._peer_protocol.send,
         )
+        self._list_exchange = EndpointListExchange(
+            *identity_args, self._directory, self._peer_protocol.send
+        )
         self._peer_protocol.set_receivers(
-            self._placement_client, server, self._queues.place_waiting_soon
+            self._placement_client,
+            server,
+            self._list_exchange,
+            self._queues.place_waiting_soon,
         )
         self._dispatcher = Dispatcher(
             context, self._directory, self._placement_for, self._budgets, clock, events
@@ -464,6 +472,9 @@
         self._routes = RouteTable(manifest.routes)
         self._limits = manifest.limits
         self._server.set_idle_ms(manifest.limits.idle_connection_ms)
+        self._coordinators.set_services(
+            service.name for service in manifest.services if service.memory_tokens
+        )
         self._shares.set_shares({team.name: team.share for team in manifest.teams})
         self._update_endpoints(set())
 
@@ -475,10 +486,20 @@
         ]
         peers = {member.name: member.link_address for member in gateways}
         cores_by_gateway = {member.name: member.processor for member in gateways}
-        self._gateway_count = len(peers) + 1
-        self._peer_protocol.set_peers(peers.values())
         self._coordinators.set_peers(peers, cores_by_gateway)
-        self._budgets.set_gateways(self._gateway_count)
+        self._budgets.set_gateways(len(peers) + 1)
+        self._update_readers(gateways)
+
+    def _update_readers(self, others: Sequence[Member]) -> None:
+        """Update which gateway of the data centre reads the endpoint list."""
+        own_data_centre = self._settings.data_centre
+        data_centres = {member.data_centre for member in others}
+        self._data_centre_count = len(data_centres | {own_data_centre})
+        near = [member for member in others if member.data_centre == own_data_centre]
+        cores_by_gateway = {member.name: member.processor for member in near}
+        cores_by_gateway[self._identity.name] = self._settings.processor
+        self._directory.set_rank(reader_rank(self._identity.name, cores_by_gateway))
+        self._list_exchange.set_addresses([member.link_address for member in near])
 
     def _update_endpoints(self, ended: set[str]) -> None:
         for endpoint in ended:
--- a/libs/gateway/src/bulrushbend/gateway/demand.py
+++ b/libs/gateway/src/bulrushbend/gateway/demand.py
@@ -34,6 +34,8 @@
         Id from the caller, for logs.
     requester : str
         Gateway that requested the placement if it is another one, else empty.
+    data_centre : str
+        Data centre of the requester; empty for the one of this gateway.
     """
 
     team: str
@@ -45,11 +47,22 @@
     wait_until_ms: float
     request_id: str = ""
     requester: str = ""
+    data_centre: str = ""
 
     @functools.cached_property
     def min_unread_tokens(self) -> int:
         """Prompt tokens to process at an endpoint that has cached all shared parts."""
-        return max(1, self.tokens - sum(part.tokens for part in self.shared))
+        return max(1, self.tokens - self.shared_tokens)
+
+    @functools.cached_property
+    def shared_tokens(self) -> int:
+        """Tokens of all shared parts of the prompt."""
+        return sum(part.tokens for part in self.shared)
+
+    @property
+    def own_tokens(self) -> int:
+        """Prompt and response tokens that no other request shares."""
+        return self.min_unread_tokens + max(0, self.cost - self.tokens) // 2
 
     @property
     def has_prompt(self) -> bool:
--- a/libs/gateway/src/bulrushbend/gateway/endpoints.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoints.py
@@ -15,6 +15,8 @@
 # Share of the source's rate limit that all gateways use together. The rest is left for
 # the pages of long lists and for processes that have just started.
 _RATE_SHARE = 0.5
+# Ranks above this read the list as late as this one, so that its age stays bounded.
+_MAX_RANK = 4
 
 
 @dataclass(frozen=True)
@@ -66,6 +68,10 @@
 class EndpointDirectory:
     """Latest list of the source; when the source fails, the last list is kept.
 
+    A gateway reads the list when it is older than the interval of the gateway's rank.
+    A list that another gateway has read counts like one of its own, so as long as the
+    gateway that is ranked first passes its list on, no other one calls the source.
+
     Parameters
     ----------
     source : EndpointSource
@@ -76,7 +82,7 @@
         Receives changes of the list.
     poll_ms : float
         Minimum time between two polls in milliseconds.
-    gateway_count : callable
+    reader_count : callable
         Returns the number of gateways that share the rate limit of the source.
     """
 
@@ -86,30 +92,34 @@
         clock: Clock,
         events: EventLog,
         poll_ms: float,
-        gateway_count: Callable[[], int],
+        reader_count: Callable[[], int],
     ):
         self._source = source
         self._clock = clock
         self._events = events
         self._poll_ms = poll_ms
-        self._gateway_count = gateway_count
+        self._reader_count = reader_count
+        self._rank = 0
         self._by_id: dict[str, DiscoveredEndpoint] = {}
         self._by_service: dict[str, list[DiscoveredEndpoint]] = {}
         self._listeners: list[Callable[[set[str]], None]] = []
-        self._updated_ms: float | None = None
+        self._read_listeners: list[Callable[[Sequence[DiscoveredEndpoint]], None]] = []
+        # Times of the clock that also runs while the machine is suspended: a list that
+        # was read before is old afterwards.
+        self._read_ms: float | None = None
         self._has_failed = False
 
     @property
     def has_list(self) -> bool:
         """Whether a list has been read."""
-        return self._updated_ms is not None
+        return self._read_ms is not None
 
     @property
     def age_ms(self) -> float:
-        """Time since the list was last read, in milliseconds."""
-        if self._updated_ms is None:
+        """Time since the read of the list was started, in milliseconds."""
+        if self._read_ms is None:
             return float("inf")
-        return self._clock.now_ms() - self._updated_ms
+        return self._clock.boot_ms() - self._read_ms
 
     @property
     def endpoints(self) -> Sequence[DiscoveredEndpoint]:
@@ -123,6 +133,16 @@
         """
         self._listeners.append(listener)
 
+    def add_read_listener(
+        self, listener: Callable[[Sequence[DiscoveredEndpoint]], None]
+    ) -> None:
+        """Call `listener` with each list that this gateway reads from the source."""
+        self._read_listeners.append(listener)
+
+    def set_rank(self, rank: int) -> None:
+        """Set the rank of this gateway among those that share their lists."""
+        self._rank = min(rank, _MAX_RANK)
+
     def of_service(self, service: str) -> Sequence[DiscoveredEndpoint]:
         """Return the endpoints of a service that accept new requests."""
         return self._by_service.get(service, ())
@@ -131,21 +151,64 @@
         """Return the endpoint with this id, None if it is not in the list."""
         return self._by_id.get(endpoint_id)
 
+    def is_newer(self, age_ms: float) -> bool:
+        """Return whether a list of this age is newer than the current one."""
+        return age_ms < self.age_ms
+
+    def confirm(self, age_ms: float) -> None:
+        """Record that the current list was unchanged at a read of this age."""
+        if self.is_newer(age_ms):
+            self._read_ms = self._clock.boot_ms() - age_ms
+
+    def adopt(self, found: Sequence[DiscoveredEndpoint], age_ms: float) -> bool:
+        """Replace the list by one that another gateway has read.
+
+        Parameters
+        ----------
+        found : sequence of DiscoveredEndpoint
+            All endpoints of the list.
+        age_ms : float
+            Time since the read was started.
+
+        Returns
+        -------
+        bool
+            Whether the list is newer than the current one and was adopted.
+        """
+        if not self.is_newer(age_ms):
+            return False
+        self._update_list(found, self._clock.boot_ms() - age_ms)
+        return True
+
     async def run(self) -> None:
-        """Poll the source until cancelled."""
+        """Read the list whenever it is too old, until cancelled."""
         calls = 1
         while True:
+            started_ms = self._clock.boot_ms()
             try:
                 found, calls = await self._source.fetch()
-                self._update_list(found)
+                self._update_list(found, started_ms)
+                for listener in self._read_listeners:
+                    listener(found)
             except PeerError as error:
                 self._record_failure(error)
-            await self._clock.sleep_ms(self._poll_delay_ms(calls))
+            delay_ms = self._poll_delay_ms(calls) * (1 + self._rank)
+            await self._clock.sleep_ms(delay_ms)
+            while (left_ms := self._max_age_ms(calls) - self.age_ms) > 0:
+                await self._clock.sleep_ms(left_ms)
 
     def _poll_delay_ms(self, calls: int) -> float:
+        return self._min_interval_ms(calls) * random.uniform(0.9, 1.1)
+
+    def _max_age_ms(self, calls: int) -> float:
+        """Return the age above which this gateway reads the list."""
+        if self._rank == 0:
+            return 0.0
+        return self._min_interval_ms(calls) * (1 + self._rank)
+
+    def _min_interval_ms(self, calls: int) -> float:
         rate = max(1.0, self._source.rate_per_s * _RATE_SHARE)
-        min_interval_ms = 1000.0 * self._gateway_count() * calls / rate
-        return max(self._poll_ms, min_interval_ms) * random.uniform(0.9, 1.1)
+        return max(self._poll_ms, 1000.0 * self._reader_count() * calls / rate)
 
     def _record_failure(self, error: PeerError) -> None:
         if not self._has_failed:
@@ -161,11 +224,11 @@
                 age_ms=round(self.age_ms) if self.has_list else None,
             )
 
-    def _update_list(self, found: Sequence[DiscoveredEndpoint]) -> None:
-        if self._has_failed or self._updated_ms is None:
+    def _update_list(self, found: Sequence[DiscoveredEndpoint], read_ms: float) -> None:
+        if self._has_failed or self._read_ms is None:
             self._has_failed = False
             self._events.write(EventKind.LINK_UP, peer="endpoint-source")
-        self._updated_ms = self._clock.now_ms()
+        self._read_ms = read_ms
         by_id = {endpoint.id: endpoint for endpoint in found}
         if by_id == self._by_id:
             return
--- a/libs/gateway/src/bulrushbend/gateway/health.py
+++ b/libs/gateway/src/bulrushbend/gateway/health.py
@@ -25,6 +25,10 @@
 # At most this fraction of a service's endpoints is avoided at a time; if more fail, the
 # fault is more likely on the gateway's side.
 _MAX_AVOIDED_SHARE = 0.5
+# Event gaps are averages over many streams and change slowly.
+_GAP_RATIOS_MS = 100.0
+
+_NONE_AVOIDED: frozenset[str] = frozenset()
 
 
 @dataclass
@@ -52,6 +56,16 @@
         self._records: dict[str, _EndpointRecord] = {}
         # Latest end of all backoffs; after it, `usable` needs no per-endpoint check.
         self._avoided_until_ms = float("-inf")
+        self._gap_ratios: dict[str, float] = {}
+        self._gap_ratios_of: Sequence[DiscoveredEndpoint] | None = None
+        self._gap_ratios_until_ms = float("-inf")
+
+    def avoided(self, endpoints: Sequence[DiscoveredEndpoint]) -> frozenset[str]:
+        """Return the ids of the endpoints that are avoided now, at most half."""
+        usable = self.usable(endpoints)
+        if usable is endpoints:
+            return _NONE_AVOIDED
+        return frozenset(e.id for e in endpoints) - {e.id for e in usable}
 
     def usable(
         self, endpoints: Sequence[DiscoveredEndpoint]
@@ -74,7 +88,21 @@
     def relative_event_gaps(
         self, endpoints: Sequence[DiscoveredEndpoint]
     ) -> dict[str, float]:
-        """Return the event gaps of slow endpoints as ratios to the median gap."""
+        """Return the event gaps of slow endpoints as ratios to the median gap.
+
+        They are computed again when the list of endpoints changes and after
+        `_GAP_RATIOS_MS`.
+        """
+        now_ms = self._clock.now_ms()
+        if endpoints is not self._gap_ratios_of or now_ms >= self._gap_ratios_until_ms:
+            self._gap_ratios = self._compute_event_gap_ratios(endpoints)
+            self._gap_ratios_of = endpoints
+            self._gap_ratios_until_ms = now_ms + _GAP_RATIOS_MS
+        return self._gap_ratios
+
+    def _compute_event_gap_ratios(
+        self, endpoints: Sequence[DiscoveredEndpoint]
+    ) -> dict[str, float]:
         event_gaps = {
             endpoint.id: record.event_gap_ms
             for endpoint in endpoints
--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -1,12 +1,13 @@
 """Load of each endpoint: the requests in progress from this and all other gateways."""
 
-from collections import defaultdict
-from collections.abc import Callable, Iterator, Mapping
+from collections import OrderedDict, defaultdict, deque
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.gateway.call import Placement, PromptPart
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.load_totals import Load, LoadTotals
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
 from bulrushbend.wire.fleet_pb2 import (
     EndpointLoad,
@@ -28,21 +29,7 @@
 # transit: load changes are reported within 10 ms.
 GRANT_TTL_MS = 250.0
 
-
-@dataclass
-class Load:
-    """Load of one endpoint.
-
-    Attributes
-    ----------
-    running : int
-        Requests in progress.
-    unread_tokens : int
-        Prompt tokens of the requests that have not produced their first event.
-    """
-
-    running: int = 0
-    unread_tokens: int = 0
+_NO_LOAD = Load()
 
 
 @dataclass
@@ -90,13 +77,22 @@
         self._own: dict[str, Load] = defaultdict(Load)
         self._team_tokens: dict[str, int] = defaultdict(int)
         self._charges: list[tuple[str, int]] = []
-        self._peers: dict[str, _Peer] = {}
+        # The gateways that reported least recently come first.
+        self._peers: OrderedDict[str, _Peer] = OrderedDict()
+        # Gateways whose last report is too old to count.
+        self._silent_peers: dict[str, _Peer] = {}
+        # Usage of the teams that wait at other gateways, by service and gateway.
+        self._peer_waiting: defaultdict[str, dict[str, float]] = defaultdict(dict)
+        # Endpoints whose load changed since the last brief report, and since the one
+        # before it.
+        self._changed_endpoints: set[str] = set()
+        self._repeated_endpoints: set[str] = set()
         self._waiting_usage: dict[str, float] = {}
         self._grants: dict[str, dict[int, _Grant]] = defaultdict(dict)
         self._last_serials: dict[str, int] = defaultdict(int)
         self._acknowledged_grants: dict[str, tuple[int, int]] = {}
-        self._totals: dict[str, Load] = {}
-        self._totals_valid_until_ms = float("-inf")
+        self._grant_order: deque[tuple[str, int]] = deque()
+        self._totals = LoadTotals()
         self._sequence = 0
         self._changed = False
         self._listeners: list[Callable[[], None]] = []
@@ -110,15 +106,18 @@
         """Call `listener` after each change of the load from this gateway."""
         self._listeners.append(listener)
 
+    def add_load_listener(self, listener: Callable[[str], None]) -> None:
+        """Call `listener` with the id of each endpoint whose total load changes."""
+        self._totals.add_listener(listener)
+
     def total(self, endpoint: str) -> Load:
         """Return the load of an endpoint over all gateways."""
         return self.totals().get(endpoint) or Load()
 
     def totals(self) -> Mapping[str, Load]:
         """Return the load of each endpoint that has any, over all gateways."""
-        if self._clock.now_ms() >= self._totals_valid_until_ms:
-            self._recompute_totals()
-        return self._totals
+        self._expire()
+        return self._totals.loads
 
     def own(self, endpoint: str) -> Load:
         """Return the load of an endpoint from this gateway."""
@@ -130,13 +129,17 @@
         A request of another gateway becomes a grant, which counts until that gateway
         acknowledges it in a report. The team is charged here in both cases.
         """
+        if demand.has_prompt:
+            self._prefix_cache.record(
+                placement.endpoint, demand.shared, demand.own_tokens
+            )
         if demand.shared:
-            self._prefix_cache.record(placement.endpoint, demand.shared)
             self._new_prompts.append(
                 SharedPrompt(
                     endpoint=placement.endpoint,
                     digests=[part.digest for part in demand.shared],
                     tokens=[part.tokens for part in demand.shared],
+                    own_tokens=demand.own_tokens,
                 )
             )
         self._team_tokens[demand.team] += demand.cost
@@ -150,6 +153,8 @@
         self._grants[demand.requester][serial] = _Grant(
             placement.endpoint, placement.unread_tokens, self._clock.now_ms()
         )
+        self._grant_order.append((demand.requester, serial))
+        self._totals.add(placement.endpoint, 1, placement.unread_tokens)
         self._notify_change()
         return Placement(
             placement.endpoint, placement.unread_tokens, placement.fetch_from, serial
@@ -172,6 +177,8 @@
     def end_prefill(self, endpoint: str, unread: int) -> None:
         """Remove the prompt tokens of a request after its first event or its end."""
         self._own[endpoint].unread_tokens -= unread
+        self._totals.add(endpoint, 0, -unread)
+        self._changed_endpoints.add(endpoint)
         self._notify_change()
 
     def end(self, endpoint: str) -> None:
@@ -180,12 +187,14 @@
         load.running -= 1
         if load.running == 0 and load.unread_tokens == 0:
             del self._own[endpoint]
+        self._totals.add(endpoint, -1, 0)
+        self._changed_endpoints.add(endpoint)
         self._notify_change()
 
     def release(self, placement: Placement, requester: str = "") -> None:
         """Remove the load of a placement that is not used."""
         if requester:
-            self._grants[requester].pop(placement.serial, None)
+            self._remove_grant(requester, placement.serial)
             self._notify_change()
         else:
             self.end_prefill(placement.endpoint, placement.unread_tokens)
@@ -205,9 +214,9 @@
         """Return the lowest normalized usage of a team that waits elsewhere."""
         oldest_ms = self._clock.now_ms() - WAITING_TTL_MS
         usages = [
-            peer.waiting[service]
-            for peer in self._peers.values()
-            if service in peer.waiting and peer.full_report_ms >= oldest_ms
+            usage
+            for name, usage in self._peer_waiting[service].items()
+            if name in self._peers and self._peers[name].full_report_ms >= oldest_ms
         ]
         return min(usages, default=None)
 
@@ -216,27 +225,33 @@
         charges, self._charges = self._charges, []
         return charges
 
-    def report(self, is_brief: bool = False) -> LoadReport:
+    def report(self, is_brief: bool = False, is_partial: bool = False) -> LoadReport:
         """Return the load report of this gateway for the others.
 
-        A brief report contains only endpoint loads and acknowledged grants. It is meant
-        for coordinators, which need it soon after each change and have the rest from
-        their own placements.
+        Parameters
+        ----------
+        is_brief : bool, default=False
+            Whether to leave out all but endpoint loads and acknowledged grants. Brief
+            reports are for coordinators, which need them soon after each change and
+            have the rest from their own placements.
+        is_partial : bool, default=False
+            Whether to leave out the endpoints whose load did not change since the brief
+            report before the last one, so that a single report may be lost.
         """
         self._sequence += 1
+        endpoints = list(self._own)
+        if is_partial:
+            endpoints = sorted(self._changed_endpoints | self._repeated_endpoints)
+        if is_brief:
+            self._repeated_endpoints = self._changed_endpoints
+            self._changed_endpoints = set()
         report = LoadReport(
             gateway=self._name,
             incarnation=self._incarnation,
             sequence=self._sequence,
-            endpoints=[
-                EndpointLoad(
-                    endpoint=name,
-                    running=max(0, load.running),
-                    unread_tokens=max(0, load.unread_tokens),
-                )
-                for name, load in self._own.items()
-            ],
+            endpoints=[self._describe_load(name) for name in endpoints],
             is_brief=is_brief,
+            is_partial=is_partial,
             grants=[
                 GrantMark(coordinator=name, incarnation=incarnation, serial=serial)
                 for name, (incarnation, serial) in self._acknowledged_grants.items()
@@ -247,6 +262,9 @@
         self._changed = False
         report.prompts.extend(self._repeated_prompts + self._new_prompts)
         self._repeated_prompts, self._new_prompts = self._new_prompts, []
+        for prompt in self._repeated_prompts:
+            # Own tokens are counted once by a gateway that gets both reports.
+            prompt.own_tokens = 0
         report.teams.extend(
             TeamUse(team=t, tokens=n) for t, n in self._team_tokens.items()
         )
@@ -264,19 +282,25 @@
         """
         if report.gateway == self._name:
             return False
-        known = self._peers.get(report.gateway)
+        known = self._peers.get(report.gateway) or self._silent_peers.get(
+            report.gateway
+        )
         order = (report.incarnation, report.sequence)
         if known is not None and order <= (known.incarnation, known.sequence):
             return False
         is_same_incarnation = (
             known is not None and known.incarnation == report.incarnation
         )
-        peer = _Peer(
-            report.incarnation,
-            report.sequence,
-            self._clock.now_ms(),
-            {e.endpoint: Load(e.running, e.unread_tokens) for e in report.endpoints},
-        )
+        loads_before = known.loads if known is not None else {}
+        loads = {e.endpoint: Load(e.running, e.unread_tokens) for e in report.endpoints}
+        if report.is_partial and is_same_incarnation:
+            has_decreased = _has_decreased(loads_before, loads, is_partial=True)
+            self._update_loads(loads_before, loads)
+            loads = loads_before
+        else:
+            has_decreased = _has_decreased(loads_before, loads)
+            self._replace_loads(loads_before, loads)
+        peer = _Peer(report.incarnation, report.sequence, self._clock.now_ms(), loads)
         if report.is_brief:
             if is_same_incarnation:
                 peer.teams, peer.waiting = known.teams, known.waiting
@@ -289,19 +313,17 @@
                 self._charge_increases(known.teams, peer.teams)
             for prompt in report.prompts:
                 self._record_prompt(prompt)
+            self._record_waiting(report.gateway, peer.waiting)
+        self._silent_peers.pop(report.gateway, None)
         self._peers[report.gateway] = peer
+        self._peers.move_to_end(report.gateway)
         for mark in report.grants:
             if (mark.coordinator, mark.incarnation) == (
                 self._name,
                 self._incarnation,
             ):
                 self._remove_grants(report.gateway, mark.serial)
-        self._totals_valid_until_ms = float("-inf")
-        return (
-            known is None
-            or not report.is_brief
-            or _has_decreased(known.loads, peer.loads)
-        )
+        return known is None or not report.is_brief or has_decreased
 
     def _charge_increases(self, before: dict[str, int], now: dict[str, int]) -> None:
         for team, tokens in now.items():
@@ -314,64 +336,104 @@
             PromptPart(digest, tokens)
             for digest, tokens in zip(prompt.digests, prompt.tokens, strict=False)
         ]
-        self._prefix_cache.record(prompt.endpoint, parts)
+        self._prefix_cache.record(prompt.endpoint, parts, prompt.own_tokens)
 
     def _remove_grants(self, requester: str, newest: int) -> None:
         grants = self._grants[requester]
         for serial in [serial for serial in grants if serial <= newest]:
-            del grants[serial]
+            self._remove_grant(requester, serial)
+
+    def _remove_grant(self, requester: str, serial: int) -> None:
+        grant = self._grants[requester].pop(serial, None)
+        if grant is not None:
+            self._totals.add(grant.endpoint, -1, -grant.unread_tokens)
+
+    def _describe_load(self, endpoint: str) -> EndpointLoad:
+        load = self._own.get(endpoint, _NO_LOAD)
+        return EndpointLoad(
+            endpoint=endpoint,
+            running=max(0, load.running),
+            unread_tokens=max(0, load.unread_tokens),
+        )
+
+    def _record_waiting(self, gateway: str, usages: dict[str, float]) -> None:
+        for service in usages.keys() | self._peer_waiting.keys():
+            if service in usages:
+                self._peer_waiting[service][gateway] = usages[service]
+            else:
+                self._peer_waiting[service].pop(gateway, None)
+
+    def _update_loads(self, loads: dict[str, Load], changed: dict[str, Load]) -> None:
+        """Apply a partial report to the loads of a gateway and to the totals."""
+        for endpoint, load in changed.items():
+            known = loads.pop(endpoint, _NO_LOAD)
+            self._totals.add(
+                endpoint,
+                load.running - known.running,
+                load.unread_tokens - known.unread_tokens,
+            )
+            if load.running or load.unread_tokens:
+                loads[endpoint] = load
+
+    def _replace_loads(self, before: dict[str, Load], now: dict[str, Load]) -> None:
+        """Add the difference of two reports of a gateway to the totals."""
+        for endpoint, load in now.items():
+            known = before.get(endpoint, _NO_LOAD)
+            self._totals.add(
+                endpoint,
+                load.running - known.running,
+                load.unread_tokens - known.unread_tokens,
+            )
+        for endpoint, known in before.items():
+            if endpoint not in now:
+                self._totals.add(endpoint, -known.running, -known.unread_tokens)
 
     def _add_load(self, placement: Placement) -> None:
         load = self._own[placement.endpoint]
         load.running += 1
         load.unread_tokens += placement.unread_tokens
+        self._totals.add(placement.endpoint, 1, placement.unread_tokens)
+        self._changed_endpoints.add(placement.endpoint)
         self._notify_change()
 
     def _notify_change(self) -> None:
         self._changed = True
-        self._totals_valid_until_ms = float("-inf")
         for listener in self._listeners:
             listener()
 
-    def _recompute_totals(self) -> None:
-        """Sum the loads of all gateways; valid until one of them changes or expires."""
+    def _expire(self) -> None:
+        """Stop counting grants and reports that are too old."""
         now_ms = self._clock.now_ms()
-        totals: dict[str, Load] = defaultdict(Load)
-        until_ms = float("inf")
-        for peer in self._live_peers(now_ms):
-            until_ms = min(until_ms, peer.received_ms + REPORT_TTL_MS)
-            _add_loads(totals, peer.loads)
-        _add_loads(totals, self._own)
-        for grants in self._grants.values():
-            for serial, grant in list(grants.items()):
-                if now_ms - grant.granted_ms >= GRANT_TTL_MS:
-                    del grants[serial]
-                    continue
-                until_ms = min(until_ms, grant.granted_ms + GRANT_TTL_MS)
-                totals[grant.endpoint].running += 1
-                totals[grant.endpoint].unread_tokens += grant.unread_tokens
-        self._totals, self._totals_valid_until_ms = totals, until_ms
-
-    def _live_peers(self, now_ms: float) -> Iterator[_Peer]:
-        oldest_ms = now_ms - REPORT_TTL_MS
-        return (peer for peer in self._peers.values() if peer.received_ms > oldest_ms)
-
-
-def _has_decreased(before: dict[str, Load], now: dict[str, Load]) -> bool:
-    """Return whether any endpoint has less load than before."""
-    for endpoint, load in before.items():
-        current = now.get(endpoint)
+        while self._grant_order:
+            requester, serial = self._grant_order[0]
+            grant = self._grants[requester].get(serial)
+            if grant is not None:
+                if now_ms - grant.granted_ms < GRANT_TTL_MS:
+                    break
+                self._remove_grant(requester, serial)
+            self._grant_order.popleft()
+        while self._peers:
+            name, peer = next(iter(self._peers.items()))
+            if now_ms - peer.received_ms < REPORT_TTL_MS:
+                break
+            self._replace_loads(peer.loads, {})
+            peer.loads = {}
+            self._silent_peers[name] = self._peers.pop(name)
+
+
+def _has_decreased(
+    before: dict[str, Load], now: dict[str, Load], is_partial: bool = False
+) -> bool:
+    """Return whether any endpoint has less load than before.
+
+    The endpoints that a partial report does not contain are unchanged.
+    """
+    for endpoint in now if is_partial else before:
+        known = before.get(endpoint, _NO_LOAD)
+        current = now.get(endpoint, _NO_LOAD)
         if (
-            current is None
-            or current.running < load.running
-            or current.unread_tokens < load.unread_tokens
+            current.running < known.running
+            or current.unread_tokens < known.unread_tokens
         ):
             return True
     return False
-
-
-def _add_loads(totals: dict[str, Load], loads: dict[str, Load]) -> None:
-    for endpoint, load in loads.items():
-        total = totals[endpoint]
-        total.running += load.running
-        total.unread_tokens += load.unread_tokens
--- a/libs/gateway/src/bulrushbend/gateway/peer_protocol.py
+++ b/libs/gateway/src/bulrushbend/gateway/peer_protocol.py
@@ -9,6 +9,7 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.core.settings import split_address
 from bulrushbend.gateway.coordinators import Coordinators
+from bulrushbend.gateway.endpoint_sharing import EndpointListExchange
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placement_client import PlacementClient
 from bulrushbend.gateway.placement_server import PlacementServer
@@ -19,9 +20,9 @@
 # Maximum time between two full reports while a coordinator is suspected, so that the
 # effect of a lost datagram is short.
 _SUSPECT_REPORT_INTERVAL_MS = 500.0
-# Time between two full reports while all coordinators reply. No gateway places requests
-# by them then, but the next coordinator starts with them. They are rare because traffic
-# between data centres is expensive.
+# Time between two full reports while all coordinators reply. The coordinator replaces
+# what lost brief reports changed by them, and the next coordinator starts with them.
+# They are rare because traffic between data centres is expensive.
 _STEADY_REPORT_INTERVAL_MS = 1_000.0
 # Delay after which a change of load is reported to the coordinators. Prefill of a short
 # prompt takes about as long, so an endpoint idles for at most one prompt.
@@ -56,28 +57,28 @@
         self._report_interval_ms = report_interval_ms
         self._client: PlacementClient | None = None
         self._server: PlacementServer | None = None
+        self._list_exchange: EndpointListExchange | None = None
         self._on_load_change: Callable[[], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
-        self._peers: list[str] = []
         self._last_full_report_ms = clock.now_ms()
         self._is_brief_report_scheduled = False
+        # Coordinators that have the loads before the changes of the next brief report.
+        self._informed: set[str] = set()
         loads.add_listener(self._schedule_brief_report)
 
     def set_receivers(
         self,
         client: PlacementClient,
         server: PlacementServer,
+        list_exchange: EndpointListExchange,
         on_load_change: Callable[[], None],
     ) -> None:
-        """Set the receivers of placement messages and the callback for load changes."""
+        """Set the receivers of the messages and the callback for load changes."""
         self._client = client
         self._server = server
+        self._list_exchange = list_exchange
         self._on_load_change = on_load_change
 
-    def set_peers(self, addresses: Iterable[str]) -> None:
-        """Set the addresses of the other gateways."""
-        self._peers = list(addresses)
-
     async def open(self, address: str) -> None:
         """Bind the socket.
 
@@ -95,10 +96,11 @@
         """Send full reports until cancelled."""
         while True:
             await self._clock.sleep_ms(self._report_interval_ms)
-            if self._peers and self._is_report_due():
+            addresses = self._coordinators.report_addresses()
+            if addresses and self._is_report_due():
                 self._last_full_report_ms = self._clock.now_ms()
                 report = GatewayDatagram(report=self._loads.report())
-                self._send_to(self._peers, report)
+                self._send_to(addresses, report)
 
     def _is_report_due(self) -> bool:
         age_ms = self._clock.now_ms() - self._last_full_report_ms
@@ -132,18 +134,23 @@
                 error,
             )
             return
+        sender = f"{address[0]}:{address[1]}"
         match datagram.WhichOneof("content"):
             case "report":
                 if self._loads.handle_report(datagram.report):
                     self._on_load_change()
             case "request":
-                self._server.handle_request(
-                    datagram.request, f"{address[0]}:{address[1]}"
-                )
+                self._server.handle_request(datagram.request, sender)
             case "reply":
                 self._client.handle_reply(datagram.reply)
             case "cancel":
                 self._server.cancel(datagram.cancel)
+            case "list_note":
+                self._list_exchange.handle_note(datagram.list_note, sender)
+            case "list_request":
+                self._list_exchange.handle_request(datagram.list_request, sender)
+            case "list_page":
+                self._list_exchange.handle_page(datagram.list_page)
             case _:
                 _log.warning(
                     "dropped a datagram from %s:%d without a known message",
@@ -174,5 +181,8 @@
         self._is_brief_report_scheduled = False
         addresses = self._coordinators.addresses_in_use()
         if addresses:
-            report = GatewayDatagram(report=self._loads.report(is_brief=True))
-            self._send_to(addresses, report)
+            report = self._loads.report(
+                is_brief=True, is_partial=addresses <= self._informed
+            )
+            self._send_to(addresses, GatewayDatagram(report=report))
+        self._informed = addresses
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -24,6 +24,8 @@
 POLL_INTERVAL_MS = 250.0
 # Unanswered requests after which the gateway chooses the endpoint itself.
 _MAX_UNANSWERED_REQUESTS = 2
+# Coordinators that a request asks in turn before the gateway chooses the endpoint.
+_MAX_COORDINATORS = 2
 # Bits of a request number that count the requests of one incarnation.
 _NUMBER_BITS = 24
 
@@ -53,6 +55,8 @@
         Source of time.
     send : callable
         Sends a datagram to an address.
+    data_centre : str, default=""
+        Data centre of this gateway.
     """
 
     def __init__(
@@ -63,8 +67,10 @@
         loads: LoadView,
         clock: Clock,
         send: DatagramSender,
+        data_centre: str = "",
     ):
         self._name = name
+        self._data_centre = data_centre
         self._incarnation = incarnation
         self._coordinators = coordinators
         self._loads = loads
@@ -81,19 +87,35 @@
         return len(self._pending)
 
     async def request_placement(self, service: str, demand: Demand) -> Placement | None:
-        """Return the placement granted by the coordinator of the service.
+        """Return the placement granted by a coordinator of the service.
 
         None means that this gateway has to choose the endpoint: it is the coordinator
-        itself, or the coordinator declined or did not reply.
+        itself, or the first two in rank declined or did not reply.
+
+        Raises
+        ------
+        RequestError
+            The coordinator refused the request.
+        """
+        for _ in range(_MAX_COORDINATORS):
+            coordinator = self._coordinators.choose(service)
+            if coordinator is None:
+                return None
+            placement = await self._request_from(coordinator, service, demand)
+            if placement is not None:
+                return placement
+        return None
+
+    async def _request_from(
+        self, coordinator: str, service: str, demand: Demand
+    ) -> Placement | None:
+        """Return the placement granted by a coordinator, None if it grants none.
 
         Raises
         ------
         RequestError
             The coordinator refused the request.
         """
-        coordinator = self._coordinators.choose(service)
-        if coordinator is None:
-            return None
         self._number += 1
         number = self._number
         pending = _PendingRequest(asyncio.get_running_loop().create_future())
@@ -178,6 +200,7 @@
                 avoided=sorted(demand.avoided),
                 wait_ms=int(wait_ms),
                 request_id=demand.request_id,
+                data_centre=self._data_centre,
             )
         )
 
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -183,4 +183,5 @@
         wait_until_ms=now_ms + request.wait_ms,
         request_id=request.request_id,
         requester=request.gateway,
+        data_centre=request.data_centre,
     )
--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -7,23 +7,24 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from bulrushbend.core.rendezvous import rendezvous_rank
-from bulrushbend.gateway.call import PromptPart
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_index import EndpointIndex
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.health import EndpointHealth
-from bulrushbend.gateway.loads import Load, LoadView
+from bulrushbend.gateway.load_totals import Load
+from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
 
 # Tokens that miss the prefix cache delay the prompts behind them and evict other
 # prompts from the endpoint's memory, so they weigh more than tokens that are already
 # queued. A load model gave the same results with weights of 2 to 10.
 PREFILL_WEIGHT = 5.0
-# Fetching a cached token from another endpoint takes about a third of its prefill time.
-FETCH_WEIGHT = 0.35
+# Weight of a token that is fetched from another endpoint. Fetching takes less time than
+# prefill, but a second copy evicts other prompts, and the transfer is billed.
+FETCH_WEIGHT = 1.5
 # Fewer tokens are processed in less time than the set-up of a transfer takes.
 MIN_FETCH_TOKENS = 100
 # Cost in tokens of each running request beyond its prompt, at an endpoint with the
@@ -35,10 +36,16 @@
 # longer than callers accept. Avoiding that is worth waiting at a faster endpoint for as
 # long as the prompt's prefill takes.
 SLOW_ENDPOINT_WEIGHT = 3.0
-# Penalty for an endpoint in another data centre, and bonus of a prompt's preferred
-# endpoint.
+# Penalty for an endpoint in another data centre than the caller, and bonus of the
+# preferred endpoint of a prompt that none has cached.
 REMOTE_PENALTY_TOKENS = 10.0
 PREFERRED_BONUS_TOKENS = 500.0
+# Candidates for a placement: least loaded endpoints of the caller's data centre and of
+# each other one, and endpoints that have cached the prompt. A slow one may have the
+# least load, so one of each data centre is too few.
+_NEAR_CANDIDATES = 4
+_REMOTE_CANDIDATES = 2
+_MAX_HOLDERS = 8
 
 _NO_LOAD = Load()
 
@@ -92,7 +99,7 @@
     limits : PlacementLimits
         Bounds on the work at one endpoint.
     data_centre : str
-        Data centre of this gateway; at equal cost an endpoint in it is preferred.
+        Data centre of this gateway, for requests of its own callers.
     """
 
     def __init__(
@@ -108,6 +115,8 @@
         self._health = health
         self._limits = limits
         self._data_centre = data_centre
+        self._indexes: dict[str, EndpointIndex] = {}
+        loads.add_load_listener(self._mark_changed)
 
     def max_admissible_tokens(self, endpoints: Sequence[DiscoveredEndpoint]) -> float:
         """Return the largest number of prompt tokens that some endpoint can admit.
@@ -115,16 +124,13 @@
         Infinity if an endpoint has no prompt to process, 0 if all are at their limits.
         Callers use it to skip requests that fit at no endpoint.
         """
-        largest = 0.0
-        totals = self._loads.totals()
-        for endpoint in endpoints:
-            load = totals.get(endpoint.id, _NO_LOAD)
-            if load.running >= endpoint.slots:
-                continue
-            if load.unread_tokens <= 0:
-                return math.inf
-            largest = max(largest, self._limits.unread_tokens - load.unread_tokens)
-        return largest
+        if not endpoints:
+            return 0.0
+        self._loads.totals()
+        unread_tokens = self._index_of(endpoints).min_unread_tokens()
+        if unread_tokens <= 0:
+            return math.inf
+        return max(0.0, self._limits.unread_tokens - unread_tokens)
 
     def choose(
         self,
@@ -147,30 +153,47 @@
             Fraction of the request's waiting time that is left, from 1 to 0. The
             smaller it is, the less a cached prefix at a busy endpoint counts.
         """
-        healthy = usable = self._health.usable(endpoints)
-        if demand.avoided:
-            candidates = [e for e in endpoints if e.id not in demand.avoided]
-            usable = self._health.usable(candidates)
-        shared = demand.shared
-        preferred = _preferred_endpoint(shared, endpoints)
-        cached_by_endpoint = self._prefix_cache.cached_tokens_by_endpoint(shared)
-        holder = _best_cache_holder(cached_by_endpoint, healthy)
-        max_cached = cached_by_endpoint[holder.id] if holder else 0
+        if not endpoints:
+            return None
+        totals = self._loads.totals()
+        index = self._index_of(endpoints)
+        avoided = self._health.avoided(endpoints)
+        cached_by_holder = {
+            name: cached
+            for name, cached in self._prefix_cache.longest_holders(
+                demand.shared, _MAX_HOLDERS
+            ).items()
+            if name not in avoided and index.get(name) is not None
+        }
+        holder = max(cached_by_holder, key=cached_by_holder.__getitem__, default=None)
+        max_cached = cached_by_holder[holder] if holder else 0
+        preferred = ""
+        if demand.shared and max_cached < demand.shared_tokens:
+            preferred = index.preferred(demand.shared[-1].digest)
         event_gaps: Mapping[str, float] = {}
         if demand.tokens > self._limits.unread_tokens:
             event_gaps = self._health.relative_event_gaps(endpoints)
+        data_centre = demand.data_centre or self._data_centre
+        skipped = avoided | demand.avoided
         best: tuple[float, DiscoveredEndpoint, int, int, bool] | None = None
-        totals = self._loads.totals()
-        for endpoint in usable:
+        least_loaded = index.least_loaded(
+            data_centre, _NEAR_CANDIDATES, _REMOTE_CANDIDATES, skipped
+        )
+        named = (*cached_by_holder, preferred)
+        for endpoint in _add_named(least_loaded, index, named, skipped):
             load = totals.get(endpoint.id, _NO_LOAD)
             if load.running >= endpoint.slots:
                 continue
-            cached = cached_by_endpoint.get(endpoint.id, 0)
+            cached = cached_by_holder.get(endpoint.id)
+            if cached is None:
+                cached = self._prefix_cache.cached_tokens(endpoint.id, demand.shared)
             fetched = (
                 max_cached - cached if max_cached - cached >= MIN_FETCH_TOKENS else 0
             )
             unread = max(1, demand.tokens - cached - fetched)
             cost = self._cost(endpoint, load, unread, fetched, remaining_wait)
+            if endpoint.data_centre != data_centre:
+                cost += REMOTE_PENALTY_TOKENS
             if unread > self._limits.unread_tokens and endpoint.id in event_gaps:
                 cost += SLOW_ENDPOINT_WEIGHT * (event_gaps[endpoint.id] - 1.0) * unread
             if endpoint.id == preferred:
@@ -184,7 +207,21 @@
         if best is None or best[-1]:
             return None
         _, endpoint, unread, fetched, _ = best
-        return Choice(endpoint, unread, holder if fetched else None)
+        source = index.get(holder) if fetched and holder else None
+        return Choice(endpoint, unread, source)
+
+    def _index_of(self, endpoints: Sequence[DiscoveredEndpoint]) -> EndpointIndex:
+        """Return the index of a list of endpoints, which is kept until it changes."""
+        service = endpoints[0].service
+        index = self._indexes.get(service)
+        if index is None or index.endpoints is not endpoints:
+            index = EndpointIndex(endpoints, self._loads.totals(), _load_cost)
+            self._indexes[service] = index
+        return index
+
+    def _mark_changed(self, endpoint: str) -> None:
+        for index in self._indexes.values():
+            index.mark_changed(endpoint)
 
     def _cost(
         self,
@@ -195,40 +232,29 @@
         remaining_wait: float,
     ) -> float:
         weight = 1.0 + (PREFILL_WEIGHT - 1.0) * remaining_wait
-        distance = (
-            0.0 if endpoint.data_centre == self._data_centre else REMOTE_PENALTY_TOKENS
-        )
-        running = (
-            TOKENS_PER_RUNNING_REQUEST * load.running * REFERENCE_SLOTS / endpoint.slots
-        )
-        work = load.unread_tokens + weight * unread + FETCH_WEIGHT * fetched + running
-        return work * self._health.slowness(endpoint.id) + distance
-
-
-def _best_cache_holder(
-    cached_by_endpoint: Mapping[str, int], endpoints: Sequence[DiscoveredEndpoint]
-) -> DiscoveredEndpoint | None:
-    """Return the endpoint with the longest cached prefix, None if there is none."""
-    if not cached_by_endpoint:
-        return None
-    holders = [endpoint for endpoint in endpoints if endpoint.id in cached_by_endpoint]
-    return max(
-        holders,
-        key=lambda endpoint: cached_by_endpoint[endpoint.id],
-        default=None,
-    )
+        work = _load_cost(endpoint, load) + weight * unread + FETCH_WEIGHT * fetched
+        return work * self._health.slowness(endpoint.id)
+
 
+def _load_cost(endpoint: DiscoveredEndpoint, load: Load) -> float:
+    """Return the cost of the work in progress at an endpoint, in tokens."""
+    running = (
+        TOKENS_PER_RUNNING_REQUEST * load.running * REFERENCE_SLOTS / endpoint.slots
+    )
+    return load.unread_tokens + running
 
-def _preferred_endpoint(
-    parts: Sequence[PromptPart], endpoints: Sequence[DiscoveredEndpoint]
-) -> str | None:
-    """Return the id of the preferred endpoint for a prompt that no endpoint has cached.
 
-    Rendezvous hashing over the last shared part: gateways that receive a new prompt at
-    the same time choose the same endpoint, and few prompts change their preferred
-    endpoint when endpoints come and go.
-    """
-    if not parts or not endpoints:
-        return None
-    key = parts[-1].digest
-    return max(endpoints, key=lambda endpoint: rendezvous_rank(key, endpoint.id)).id
+def _add_named(
+    candidates: list[DiscoveredEndpoint],
+    index: EndpointIndex,
+    names: Iterable[str],
+    skipped: frozenset[str],
+) -> list[DiscoveredEndpoint]:
+    """Add the endpoints with these names to the candidates."""
+    known = {endpoint.id for endpoint in candidates}
+    for name in names:
+        endpoint = index.get(name)
+        if endpoint is not None and name not in skipped and name not in known:
+            known.add(name)
+            candidates.append(endpoint)
+    return candidates
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -126,7 +126,7 @@
         self.directory = EndpointDirectory(
             self.source, self.clock, self.events, 1000.0, lambda: 1
         )
-        self.directory._update_list(self.source.endpoints)
+        self.directory._update_list(self.source.endpoints, self.clock.boot_ms())
         self.prefix_cache = PrefixCacheIndex()
         self.loads = LoadView(name, 1, self.clock, self.prefix_cache)
         self.health = EndpointHealth(self.clock, self.events)
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -124,6 +124,23 @@
     assert sum(running) == 1
 
 
+async def test_request_asks_the_next_coordinator_when_the_first_is_silent():
+    # Guards against requests that are placed by a gateway which has no load reports.
+    clock, fleet = ManualClock(), {}
+    for number in range(5):
+        gateway = ModelGateway(number, ("e1", "e2"), clock, fleet)
+        fleet[gateway.name] = gateway
+    for gateway in fleet.values():
+        gateway.coordinators.set_peers({n: n for n in fleet if n != gateway.name})
+    requester = next(g for g in fleet.values() if g.coordinators.choose(SERVICE))
+    first = requester.coordinators.choose(SERVICE)
+    fleet[first].is_silent = True
+    placement = await requester.placement.place(demand_of(make_call(), 0.0))
+    chosen_next = requester.coordinators.choose(SERVICE)
+    assert placement.coordinator == (chosen_next or "")
+    assert chosen_next != first
+
+
 async def test_requests_are_placed_without_a_silent_coordinator():
     # Guards against requests that fail when one other gateway fails.
     pair = Pair()
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -150,7 +150,7 @@
     async with running_dispatcher([RESPONSE], budget=0) as fixture:
         absent = make_endpoint("e0", "127.0.0.1:1")
         fixture.components.directory._update_list(
-            [absent, make_endpoint("e1", fixture.endpoints[0].address)]
+            [absent, make_endpoint("e1", fixture.endpoints[0].address)], 0.0
         )
         for _ in range(5):
             result = await fixture.serve(route=ONCE)
--- a/libs/gateway/tests/test_endpoints.py
+++ b/libs/gateway/tests/test_endpoints.py
@@ -44,5 +44,5 @@
 async def test_gateways_share_the_rate_limit_of_the_source():
     components = GatewayComponents(make_endpoint("e1"))
     components.source.rate_per_s = 10.0
-    components.directory._gateway_count = lambda: 20
+    components.directory._reader_count = lambda: 20
     assert components.directory._poll_delay_ms(calls=2) >= 0.9 * 8000
--- a/libs/gateway/tests/test_loads.py
+++ b/libs/gateway/tests/test_loads.py
@@ -1,4 +1,6 @@
 from gateway_builders import begin
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bulrushbend.core.clock import ManualClock
 from bulrushbend.gateway.call import PromptPart
@@ -73,10 +75,34 @@
 def test_least_recently_used_parts_are_evicted_first():
     prefix_cache = PrefixCacheIndex()
     prefix_cache.set_capacity("e1", 10_000)
-    for number in range(3):
-        prefix_cache.record("e1", [PromptPart(f"p{number}", 2500)])
-    assert prefix_cache.cached_tokens("e1", [PromptPart("p0", 2500)]) == 0
-    assert prefix_cache.cached_tokens("e1", [PromptPart("p2", 2500)]) == 2500
+    parts = [PromptPart(f"p{number}", 2500) for number in range(4)]
+    for part in parts:
+        prefix_cache.record("e1", [part])
+    cached = [prefix_cache.cached_tokens("e1", [part]) for part in parts]
+    assert cached == [0, 2500, 2500, 2500]
+    assert list(prefix_cache.longest_holders(parts[:1], 8)) == []
+
+
+def test_own_tokens_of_requests_evict_shared_parts():
+    # Guards against prompts that are placed where their prefix was evicted by requests
+    # that share nothing.
+    prefix_cache = PrefixCacheIndex()
+    prefix_cache.set_capacity("e1", 10_000)
+    prefix_cache.record("e1", [PARTS[0]], own_tokens=2000)
+    prefix_cache.record("e1", [PARTS[1]], own_tokens=2000)
+    assert prefix_cache.cached_tokens("e1", PARTS[:1]) == 500
+    prefix_cache.record("e1", [], own_tokens=600)
+    assert prefix_cache.cached_tokens("e1", PARTS[:1]) == 0
+    assert prefix_cache.cached_tokens("e1", PARTS[1:]) == 4000
+
+
+def test_prefix_is_evicted_from_its_end():
+    # Guards against parts that count as cached without the parts before them.
+    prefix_cache = PrefixCacheIndex()
+    prefix_cache.set_capacity("e1", 10_000)
+    prefix_cache.record("e1", PARTS)
+    prefix_cache.record("e1", [PromptPart("p3", 5000)])
+    assert prefix_cache.longest_holders(PARTS, 8) == {"e1": 500}
 
 
 def test_restarted_endpoint_has_nothing_cached():
@@ -86,6 +112,72 @@
     assert prefix_cache.cached_tokens("e1", PARTS) == 0
 
 
+def test_partial_report_changes_only_the_loads_that_it_contains():
+    first, second = make_view("g1"), make_view("g2")
+    begin(second, "e1", "crew-b", 300, 10)
+    begin(second, "e2", "crew-b", 500, 10)
+    first.handle_report(second.report(is_brief=True))
+    second.end_prefill("e1", 300)
+    second.report(is_brief=True, is_partial=True)
+    # The change is contained in the report after the lost one too.
+    begin(second, "e3", "crew-b", 200, 10)
+    assert first.handle_report(second.report(is_brief=True, is_partial=True))
+    loads = [first.total(endpoint) for endpoint in ("e1", "e2", "e3")]
+    assert loads == [Load(1, 0), Load(1, 500), Load(1, 200)]
+    second.end("e1")
+    first.handle_report(second.report(is_brief=True, is_partial=True))
+    assert first.total("e1") == Load()
+    assert first.total("e2") == Load(1, 500)
+
+
+def test_partial_report_of_a_restarted_gateway_replaces_its_loads():
+    # Guards against loads of an earlier incarnation that count forever.
+    first, second = make_view("g1"), make_view("g2")
+    begin(second, "e1", "crew-b", 300, 10)
+    first.handle_report(second.report())
+    restarted = make_view("g2", incarnation=2)
+    begin(restarted, "e2", "crew-b", 200, 10)
+    first.handle_report(restarted.report(is_brief=True, is_partial=True))
+    assert first.total("e1") == Load()
+    assert first.total("e2") == Load(1, 200)
+
+
+@given(st.data())
+@settings(max_examples=60, deadline=None)
+def test_totals_equal_the_sum_of_all_reports(data):
+    """Totals that are kept by difference drift from the sum of the loads."""
+    clock = ManualClock()
+    observer = make_view("g0", clock)
+    gateways = [make_view(f"g{number}", clock) for number in (1, 2, 3)]
+    running = {gateway: [] for gateway in (observer, *gateways)}
+    for _ in range(data.draw(st.integers(1, 30))):
+        gateway = data.draw(st.sampled_from([observer, *gateways]))
+        if running[gateway] and data.draw(st.booleans()):
+            endpoint, tokens = running[gateway].pop()
+            gateway.end_prefill(endpoint, tokens)
+            gateway.end(endpoint)
+        else:
+            endpoint = data.draw(st.sampled_from(["e1", "e2", "e3"]))
+            tokens = data.draw(st.integers(1, 500))
+            begin(gateway, endpoint, "crew-a", tokens, 10)
+            running[gateway].append((endpoint, tokens))
+        if gateway is not observer:
+            is_partial = data.draw(st.booleans())
+            report = gateway.report(is_brief=True, is_partial=is_partial)
+            # A single lost report is made up for by the next one.
+            observer.handle_report(report)
+    for gateway in gateways:
+        observer.handle_report(gateway.report(is_brief=True, is_partial=True))
+    for endpoint in ("e1", "e2", "e3"):
+        loads = [
+            tokens
+            for requests in running.values()
+            for name, tokens in requests
+            if name == endpoint
+        ]
+        assert observer.total(endpoint) == Load(len(loads), sum(loads))
+
+
 def test_only_decreased_load_triggers_a_placement_pass():
     # Guards against a pass over the whole queue for each request that starts elsewhere.
     first, second = make_view("g1"), make_view("g2")
--- a/libs/gateway/tests/test_peer_protocol.py
+++ b/libs/gateway/tests/test_peer_protocol.py
@@ -35,7 +35,6 @@
         peers = {"g1": "127.0.0.1:1", "g2": "127.0.0.1:2"}
         self.coordinators.set_peers(peers, {"g1": 1.4, "g2": 0.4})
         self.protocol = PeerProtocol(self.loads, self.coordinators, self.clock, 200.0)
-        self.protocol.set_peers(peers.values())
         self.transport = RecordingTransport()
         self.protocol.connection_made(self.transport)
 
@@ -51,7 +50,7 @@
         return sum(
             datagram.WhichOneof("content") == "report" and not datagram.report.is_brief
             for _, datagram in self.transport.sent
-        ) / len(self.protocol._peers)
+        ) / len(self.coordinators.report_addresses())
 
 
 async def test_full_reports_are_rare_while_the_coordinators_reply():
@@ -69,9 +68,89 @@
     assert await fixture.full_reports(6_000) >= 25
 
 
+def make_coordinators(name, gateways, services):
+    coordinators = Coordinators(name, ManualClock(), MemoryEventLog(), 1.0)
+    others = {f"g{n}": f"g{n}" for n in range(gateways) if f"g{n}" != name}
+    coordinators.set_peers(others, dict.fromkeys(others, 1.0))
+    coordinators.set_services(services)
+    return coordinators
+
+
+def test_number_of_report_receivers_does_not_grow_with_the_fleet():
+    # Guards against report traffic that grows with the square of the fleet.
+    for gateways in (7, 70, 390):
+        coordinators = make_coordinators("g0", gateways, [SERVICE])
+        assert len(coordinators.report_addresses()) in (2, 3)
+
+
+def test_gateways_that_take_over_a_service_get_its_reports():
+    # Guards against a new coordinator that knows no load and no cached prompt.
+    names = [f"g{number}" for number in range(9)]
+    receivers = {name: make_coordinators(name, 9, [SERVICE]) for name in names}
+    first = receivers["g0"].choose(SERVICE) or "g0"
+    fallback = make_coordinators("g8", 9, [SERVICE])
+    fallback.suspect(first, "no reply")
+    second = fallback.choose(SERVICE) or "g8"
+    for name, coordinators in receivers.items():
+        addresses = coordinators.report_addresses() | {name}
+        assert {first, second} <= addresses
+
+
+async def brief_reports(fixture, changes):
+    """Return the brief reports that are sent while the load changes."""
+    sent = []
+    for change in changes:
+        fixture.transport.sent.clear()
+        change()
+        await asyncio.sleep(0.03)
+        sent += [d.report for _, d in fixture.transport.sent]
+    return sent
+
+
+async def test_brief_reports_contain_only_recent_changes():
+    # Guards against reports that grow with the number of endpoints in use.
+    fixture = ProtocolFixture()
+    for number in range(40):
+        begin(fixture.loads, f"e{number}", "crew-a", 100, 100)
+    fixture.coordinators.choose(SERVICE)
+    first, *later = await brief_reports(
+        fixture,
+        [
+            lambda: fixture.loads.end_prefill("e0", 100),
+            lambda: fixture.loads.end("e0"),
+            lambda: fixture.loads.end_prefill("e1", 100),
+            lambda: fixture.loads.end("e1"),
+        ],
+    )
+    assert not first.is_partial
+    assert len(first.endpoints) == 40
+    assert all(report.is_partial for report in later)
+    assert max(len(report.endpoints) for report in later[1:]) <= 2
+
+
+async def test_new_coordinator_gets_all_loads_at_once():
+    # Guards against a coordinator that applies changes to loads it does not have.
+    fixture = ProtocolFixture()
+    begin(fixture.loads, "e0", "crew-a", 100, 100)
+    begin(fixture.loads, "e1", "crew-a", 100, 100)
+    fixture.coordinators.choose(SERVICE)
+    change = [lambda: fixture.loads.end_prefill("e0", 100)]
+    await brief_reports(fixture, change)
+    fixture.coordinators.suspect("g1", "no reply")
+    if fixture.coordinators.choose(SERVICE) is None:
+        fixture.coordinators.trust("g1")
+        fixture.coordinators.choose(SERVICE)
+    (report,) = await brief_reports(fixture, [lambda: fixture.loads.end("e0")])
+    sent_to = {address for address, _ in fixture.transport.sent}
+    if sent_to == {("127.0.0.1", 2)}:
+        assert not report.is_partial
+        assert [entry.endpoint for entry in report.endpoints] == ["e1"]
+
+
 async def test_one_lost_report_does_not_expire_the_load_of_a_gateway():
     # Guards against endpoints that seem idle after the loss of one datagram.
     fixture = ProtocolFixture()
+    fixture.coordinators.choose(SERVICE)
     times = []
     task = asyncio.create_task(fixture.protocol.run())
     await asyncio.sleep(0)
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -1,8 +1,10 @@
+import dataclasses
 import math
 
 from gateway_builders import SERVICE, GatewayComponents, make_call, make_endpoint
 
 from bulrushbend.gateway.call import PromptPart
+from bulrushbend.gateway.demand import demand_of
 
 PROMPT = (("p1", 500), ("p2", 4800), ("own", 700))
 
@@ -156,3 +158,17 @@
     assert list(components.health.usable(endpoints)) == list(endpoints)
     components.health.record_failure("e1", "silent")
     assert [e.id for e in components.health.usable(endpoints)] == ["e2"]
+
+
+def test_endpoint_near_the_requesting_gateway_is_preferred():
+    # Guards against traffic between data centres for requests that any endpoint can
+    # serve: nearness counts from the gateway of the caller, not from the coordinator.
+    components = GatewayComponents(
+        make_endpoint("e1", data_centre="papantla"),
+        make_endpoint("e2", data_centre="tecolutla"),
+    )
+    demand = demand_of(make_call(), 0.0)
+    for data_centre, expected in (("papantla", "e1"), ("tecolutla", "e2"), ("", "e1")):
+        near = dataclasses.replace(demand, data_centre=data_centre)
+        choice = components.placer.choose(near, components.source.endpoints, 1.0)
+        assert choice.endpoint.id == expected
