Keep a process running after an unexpected error in a background task

It could happen here: gateway and router ran their background tasks in one asyncio.TaskGroup, so an error in any of them ended the process with all its streams; a placement pass that failed ended the polling of its queue without a word, and its waiters waited for the next arrival; a placement that failed at the coordinator was answered "waiting" until the asker's time was up.

Change: process/supervision starts a failed task again after 500 ms, logs it with its traceback, writes `task-restarted` and counts it (bulrushbend_task_restarts_total); what the task maintains gets old meanwhile, and lease and list have their age. A failed pass is logged and repeated; a failed placement is declined at once, so the asker goes to the next coordinator. An error in the handling of one datagram drops it alone, and entries of a shared endpoint list are checked.

Also mended: a gateway that waited for its list to reach an age slept for less than a clock tick, which spun for ever on the manual clock of the tests (hung once in test_endpoint_sharing, cause found by the float remainder).

--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -70,6 +70,7 @@
     GATEWAY_LOAD = "gateway-load"
     LINES_DROPPED = "lines-dropped"
     SETTINGS_RELOADED = "settings-reloaded"
+    TASK_RESTARTED = "task-restarted"
 
 
 class EventLog(Protocol):
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -60,6 +60,7 @@
 )
 from bulrushbend.process.fleet_client import FleetClient
 from bulrushbend.process.lease import ManifestLease
+from bulrushbend.process.supervision import run_supervised
 from bulrushbend.wire.fleet_pb2 import Member, StatusDetail
 
 _log = get_logger("gateway.daemon")
@@ -308,13 +309,15 @@
 
     async def run(self) -> None:
         """Run all tasks until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch.run())
-            group.create_task(self._directory.run())
-            group.create_task(self._peer_protocol.run())
-            group.create_task(self._monitor_state())
-            group.create_task(self._loop_monitor.run())
-            group.create_task(self._write_load_events())
+        tasks = {
+            "control-watch": self._watch.run,
+            "endpoint-list": self._directory.run,
+            "load-reports": self._peer_protocol.run,
+            "state-monitor": self._monitor_state,
+            "loop-monitor": self._loop_monitor.run,
+            "load-events": self._write_load_events,
+        }
+        await run_supervised(tasks, self._clock, self._events)
 
     def update_control_replicas(self, replicas: Sequence[PeerAddress]) -> None:
         """Apply the control replicas of reloaded settings."""
--- a/libs/gateway/src/bulrushbend/gateway/endpoint_sharing.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoint_sharing.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 
+from bulrushbend.core.logs import get_logger
 from bulrushbend.core.rendezvous import rendezvous_rank
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
 from bulrushbend.wire.fleet_pb2 import (
@@ -21,6 +22,8 @@
     GatewayDatagram,
 )
 
+_log = get_logger("gateway.endpoint_sharing")
+
 # Entries of a page; a datagram of this size stays under 8 KB.
 _PAGE_ENTRIES = 50
 # Limits on the pages of an incomplete list, since a datagram may be malformed.
@@ -121,6 +124,7 @@
             _decode_entry(entry)
             for number in sorted(pages)
             for entry in pages[number].entries
+            if _is_valid(entry)
         ]
         age_ms = max(page.age_ms for page in pages.values())
         if self._directory.adopt(found, age_ms):
@@ -172,6 +176,15 @@
     )
 
 
+def _is_valid(entry: EndpointEntry) -> bool:
+    """Return whether an entry describes an endpoint; another is logged and skipped."""
+    host, _, port = entry.address.rpartition(":")
+    if entry.id and entry.service and host and port.isdigit() and entry.slots:
+        return True
+    _log.warning("skipped an invalid entry of a shared list of endpoints: %s", entry)
+    return False
+
+
 def _decode_entry(entry: EndpointEntry) -> DiscoveredEndpoint:
     return DiscoveredEndpoint(
         id=entry.id,
--- a/libs/gateway/src/bulrushbend/gateway/endpoints.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoints.py
@@ -17,6 +17,8 @@
 _RATE_SHARE = 0.5
 # Ranks above this read the list as late as this one, so that its age stays bounded.
 _MAX_RANK = 4
+# Shorter sleeps may end before the list has reached the age that is waited for.
+_MIN_SLEEP_MS = 1.0
 
 
 @dataclass(frozen=True)
@@ -195,7 +197,7 @@
             delay_ms = self._poll_delay_ms(calls) * (1 + self._rank)
             await self._clock.sleep_ms(delay_ms)
             while (left_ms := self._max_age_ms(calls) - self.age_ms) > 0:
-                await self._clock.sleep_ms(left_ms)
+                await self._clock.sleep_ms(max(_MIN_SLEEP_MS, left_ms))
 
     def _poll_delay_ms(self, calls: int) -> float:
         return self._min_interval_ms(calls) * random.uniform(0.9, 1.1)
--- a/libs/gateway/src/bulrushbend/gateway/peer_protocol.py
+++ b/libs/gateway/src/bulrushbend/gateway/peer_protocol.py
@@ -134,7 +134,17 @@
                 error,
             )
             return
-        sender = f"{address[0]}:{address[1]}"
+        try:
+            self._handle_datagram(datagram, f"{address[0]}:{address[1]}")
+        except Exception as error:
+            _log.error(
+                "dropped a datagram from %s:%d: unexpected error: %r",
+                address[0],
+                address[1],
+                error,
+            )
+
+    def _handle_datagram(self, datagram: GatewayDatagram, sender: str) -> None:
         match datagram.WhichOneof("content"):
             case "report":
                 if self._loads.handle_report(datagram.report):
@@ -153,9 +163,7 @@
                 self._list_exchange.handle_page(datagram.list_page)
             case _:
                 _log.warning(
-                    "dropped a datagram from %s:%d without a known message",
-                    address[0],
-                    address[1],
+                    "dropped a datagram from %s without a known message", sender
                 )
 
     def error_received(self, error: OSError) -> None:
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -6,6 +6,7 @@
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.admission import QueueFactory
 from bulrushbend.gateway.call import PromptPart, RequestError
 from bulrushbend.gateway.demand import Demand
@@ -17,6 +18,8 @@
     PlaceRequest,
 )
 
+_log = get_logger("gateway.placement")
+
 # Delay after which a gateway is notified that its request waits. It must be well below
 # `placement_client.REPLY_TIMEOUT_MS`, after which the gateway counts the reply as
 # missing.
@@ -129,6 +132,17 @@
                 code=error.code,
                 retry_after_ms=error.retry_after_ms or 0.0,
             )
+        except Exception as error:
+            _log.error(
+                "placement of request %s for gateway %s failed with unexpected error: "
+                "%r; declining it",
+                request.request_id,
+                request.gateway,
+                error,
+            )
+            state.reply = self._build_reply(
+                request, PlaceReply.DECLINED, code="internal error"
+            )
         else:
             state.reply = self._build_reply(
                 request,
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -280,3 +280,16 @@
     server.handle_request(request, pair.requester.name)
     await settle()
     assert sum(pair.total(endpoint).running for endpoint in ("e1", "e2")) == 1
+
+
+async def test_request_whose_placement_fails_unexpectedly_is_declined_at_once():
+    # Guards against a request that waits for a coordinator until its time is up.
+    pair = Pair()
+    pair.coordinator.components.queue.place = fail_to_place
+    placement = await pair.place()
+    assert placement.serial == 0
+    assert EventKind.COORDINATOR_LOST in pair.kinds()
+
+
+async def fail_to_place(demand):
+    raise KeyError(demand.request_id)
--- a/libs/router/src/bulrushbend/router/daemon.py
+++ b/libs/router/src/bulrushbend/router/daemon.py
@@ -23,6 +23,7 @@
 )
 from bulrushbend.process.fleet_client import FleetClient
 from bulrushbend.process.listening import stop_http
+from bulrushbend.process.supervision import run_supervised
 from bulrushbend.router import metrics
 from bulrushbend.router.attempt import AttemptContext
 from bulrushbend.router.dispatch import Dispatcher
@@ -218,12 +219,14 @@
     async def run(self) -> None:
         """Run all tasks until cancelled."""
         try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self._watch.run())
-                group.create_task(self._dispatcher.watch_stalls())
-                group.create_task(self._sweep())
-                group.create_task(self._keys.retry_unconfirmed())
-                group.create_task(self._record_ready())
+            tasks = {
+                "control-watch": self._watch.run,
+                "stalls": self._dispatcher.watch_stalls,
+                "sweep": self._sweep,
+                "unconfirmed-keys": self._keys.retry_unconfirmed,
+                "readiness": self._record_ready,
+            }
+            await run_supervised(tasks, self._clock, self._events)
         finally:
             self._links.close()
 
