Let a long prompt reserve the endpoint that it waits for

Cause: a prompt over the limit of unread tokens is placed only where no prompt is unread. Short ones are admitted together up to that limit, so as long as they come no endpoint is ever without one; and within a team the smallest goes first, so a backlog hides the largest.

Change: after half of its waiting time a long prompt reserves the endpoint with the lowest cost, at most a quarter of the endpoints (at least one), and goes first in its team if it is the oldest. Nothing joins a long prompt, so the pauses of streams stay as they were. An endpoint in another data centre costs 1,000 tokens instead of 10: requests and answers between data centres are billed, and 1,000 tokens are 15 ms of prefill.

Tests that fail on the code before: a long prompt beside short ones of other teams and beside a backlog of its own team; at most a quarter reserved. The test of `max_admissible_tokens` became one of `min_queued_tokens` and `may_admit`, which compares them with the choice itself for each size.

--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
+import heapq
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from bulrushbend.core.clock import Clock
+from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import Placement, RequestError, not_run_error
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.endpoints import EndpointDirectory
@@ -18,6 +20,8 @@
 from bulrushbend.gateway.placer import Placer
 from bulrushbend.gateway.shares import TeamShares
 
+_log = get_logger("gateway.admission")
+
 # Interval between placement passes while requests wait and no change is notified;
 # reports of other gateways arrive about as often.
 _POLL_INTERVAL_MS = 20.0
@@ -26,6 +30,10 @@
 _COALESCING_MS = 4.0
 # Requests of a team that one pass tries to place, smallest first.
 _MAX_CANDIDATES = 8
+# Fraction of the waiting time below which a long prompt reserves an endpoint, and the
+# largest fraction of the endpoints that are reserved at a time, at least one.
+_RESERVE_BELOW = 0.5
+_MAX_RESERVED_SHARE = 0.25
 # Longest time for which free capacity is left to a team with lower usage that waits at
 # another gateway. Gateways without a coordinator are notified of free capacity by full
 # reports, up to 200 ms late. An endpoint processes a prompt of 4,500 tokens in the time
@@ -149,9 +157,10 @@
         is_yielding = False
         peer_usage = self._loads.lowest_waiting_usage(self._service)
         endpoints = self._directory.of_service(self._service)
-        admissible_tokens = self._placer.max_admissible_tokens(endpoints)
+        queued_tokens = self._placer.min_queued_tokens(endpoints)
+        reserved: set[str] = set()
         for team in sorted(self._queues_by_team, key=self._shares.normalized_usage):
-            if admissible_tokens <= 0:
+            if not self._placer.has_room(queued_tokens):
                 break
             queue = self._queues_by_team[team]
             if queue and self._must_yield(team, peer_usage):
@@ -160,8 +169,8 @@
                 is_yielding = True
                 if self._may_still_yield():
                     continue
-            if self._place_one(queue, admissible_tokens):
-                admissible_tokens = self._placer.max_admissible_tokens(endpoints)
+            if self._place_one(queue, queued_tokens, reserved):
+                queued_tokens = self._placer.min_queued_tokens(endpoints)
         if not is_yielding:
             self._yielding_since_ms = None
         self._queues_by_team = {
@@ -206,31 +215,63 @@
         return self._placer.choose(demand, endpoints, remaining_wait=1.0) is not None
 
     def _place_one(
-        self, queue: list[_WaitingRequest], admissible_tokens: float
+        self, queue: list[_WaitingRequest], queued_tokens: float, reserved: set[str]
     ) -> bool:
         """Place the smallest request of a team that fits.
 
         Shares are counted in tokens, so serving the smallest request first serves the
         most callers. A request that waits for an endpoint with its cached prefix does
         not block the requests behind it.
+
+        A long prompt is placed where no prompt is unread, and short ones may keep every
+        endpoint busy. After half of its time it therefore reserves the endpoint that it
+        waits for, which is added to `reserved`. If the oldest request of the team is
+        such a prompt, it goes first, so a backlog does not hide it.
         """
-        for entry in sorted(queue, key=_prompt_tokens)[:_MAX_CANDIDATES]:
+        now_ms = self._clock.now_ms()
+        entries = heapq.nsmallest(_MAX_CANDIDATES, queue, key=_prompt_tokens)
+        if queue and self._may_reserve(queue[0].demand, now_ms):
+            oldest = queue[0]
+            entries = [oldest, *(entry for entry in entries if entry is not oldest)]
+        for entry in entries:
             if entry.placed.done():
                 queue.remove(entry)
                 continue
-            if entry.demand.min_unread_tokens > admissible_tokens:
+            if not self._placer.may_admit(entry.demand, queued_tokens):
+                self._reserve(entry.demand, now_ms, reserved)
                 continue
-            placement = self._try_to_place(entry.demand)
+            placement = self._try_to_place(entry.demand, frozenset(reserved))
             if placement is not None:
                 queue.remove(entry)
                 entry.placed.set_result(placement)
                 return True
+            self._reserve(entry.demand, now_ms, reserved)
         return False
 
-    def _try_to_place(self, demand: Demand) -> Placement | None:
+    def _reserve(self, demand: Demand, now_ms: float, reserved: set[str]) -> None:
+        """Reserve the endpoint that a long prompt waits for."""
+        if not self._may_reserve(demand, now_ms):
+            return
+        endpoints = self._directory.of_service(self._service)
+        if len(reserved) >= max(1, int(_MAX_RESERVED_SHARE * len(endpoints))):
+            return
+        best = self._placer.find_best(
+            demand, endpoints, demand.remaining_wait(now_ms), frozenset(reserved)
+        )
+        if best is not None:
+            reserved.add(best.endpoint.id)
+
+    def _may_reserve(self, demand: Demand, now_ms: float) -> bool:
+        return demand.remaining_wait(now_ms) <= _RESERVE_BELOW and self._placer.is_long(
+            demand
+        )
+
+    def _try_to_place(
+        self, demand: Demand, reserved: frozenset[str] = frozenset()
+    ) -> Placement | None:
         endpoints = self._directory.of_service(self._service)
         remaining_wait = demand.remaining_wait(self._clock.now_ms())
-        chosen = self._placer.choose(demand, endpoints, remaining_wait)
+        chosen = self._placer.choose(demand, endpoints, remaining_wait, reserved)
         if chosen is None:
             return None
         source = chosen.source.address if chosen.source else ""
@@ -270,7 +311,16 @@
     async def _poll_while_waiting(self) -> None:
         while self._queues_by_team:
             await self._clock.sleep_ms(_POLL_INTERVAL_MS)
-            self.place_waiting()
+            try:
+                self.place_waiting()
+            except Exception as error:
+                _log.error(
+                    "placement pass of service %s failed with unexpected error: %r; "
+                    "trying again with %d requests waiting",
+                    self._service,
+                    error,
+                    self.waiting,
+                )
 
 
 def _prompt_tokens(entry: _WaitingRequest) -> int:
--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -20,7 +20,7 @@
 
 # Tokens that miss the prefix cache delay the prompts behind them and evict other
 # prompts from the endpoint's memory, so they weigh more than tokens that are already
-# queued. A load model gave the same results with weights of 2 to 10.
+# queued.
 PREFILL_WEIGHT = 5.0
 # Weight of a token that is fetched from another endpoint. Fetching takes less time than
 # prefill, but a second copy evicts other prompts, and the transfer is billed.
@@ -29,7 +29,7 @@
 MIN_FETCH_TOKENS = 100
 # Cost in tokens of each running request beyond its prompt, at an endpoint with the
 # reference number of slots: a running request slightly slows down all others of the
-# batch. A load model gave the same results with values of 30 to 400.
+# batch.
 TOKENS_PER_RUNNING_REQUEST = 100.0
 REFERENCE_SLOTS = 64
 # A long prompt at an endpoint that is slower by a third pauses all its streams for
@@ -38,7 +38,7 @@
 SLOW_ENDPOINT_WEIGHT = 3.0
 # Penalty for an endpoint in another data centre than the caller, and bonus of the
 # preferred endpoint of a prompt that none has cached.
-REMOTE_PENALTY_TOKENS = 10.0
+REMOTE_PENALTY_TOKENS = 1_000.0
 PREFERRED_BONUS_TOKENS = 500.0
 # Candidates for a placement: least loaded endpoints of the caller's data centre and of
 # each other one, and endpoints that have cached the prompt. A slow one may have the
@@ -65,6 +65,18 @@
 
     unread_tokens: int = 2_048
 
+    def admits(self, queued: float, unread: int) -> bool:
+        """Return whether an endpoint may be sent another prompt.
+
+        Parameters
+        ----------
+        queued : float
+            Prompt tokens that the endpoint has yet to process.
+        unread : int
+            Prompt tokens that it would process for the request.
+        """
+        return queued <= 0 or queued + unread <= self.unread_tokens
+
 
 @dataclass(frozen=True)
 class Choice:
@@ -78,11 +90,14 @@
         Prompt tokens that it has to process for the request.
     source : DiscoveredEndpoint or None
         Endpoint from which it can fetch cached parts of the prompt.
+    is_full : bool
+        Whether the endpoint is at its limit, so that the request has to wait.
     """
 
     endpoint: DiscoveredEndpoint
     unread_tokens: int
     source: DiscoveredEndpoint | None
+    is_full: bool = False
 
 
 class Placer:
@@ -118,25 +133,35 @@
         self._indexes: dict[str, EndpointIndex] = {}
         loads.add_load_listener(self._mark_changed)
 
-    def max_admissible_tokens(self, endpoints: Sequence[DiscoveredEndpoint]) -> float:
-        """Return the largest number of prompt tokens that some endpoint can admit.
+    def min_queued_tokens(self, endpoints: Sequence[DiscoveredEndpoint]) -> float:
+        """Return the fewest unprocessed prompt tokens of an endpoint with a free slot.
 
-        Infinity if an endpoint has no prompt to process, 0 if all are at their limits.
-        Callers use it to skip requests that fit at no endpoint.
+        Infinity if no endpoint has one. Callers use it with `may_admit` to skip
+        requests that fit at no endpoint.
         """
         if not endpoints:
-            return 0.0
-        self._loads.totals()
-        unread_tokens = self._index_of(endpoints).min_unread_tokens()
-        if unread_tokens <= 0:
             return math.inf
-        return max(0.0, self._limits.unread_tokens - unread_tokens)
+        self._loads.totals()
+        return self._index_of(endpoints).min_unread_tokens()
+
+    def has_room(self, min_queued_tokens: float) -> bool:
+        """Return whether some endpoint may have room for a small request."""
+        return min_queued_tokens <= self._limits.unread_tokens
+
+    def may_admit(self, demand: Demand, min_queued_tokens: float) -> bool:
+        """Return whether some endpoint may have room for a request."""
+        return self._limits.admits(min_queued_tokens, demand.min_unread_tokens)
+
+    def is_long(self, demand: Demand) -> bool:
+        """Return whether a request is placed only where no prompt is unread."""
+        return demand.min_unread_tokens > self._limits.unread_tokens
 
     def choose(
         self,
         demand: Demand,
         endpoints: Sequence[DiscoveredEndpoint],
         remaining_wait: float,
+        reserved: frozenset[str] = frozenset(),
     ) -> Choice | None:
         """Return the endpoint for a request.
 
@@ -152,6 +177,22 @@
         remaining_wait : float
             Fraction of the request's waiting time that is left, from 1 to 0. The
             smaller it is, the less a cached prefix at a busy endpoint counts.
+        reserved : frozenset of str, default=frozenset()
+            Ids of endpoints that are left to other requests.
+        """
+        best = self.find_best(demand, endpoints, remaining_wait, reserved)
+        return best if best is not None and not best.is_full else None
+
+    def find_best(
+        self,
+        demand: Demand,
+        endpoints: Sequence[DiscoveredEndpoint],
+        remaining_wait: float,
+        reserved: frozenset[str] = frozenset(),
+    ) -> Choice | None:
+        """Return the endpoint with the lowest cost, also if it is at its limit.
+
+        None if no endpoint has a free slot. The parameters are those of `choose`.
         """
         if not endpoints:
             return None
@@ -174,7 +215,7 @@
         if demand.tokens > self._limits.unread_tokens:
             event_gaps = self._health.relative_event_gaps(endpoints)
         data_centre = demand.data_centre or self._data_centre
-        skipped = avoided | demand.avoided
+        skipped = avoided | demand.avoided | reserved
         best: tuple[float, DiscoveredEndpoint, int, int, bool] | None = None
         least_loaded = index.least_loaded(
             data_centre, _NEAR_CANDIDATES, _REMOTE_CANDIDATES, skipped
@@ -198,17 +239,14 @@
                 cost += SLOW_ENDPOINT_WEIGHT * (event_gaps[endpoint.id] - 1.0) * unread
             if endpoint.id == preferred:
                 cost -= PREFERRED_BONUS_TOKENS
-            is_full = (
-                load.unread_tokens > 0
-                and load.unread_tokens + unread > self._limits.unread_tokens
-            )
+            is_full = not self._limits.admits(load.unread_tokens, unread)
             if best is None or cost < best[0]:
                 best = (cost, endpoint, unread, fetched, is_full)
-        if best is None or best[-1]:
+        if best is None:
             return None
-        _, endpoint, unread, fetched, _ = best
+        _, endpoint, unread, fetched, is_full = best
         source = index.get(holder) if fetched and holder else None
-        return Choice(endpoint, unread, source)
+        return Choice(endpoint, unread, source, is_full)
 
     def _index_of(self, endpoints: Sequence[DiscoveredEndpoint]) -> EndpointIndex:
         """Return the index of a list of endpoints, which is kept until it changes."""
--- a/libs/gateway/tests/test_admission.py
+++ b/libs/gateway/tests/test_admission.py
@@ -1,4 +1,5 @@
 import asyncio
+from collections import deque
 
 import pytest
 from gateway_builders import (
@@ -227,3 +228,112 @@
     assert sum(task.done() for task in waiting) == 4
     for task in waiting:
         task.cancel()
+
+
+async def keep_endpoint_busy(components, duration_ms):
+    """Send short prompts of other teams that never leave the endpoint idle."""
+    unread = deque([900])
+    tasks = []
+
+    def count_placed(task):
+        if not task.cancelled() and task.exception() is None:
+            unread.append(900)
+
+    for step in range(int(duration_ms / 20)):
+        now_ms = components.clock.now_ms()
+        call = make_call(f"small-{step % 3}", 900, now_ms=now_ms, request_id=str(step))
+        task = await wait_for(components, call)
+        task.add_done_callback(count_placed)
+        tasks.append(task)
+        await components.clock.advance(20)
+        await settle()
+        if unread:
+            components.loads.end_prefill("e1", unread.popleft())
+    for task in tasks:
+        task.cancel()
+
+
+async def test_long_prompt_is_placed_while_short_ones_keep_the_endpoint_busy():
+    # Guards against the largest requests of a team, of which hardly any is served as
+    # long as short prompts leave no endpoint without an unread one.
+    components = GatewayComponents(make_endpoint("e1"))
+    components.begin("e1", "small-0", tokens=900)
+    long_task = await wait_for(components, make_call("crew-a", 9000))
+    await keep_endpoint_busy(components, 690)
+    assert long_task.done()
+    assert long_task.exception() is None
+
+
+async def test_reserved_endpoints_are_at_most_a_quarter():
+    # Guards against long prompts that wait and leave the whole service idle.
+    names = [f"e{number}" for number in range(8)]
+    components = GatewayComponents(*map(make_endpoint, names))
+    for name in names:
+        components.begin(name, "small", tokens=900)
+    long_tasks = [
+        await wait_for(components, make_call(f"crew-{number}", 9000))
+        for number in range(8)
+    ]
+    await components.clock.advance(400)
+    short_tasks = [
+        await wait_for(components, make_call("small", 900, now_ms=400.0))
+        for _ in range(6)
+    ]
+    await components.clock.advance(150)
+    await settle()
+    assert all(task.done() for task in short_tasks)
+    for task in (*long_tasks, *short_tasks):
+        task.cancel()
+
+
+async def test_oldest_request_of_a_backlog_is_considered():
+    # Guards against a long prompt that is hidden by the short ones of its own team.
+    components = GatewayComponents(make_endpoint("e1"))
+    components.begin("e1", "small", tokens=900)
+    long_task = await wait_for(components, make_call("crew-a", 9000))
+    short_tasks = [
+        await wait_for(components, make_call("crew-a", 1200, request_id=f"s{number}"))
+        for number in range(12)
+    ]
+    await components.clock.advance(400)
+    components.loads.end_prefill("e1", 900)
+    components.queue.place_waiting()
+    assert sum(task.done() for task in (long_task, *short_tasks)) <= 1
+    for _ in range(10):
+        await components.clock.advance(20)
+        await settle()
+        unread = components.loads.total("e1").unread_tokens
+        if unread and not long_task.done():
+            components.loads.end_prefill("e1", unread)
+    assert long_task.done()
+    for task in short_tasks:
+        task.cancel()
+
+
+async def test_long_request_that_was_cancelled_is_skipped_once():
+    components = GatewayComponents(make_endpoint("e1"))
+    components.begin("e1", "small", tokens=900)
+    long_task = await wait_for(components, make_call("crew-a", 9000))
+    short_task = await wait_for(components, make_call("crew-a", 1200))
+    await components.clock.advance(400)
+    components.queue._queues_by_team["crew-a"][0].placed.cancel()
+    components.loads.end_prefill("e1", 900)
+    components.queue.place_waiting()
+    await settle()
+    assert long_task.cancelled()
+    assert short_task.done()
+
+
+async def test_waiting_requests_are_placed_after_a_pass_that_failed():
+    # Guards against requests that wait for the next arrival since polling has ended.
+    components = GatewayComponents(make_endpoint("e1"))
+    occupy(components)
+    task = await wait_for(components, make_call(tokens=5000))
+    place_waiting = components.queue.place_waiting
+    components.queue.place_waiting = lambda: 1 / 0
+    await components.clock.advance(60)
+    components.queue.place_waiting = place_waiting
+    components.loads.end_prefill("e1", 9000)
+    await components.clock.advance(60)
+    await settle()
+    assert task.result().endpoint == "e1"
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -137,18 +137,32 @@
     )
 
 
-def test_max_admissible_tokens_is_the_largest_prompt_that_fits():
+def test_requests_are_skipped_only_if_they_fit_at_no_endpoint():
     # Guards against requests that a placement pass skips although they would fit.
     components = GatewayComponents(make_endpoint("e1"), make_endpoint("e2", slots=1))
     endpoints = components.directory.of_service(SERVICE)
-    assert components.placer.max_admissible_tokens(endpoints) == math.inf
+    placer = components.placer
+
+    def may_admit(tokens):
+        queued_tokens = placer.min_queued_tokens(endpoints)
+        demand = demand_of(make_call(tokens=tokens), 0.0)
+        is_admissible = placer.may_admit(demand, queued_tokens)
+        choice = components.choose(make_call(tokens=tokens))
+        assert is_admissible == (choice is not None)
+        return is_admissible
+
+    assert placer.min_queued_tokens(endpoints) == 0
+    assert may_admit(9000)
     components.begin("e1", tokens=1500)
     components.begin("e2", tokens=0)
-    assert components.placer.max_admissible_tokens(endpoints) == 548
-    assert components.choose(make_call(tokens=548)) is not None
-    assert components.choose(make_call(tokens=549)) is None
+    assert placer.min_queued_tokens(endpoints) == 1500
+    assert may_admit(548)
+    assert not may_admit(549)
+    assert placer.has_room(1500)
     components.begin("e1", tokens=600)
-    assert components.placer.max_admissible_tokens(endpoints) <= 0
+    assert not placer.has_room(placer.min_queued_tokens(endpoints))
+    components.begin("e1", tokens=0)
+    assert placer.min_queued_tokens([]) == math.inf
 
 
 def test_endpoint_is_avoided_until_its_backoff_ends():
