Resume a stalled stream although single bytes arrive

What operators of similar systems told: stalled streams that sent a byte now and then never ended. It could happen here: the idle time-out of a resumable stream counted any byte, so an endpoint that stalls inside an event kept its caller until the time limit of the route.

Change: progress of an event stream is a complete event. Without one for 1,200 ms, the idle time-out that was there before, the exchange is aborted and the stream resumed at another endpoint. The time for which a slow caller pauses the endpoint does not count. Streams that cannot be resumed are not cut: an endpoint's silence is no reason to end them.

Tests: a stream that sends a byte each 200 ms inside its second event (fails on the code before: no end within 4 s), and one whose events come in pieces and 700 ms apart, which is not cut.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -10,13 +10,14 @@
 | response that ends early | broken off |
 """
 
+import asyncio
 import enum
 from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import ConnectError, PeerError
+from bulrushbend.core.errors import ConnectError, PeerError, PeerTimeoutError
 from bulrushbend.gateway.call import Call, Placement
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.header_codec import HeaderCodec
@@ -31,8 +32,8 @@
 # the time between the two remains for the second attempt.
 _FIRST_BYTE_TIMEOUT_FACTOR = 2.5
 _MIN_FIRST_BYTE_TIMEOUT_MS = 400.0
-# Time without data after which a stream is resumed at another endpoint. Pauses of up to
-# a quarter of it count as on time.
+# Time without a complete event after which a stream is resumed at another endpoint.
+# Pauses of up to a quarter of it count as on time.
 _STREAM_IDLE_TIMEOUT_MS = 1_200.0
 # When a caller disconnects after waiting for the first event for longer than this, the
 # cause is likely the endpoint, which is recorded as failed: processing the longest
@@ -115,6 +116,8 @@
         self._is_prefill_ended = False
         self._sent = False
         self._last_chunk_ms = 0.0
+        self._last_event_ms = 0.0
+        self._progress_timer: asyncio.TimerHandle | None = None
         self._gaps_ms: list[float] = []
         self._queued_tokens = context.loads.total(endpoint.id).unread_tokens
         self._started_ms = context.clock.now_ms()
@@ -211,7 +214,14 @@
 
     async def _forward_body(self, exchange: Exchange) -> None:
         self._sink.set_flow_control(exchange.pause, exchange.resume)
-        await exchange.forward(self._forward_chunk)
+        self._last_event_ms = self._context.clock.now_ms()
+        if self._framer is not None and _is_event_stream(exchange):
+            self._watch_progress(exchange)
+        try:
+            await exchange.forward(self._forward_chunk)
+        finally:
+            if self._progress_timer is not None:
+                self._progress_timer.cancel()
         self._context.health.record_event_gaps(self._endpoint.id, self._gaps_ms)
         if self._framer is not None and (rest := self._framer.finish()):
             self._sink.write(rest)
@@ -228,8 +238,29 @@
         self._last_chunk_ms = now_ms
         piece = chunk if self._framer is None else self._framer.feed(chunk)
         if piece:
+            self._last_event_ms = now_ms
             self._sink.write(piece)
 
+    def _watch_progress(self, exchange: Exchange) -> None:
+        """Abort the exchange when its stream has no complete event for too long.
+
+        An endpoint that stalls may go on sending single bytes, which end the idle
+        time-out of the connection. The time for which the caller reads too slowly does
+        not count.
+        """
+        now_ms = self._context.clock.now_ms()
+        if exchange.is_paused:
+            self._last_event_ms = now_ms
+        left_ms = self._last_event_ms + _STREAM_IDLE_TIMEOUT_MS - now_ms
+        if left_ms <= 0.0:
+            message = "no complete event within the idle timeout"
+            exchange.abort(PeerTimeoutError(message, step="body", peer=exchange.peer))
+            return
+        loop = asyncio.get_running_loop()
+        self._progress_timer = loop.call_later(
+            left_ms / 1000.0, self._watch_progress, exchange
+        )
+
     def _record_first_event(self) -> None:
         tokens = self._queued_tokens + self._placement.unread_tokens
         expected_ms = _FIRST_EVENT_OVERHEAD_MS + tokens / PREFILL_TOKENS_PER_MS
@@ -247,3 +278,8 @@
 
     def _elapsed_ms(self) -> float:
         return self._context.clock.now_ms() - self._started_ms
+
+
+def _is_event_stream(exchange: Exchange) -> bool:
+    content_type = exchange.headers.get("Content-Type", "")
+    return exchange.status == 200 and content_type.startswith("text/event-stream")
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -240,6 +240,35 @@
         assert b"Last-Event-Id: 2" in fixture.endpoints[1].requests[0]
 
 
+async def test_stalled_stream_that_sends_single_bytes_is_resumed():
+    # Guards against a stalled stream that never ends since a byte arrives now and then.
+    bytes_of_event = [chunk(b"d"), 0.2] * 30
+    first = [stream_head() + chunk(event(1)), *bytes_of_event, "hang"]
+    second = stream_head() + chunk(event(2)) + END_OF_CHUNKS
+    async with running_dispatcher([first], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        async with asyncio.timeout(4.0):
+            result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2)
+        assert fixture.is_idle
+
+
+async def test_slow_stream_with_whole_events_is_not_cut():
+    # Guards against sound streams that are resumed elsewhere because they are slow.
+    first = [stream_head() + chunk(event(1))]
+    for number in range(2, 5):
+        content = chunk(event(number))
+        first += [0.4, content[:9], 0.3, content[9:]]
+    first.append(END_OF_CHUNKS)
+    async with running_dispatcher([first], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == b"".join(event(n) for n in (1, 2, 3, 4))
+        assert runs(fixture) == 1
+
+
 async def test_broken_stream_that_cannot_be_resumed_is_broken_off():
     first = stream_head() + chunk(event(1))
     async with running_dispatcher([[first, 0.05, "reset"]], [RESPONSE]) as fixture:
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -269,6 +269,11 @@
         """Headers of the response."""
         return self._reader.headers
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether reading the response is paused."""
+        return self._reader.is_paused
+
     @classmethod
     async def open(
         cls, address: str, request: ExchangeRequest, timeouts: ExchangeTimeouts
