Wait for the holder of a prompt only while a request is fresh

Cause: with a weight of 1.5 for each fetched token a request waited for the endpoint that had its prompt for as long as it could wait, behind any number of others, and was refused while other endpoints were idle.

Change: the weight falls from 1.5 to 0.35, the time that a fetch takes, in the first half of the waiting time.

--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -223,10 +223,10 @@
         most callers. A request that waits for an endpoint with its cached prefix does
         not block the requests behind it.
 
-        A long prompt is placed where no prompt is unread, and short ones may keep every
-        endpoint busy. After half of its time it therefore reserves the endpoint that it
-        waits for, which is added to `reserved`. If the oldest request of the team is
-        such a prompt, it goes first, so a backlog does not hide it.
+        A long prompt is placed where no prompt is unread, and shorter ones may keep
+        every endpoint busy. After half of its time it therefore reserves the endpoint
+        that it waits for, which is added to `reserved`. If the oldest request of the
+        team is such a prompt, it goes first, so a backlog does not hide it.
         """
         now_ms = self._clock.now_ms()
         entries = heapq.nsmallest(_MAX_CANDIDATES, queue, key=_prompt_tokens)
--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -366,27 +366,23 @@
     def _update_loads(self, loads: dict[str, Load], changed: dict[str, Load]) -> None:
         """Apply a partial report to the loads of a gateway and to the totals."""
         for endpoint, load in changed.items():
-            known = loads.pop(endpoint, _NO_LOAD)
-            self._totals.add(
-                endpoint,
-                load.running - known.running,
-                load.unread_tokens - known.unread_tokens,
-            )
+            self._add_difference(endpoint, loads.pop(endpoint, _NO_LOAD), load)
             if load.running or load.unread_tokens:
                 loads[endpoint] = load
 
     def _replace_loads(self, before: dict[str, Load], now: dict[str, Load]) -> None:
         """Add the difference of two reports of a gateway to the totals."""
-        for endpoint, load in now.items():
-            known = before.get(endpoint, _NO_LOAD)
-            self._totals.add(
-                endpoint,
-                load.running - known.running,
-                load.unread_tokens - known.unread_tokens,
+        for endpoint in before.keys() | now.keys():
+            self._add_difference(
+                endpoint, before.get(endpoint, _NO_LOAD), now.get(endpoint, _NO_LOAD)
             )
-        for endpoint, known in before.items():
-            if endpoint not in now:
-                self._totals.add(endpoint, -known.running, -known.unread_tokens)
+
+    def _add_difference(self, endpoint: str, before: Load, now: Load) -> None:
+        self._totals.add(
+            endpoint,
+            now.running - before.running,
+            now.unread_tokens - before.unread_tokens,
+        )
 
     def _add_load(self, placement: Placement) -> None:
         load = self._own[placement.endpoint]
--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -22,9 +22,13 @@
 # prompts from the endpoint's memory, so they weigh more than tokens that are already
 # queued.
 PREFILL_WEIGHT = 5.0
-# Weight of a token that is fetched from another endpoint. Fetching takes less time than
-# prefill, but a second copy evicts other prompts, and the transfer is billed.
-FETCH_WEIGHT = 1.5
+# Weight of a token that is fetched from another endpoint: fetching takes about a third
+# of its prefill time. A second copy evicts other prompts and its transfer is billed, so
+# the token weighs more while the request has much of its waiting time left. After that,
+# waiting for the holder would leave other endpoints idle.
+FETCH_WEIGHT = 0.35
+FRESH_FETCH_WEIGHT = 1.5
+_FRESH_ABOVE = 0.5
 # Fewer tokens are processed in less time than the set-up of a transfer takes.
 MIN_FETCH_TOKENS = 100
 # Cost in tokens of each running request beyond its prompt, at an endpoint with the
@@ -46,6 +50,8 @@
 _NEAR_CANDIDATES = 4
 _REMOTE_CANDIDATES = 2
 _MAX_HOLDERS = 8
+# Prompts of more than this multiple of the limit on unread tokens are long.
+_LONG_FACTOR = 3
 
 _NO_LOAD = Load()
 
@@ -153,8 +159,8 @@
         return self._limits.admits(min_queued_tokens, demand.min_unread_tokens)
 
     def is_long(self, demand: Demand) -> bool:
-        """Return whether a request is placed only where no prompt is unread."""
-        return demand.min_unread_tokens > self._limits.unread_tokens
+        """Return whether a prompt takes far longer than those placed together."""
+        return demand.min_unread_tokens > _LONG_FACTOR * self._limits.unread_tokens
 
     def choose(
         self,
@@ -270,7 +276,9 @@
         remaining_wait: float,
     ) -> float:
         weight = 1.0 + (PREFILL_WEIGHT - 1.0) * remaining_wait
-        work = _load_cost(endpoint, load) + weight * unread + FETCH_WEIGHT * fetched
+        freshness = max(0.0, remaining_wait - _FRESH_ABOVE) / (1.0 - _FRESH_ABOVE)
+        fetch_weight = FETCH_WEIGHT + (FRESH_FETCH_WEIGHT - FETCH_WEIGHT) * freshness
+        work = _load_cost(endpoint, load) + weight * unread + fetch_weight * fetched
         return work * self._health.slowness(endpoint.id)
 
 
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -40,6 +40,20 @@
     assert choice.unread_tokens == 700
 
 
+def test_fresh_request_waits_for_the_holder_and_later_fetches():
+    # Guards against copies of a prompt at every endpoint, and against requests that are
+    # refused while other endpoints than the holder are idle.
+    components = GatewayComponents(make_endpoint("e1"), make_endpoint("e2"))
+    cache_parts(components, "e1", "p1", "p2")
+    components.begin("e1", "crew-b", 4_000, 0)
+    call = make_call(tokens=6000, prefix=PROMPT)
+    assert components.choose(call, remaining_wait=1.0) is None
+    for remaining_wait in (0.5, 0.2, 0.0):
+        choice = components.choose(call, remaining_wait=remaining_wait)
+        assert choice.endpoint.id == "e2"
+        assert choice.source.id == "e1"
+
+
 def test_cached_part_after_a_missing_part_does_not_count():
     components = GatewayComponents(make_endpoint("e1"))
     cache_parts(components, "e1", "p2")
