Send a request to an idle remote endpoint rather than wait near its caller

Cause: a request waits if the endpoint with the lowest cost is at its limit. With a distance of 1,000 tokens a near endpoint that processed a few hundred tokens had a lower cost than an idle one in another data centre, so requests waited while capacity was idle.

Change: the distance is 10 tokens again, counted from the caller's gateway. The new test fails with 1,000.

Evidence: the test.

--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -41,8 +41,9 @@
 # long as the prompt's prefill takes.
 SLOW_ENDPOINT_WEIGHT = 3.0
 # Penalty for an endpoint in another data centre than the caller, and bonus of the
-# preferred endpoint of a prompt that none has cached.
-REMOTE_PENALTY_TOKENS = 1_000.0
+# preferred endpoint of a prompt that none has cached. The penalty is small: a request
+# waits if the endpoint with the lowest cost is busy, also while a remote one is idle.
+REMOTE_PENALTY_TOKENS = 10.0
 PREFERRED_BONUS_TOKENS = 500.0
 # Candidates for a placement: least loaded endpoints of the caller's data centre and of
 # each other one, and endpoints that have cached the prompt. A slow one may have the
--- a/libs/gateway/tests/test_placing.py
+++ b/libs/gateway/tests/test_placing.py
@@ -188,6 +188,16 @@
     assert [e.id for e in components.health.usable(endpoints)] == ["e2"]
 
 
+def test_idle_remote_endpoint_is_preferred_to_a_busy_near_one():
+    # Guards against requests that wait in one data centre while another one is idle.
+    components = GatewayComponents(
+        make_endpoint("e1", data_centre="papantla"),
+        make_endpoint("e2", data_centre="tecolutla"),
+    )
+    components.begin("e1", tokens=300)
+    assert components.choose(make_call(tokens=6000)).endpoint.id == "e2"
+
+
 def test_endpoint_near_the_requesting_gateway_is_preferred():
     # Guards against traffic between data centres for requests that any endpoint can
     # serve: nearness counts from the gateway of the caller, not from the coordinator.
