Make the test of a new coordinator's report able to fail

The test asserted only if the second gateway in rank happened to be a peer; with the service it uses the gateway itself was next, so it checked nothing. Both peers are large now, and the receiver, the completeness and the endpoints of the report are asserted always.

Also: endpoint_sharing uses the DatagramSender of placement_client instead of a second one, and an unused field of the placement rig is gone. No behaviour changes.

--- a/libs/bench/src/bulrushbend/bench/placement_costs.py
+++ b/libs/bench/src/bulrushbend/bench/placement_costs.py
@@ -10,7 +10,7 @@
 
 from bulrushbend.bench.registry import command
 from bulrushbend.bench.sweep import DEFAULT_FOLDER, Sweep, run_sweep
-from bulrushbend.core.clock import Clock, ManualClock
+from bulrushbend.core.clock import ManualClock
 from bulrushbend.core.events import MemoryEventLog
 from bulrushbend.gateway.admission import AdmissionQueue
 from bulrushbend.gateway.call import Placement, PromptPart
@@ -62,7 +62,6 @@
         Requests whose prompts are cached somewhere.
     """
 
-    clock: Clock
     directory: EndpointDirectory
     loads: LoadView
     placer: Placer
@@ -137,7 +136,7 @@
         reports.append(report.SerializeToString())
         peer.end_prefill(endpoint, tokens)
         peer.end(endpoint)
-    return PlacementRig(clock, directory, loads, placer, queue, reports, demands)
+    return PlacementRig(directory, loads, placer, queue, reports, demands)
 
 
 def measure_placement(
--- a/libs/gateway/src/bulrushbend/gateway/endpoint_sharing.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoint_sharing.py
@@ -9,11 +9,12 @@
 have this version asks for them.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from bulrushbend.core.logs import get_logger
 from bulrushbend.core.rendezvous import rendezvous_rank
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
+from bulrushbend.gateway.placement_client import DatagramSender
 from bulrushbend.wire.fleet_pb2 import (
     EndpointEntry,
     EndpointListNote,
@@ -30,7 +31,6 @@
 _MAX_PAGES = 1_000
 _RANKING_KEY = "endpoint-list"
 
-DatagramSender = Callable[[str, GatewayDatagram], None]
 Version = tuple[str, int, int]
 
 
--- a/libs/gateway/tests/test_peer_protocol.py
+++ b/libs/gateway/tests/test_peer_protocol.py
@@ -131,20 +131,22 @@
 async def test_new_coordinator_gets_all_loads_at_once():
     # Guards against a coordinator that applies changes to loads it does not have.
     fixture = ProtocolFixture()
+    # Both peers are larger than this gateway, so the second in rank is a peer too.
+    peers = {"g1": "127.0.0.1:1", "g2": "127.0.0.1:2"}
+    fixture.coordinators.set_peers(peers, {"g1": 1.4, "g2": 1.4})
     begin(fixture.loads, "e0", "crew-a", 100, 100)
     begin(fixture.loads, "e1", "crew-a", 100, 100)
-    fixture.coordinators.choose(SERVICE)
+    first = fixture.coordinators.choose(SERVICE)
     change = [lambda: fixture.loads.end_prefill("e0", 100)]
     await brief_reports(fixture, change)
-    fixture.coordinators.suspect("g1", "no reply")
-    if fixture.coordinators.choose(SERVICE) is None:
-        fixture.coordinators.trust("g1")
-        fixture.coordinators.choose(SERVICE)
+    fixture.coordinators.suspect(first, "no reply")
+    second = fixture.coordinators.choose(SERVICE)
+    assert {first, second} == {"g1", "g2"}
     (report,) = await brief_reports(fixture, [lambda: fixture.loads.end("e0")])
-    sent_to = {address for address, _ in fixture.transport.sent}
-    if sent_to == {("127.0.0.1", 2)}:
-        assert not report.is_partial
-        assert [entry.endpoint for entry in report.endpoints] == ["e1"]
+    sent_to = {f"{host}:{port}" for (host, port), _ in fixture.transport.sent}
+    assert sent_to == {peers[second]}
+    assert not report.is_partial
+    assert [entry.endpoint for entry in report.endpoints] == ["e1"]
 
 
 async def test_one_lost_report_does_not_expire_the_load_of_a_gateway():
