End a silent attempt only when another endpoint is reserved

Cause: silence ended an attempt (1.2 s without an event, 2.5 times the objective without headers) before the gateway knew whether another attempt was possible. Without retry budget, at the last permitted endpoint, for a stream without event ids, or while no other endpoint had room, nothing followed, so the gateway itself destroyed the only answer. Class of fault: a resource is given up before its replacement is secured.

Change: a silent attempt first takes a retry from the budget and a placement at another endpoint, and ends once it has both. If the endpoint goes on meanwhile, both are returned. Only the time limit, the endpoint or the caller end an attempt otherwise. A silent prompt is no longer counted as unread work.

Evidence: the five new tests fail before (broken off after 1.2 s, or a 502) and pass after. An endpoint that never answers is left later than before when there is no room elsewhere.

Ruled out: changes of the idle time of connections (a request that was read is never closed by the timer), the limit on connections (only idle ones are closed), and the end of a route's time, which is answered.

--- a/libs/core/src/bulrushbend/core/budget.py
+++ b/libs/core/src/bulrushbend/core/budget.py
@@ -50,3 +50,7 @@
             return False
         self._tokens = max(0.0, self._tokens - 1.0)
         return True
+
+    def release(self) -> None:
+        """Return the token of a retry that was not made."""
+        self._tokens = min(self._max_tokens, self._tokens + 1.0)
--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -13,6 +13,7 @@
 import asyncio
 import enum
 from dataclasses import dataclass
+from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
 
@@ -27,13 +28,14 @@
 from bulrushbend.wire.eventstream import EventFramer
 from bulrushbend.wire.exchange import Exchange, ExchangeRequest, ExchangeTimeouts
 
-# First-byte time-out of a request that may be repeated, as a multiple of its objective,
-# with a lower bound. Callers of streams disconnect after four times the objective, so
-# the time between the two remains for the second attempt.
+# Time without a response after which a request that may be repeated looks for another
+# endpoint, as a multiple of its objective, with a lower bound. Callers of streams
+# disconnect after four times the objective, so the time between the two remains for the
+# second attempt.
 _FIRST_BYTE_TIMEOUT_FACTOR = 2.5
 _MIN_FIRST_BYTE_TIMEOUT_MS = 400.0
-# Time without a complete event after which a stream is resumed at another endpoint.
-# Pauses of up to a quarter of it count as on time.
+# Time without a complete event after which a resumable stream looks for another
+# endpoint. Pauses of up to a quarter of it count as on time.
 _STREAM_IDLE_TIMEOUT_MS = 1_200.0
 # When a caller disconnects after waiting for the first event for longer than this, the
 # cause is likely the endpoint, which is recorded as failed: processing the longest
@@ -57,11 +59,36 @@
 
 @dataclass(frozen=True)
 class AttemptResult:
-    """Verdict of an attempt, its reason and the endpoint's status code."""
+    """Result of an attempt.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        Whether the request ran.
+    reason : str
+        Why there is no complete response, else empty.
+    status : int
+        Status code of the endpoint, 0 without a response.
+    successor : Placement or None
+        Endpoint for the next attempt, reserved before this one was ended.
+    """
 
     verdict: Verdict
     reason: str = ""
     status: int = 0
+    successor: Placement | None = None
+
+
+class SuccessorSource(Protocol):
+    """Reserves the endpoint for the attempt that follows a silent one."""
+
+    async def reserve(self) -> Placement | None:
+        """Return a placement at another endpoint, None if no retry is possible."""
+        ...
+
+    def release(self, placement: Placement) -> None:
+        """Release a placement that is not used."""
+        ...
 
 
 @dataclass(frozen=True)
@@ -92,8 +119,15 @@
         Receives the response.
     framer : EventFramer or None
         Splits a resumable stream at event boundaries, across all its attempts.
-    may_retry_failure : bool
-        Whether another attempt may follow a failure of the endpoint.
+    successors : SuccessorSource or None
+        Reserves the endpoint of the next attempt; None if no attempt may follow this
+        one after the request may have run.
+
+    Notes
+    -----
+    Silence does not end an attempt: the endpoint may be slow, and its response may be
+    the only one that the caller can get. A silent attempt ends when another endpoint is
+    reserved for the request.
     """
 
     def __init__(
@@ -104,7 +138,7 @@
         endpoint: DiscoveredEndpoint,
         sink: ResponseSink,
         framer: EventFramer | None,
-        may_retry_failure: bool,
+        successors: SuccessorSource | None,
     ):
         self._context = context
         self._call = call
@@ -112,29 +146,41 @@
         self._endpoint = endpoint
         self._sink = sink
         self._framer = framer
-        self._may_retry_failure = may_retry_failure
+        self._successors = successors
+        self._successor: Placement | None = None
+        self._reservation: asyncio.Task[None] | None = None
         self._is_prefill_ended = False
         self._sent = False
+        self._has_headers = False
+        self._has_body = False
+        self._was_silent = False
         self._last_chunk_ms = 0.0
-        self._last_event_ms = 0.0
-        self._progress_timer: asyncio.TimerHandle | None = None
+        self._last_progress_ms = 0.0
+        self._silence_timer: asyncio.TimerHandle | None = None
         self._gaps_ms: list[float] = []
         self._queued_tokens = context.loads.total(endpoint.id).unread_tokens
         self._started_ms = context.clock.now_ms()
 
     async def run(self) -> AttemptResult:
         """Send the request, forward the response and return the verdict."""
+        result: AttemptResult | None = None
         try:
-            return await self._run()
+            result = await self._run()
+            return result
         except BaseException:
             if (
                 self._sent
-                and not self._is_prefill_ended
+                and not self._has_body
                 and self._elapsed_ms() > _SILENT_ENDPOINT_MS
             ):
                 self._context.health.record_failure(self._endpoint.id, "silent")
             raise
         finally:
+            self._stop_watching()
+            if self._successor is not None and (
+                result is None or result.successor is None
+            ):
+                self._successors.release(self._successor)
             self._end_prefill()
             self._context.loads.end(self._endpoint.id)
 
@@ -149,16 +195,21 @@
             return AttemptResult(Verdict.NOT_RUN, f"connect: {error.message}")
         self._sent = True
         try:
+            if self._successors is not None:
+                self._last_progress_ms = self._context.clock.now_ms()
+                self._watch_silence(exchange)
             await exchange.send(self._request())
             return await self._handle_response(exchange)
         except PeerError as error:
-            self._context.health.record_failure(
-                self._endpoint.id, f"{error.step}: {error.message}"
-            )
+            if self._successor is None:
+                self._context.health.record_failure(
+                    self._endpoint.id, f"{error.step}: {error.message}"
+                )
             verdict = Verdict.MAY_HAVE_RUN
             if self._sink.started:
                 verdict = Verdict.BROKEN_OFF
-            return AttemptResult(verdict, f"{error.step}: {error.message}")
+            reason = f"{error.step}: {error.message}"
+            return AttemptResult(verdict, reason, successor=self._successor)
         finally:
             exchange.close()
 
@@ -171,33 +222,27 @@
         return ExchangeRequest(call.method, call.target, headers, call.body)
 
     def _timeouts(self) -> ExchangeTimeouts:
-        call = self._call
-        remaining_ms = max(1.0, call.remaining_ms(self._context.clock.now_ms()))
-        first_ms = idle_ms = remaining_ms
-        if self._may_retry_failure:
-            first_byte_timeout_ms = max(
-                _MIN_FIRST_BYTE_TIMEOUT_MS,
-                _FIRST_BYTE_TIMEOUT_FACTOR * call.route.objective_ms,
-            )
-            first_ms = min(first_ms, first_byte_timeout_ms)
-        if self._framer is not None:
-            idle_ms = min(idle_ms, _STREAM_IDLE_TIMEOUT_MS)
+        remaining_ms = max(1.0, self._call.remaining_ms(self._context.clock.now_ms()))
         return ExchangeTimeouts(
             connect_ms=min(self._context.connect_ms, remaining_ms),
-            first_byte_ms=first_ms,
-            idle_ms=idle_ms,
+            first_byte_ms=remaining_ms,
+            idle_ms=remaining_ms,
         )
 
     async def _handle_response(self, exchange: Exchange) -> AttemptResult:
         header_codec = self._context.header_codec
         status, headers = exchange.status, exchange.headers
+        self._has_headers = True
+        self._record_progress()
+        if not (self._framer is not None and _is_event_stream(exchange)):
+            self._stop_watching()
         if header_codec.proves_not_run(status, headers):
             return AttemptResult(Verdict.NOT_RUN, "endpoint refused", status)
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
         if self._sink.started and status != 200:
             return AttemptResult(Verdict.BROKEN_OFF, "resume refused", status)
-        if status >= 500 and self._may_retry_failure:
+        if status >= 500 and self._successors is not None:
             return AttemptResult(Verdict.MAY_HAVE_RUN, "endpoint failed", status)
         if not self._sink.started:
             self._sink.start(status, self._response_headers(exchange))
@@ -214,21 +259,15 @@
 
     async def _forward_body(self, exchange: Exchange) -> None:
         self._sink.set_flow_control(exchange.pause, exchange.resume)
-        self._last_event_ms = self._context.clock.now_ms()
-        if self._framer is not None and _is_event_stream(exchange):
-            self._watch_progress(exchange)
-        try:
-            await exchange.forward(self._forward_chunk)
-        finally:
-            if self._progress_timer is not None:
-                self._progress_timer.cancel()
+        await exchange.forward(self._forward_chunk)
         self._context.health.record_event_gaps(self._endpoint.id, self._gaps_ms)
         if self._framer is not None and (rest := self._framer.finish()):
             self._sink.write(rest)
 
     def _forward_chunk(self, chunk: bytes) -> None:
         now_ms = self._context.clock.now_ms()
-        if not self._is_prefill_ended:
+        if not self._has_body:
+            self._has_body = True
             self._record_first_event()
             self._call.record_first_event(now_ms)
         else:
@@ -238,29 +277,62 @@
         self._last_chunk_ms = now_ms
         piece = chunk if self._framer is None else self._framer.feed(chunk)
         if piece:
-            self._last_event_ms = now_ms
+            self._record_progress()
             self._sink.write(piece)
 
-    def _watch_progress(self, exchange: Exchange) -> None:
-        """Abort the exchange when its stream has no complete event for too long.
+    def _watch_silence(self, exchange: Exchange) -> None:
+        """Reserve another endpoint when this one makes no progress for too long.
 
-        An endpoint that stalls may go on sending single bytes, which end the idle
-        time-out of the connection. The time for which the caller reads too slowly does
-        not count.
+        An endpoint that stalls may go on sending single bytes, so only complete events
+        count. The time for which the caller reads too slowly does not count.
         """
-        now_ms = self._context.clock.now_ms()
         if exchange.is_paused:
-            self._last_event_ms = now_ms
-        left_ms = self._last_event_ms + _STREAM_IDLE_TIMEOUT_MS - now_ms
+            self._record_progress()
+        silent_ms = self._context.clock.now_ms() - self._last_progress_ms
+        left_ms = self._silence_limit_ms() - silent_ms
         if left_ms <= 0.0:
-            message = "no complete event within the idle timeout"
-            exchange.abort(PeerTimeoutError(message, step="body", peer=exchange.peer))
-            return
+            left_ms = self._silence_limit_ms()
+            if not self._was_silent:
+                self._was_silent = True
+                self._context.health.record_failure(self._endpoint.id, "silent")
+                self._end_prefill()
+            if self._reservation is None:
+                self._reservation = asyncio.create_task(self._move(exchange))
         loop = asyncio.get_running_loop()
-        self._progress_timer = loop.call_later(
-            left_ms / 1000.0, self._watch_progress, exchange
+        self._silence_timer = loop.call_later(
+            left_ms / 1000.0, self._watch_silence, exchange
         )
 
+    def _silence_limit_ms(self) -> float:
+        if self._has_headers:
+            return _STREAM_IDLE_TIMEOUT_MS
+        objective_ms = self._call.route.objective_ms
+        return max(
+            _MIN_FIRST_BYTE_TIMEOUT_MS, _FIRST_BYTE_TIMEOUT_FACTOR * objective_ms
+        )
+
+    async def _move(self, exchange: Exchange) -> None:
+        """End the exchange once another endpoint is reserved for the request."""
+        self._successor = await self._successors.reserve()
+        self._reservation = None
+        if self._successor is not None:
+            step = "body" if self._has_headers else "headers"
+            message = "no progress within the silence limit"
+            exchange.abort(PeerTimeoutError(message, step=step, peer=exchange.peer))
+
+    def _record_progress(self) -> None:
+        self._last_progress_ms = self._context.clock.now_ms()
+        if self._reservation is not None:
+            self._reservation.cancel()
+            self._reservation = None
+
+    def _stop_watching(self) -> None:
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+        if self._reservation is not None:
+            self._reservation.cancel()
+            self._reservation = None
+
     def _record_first_event(self) -> None:
         tokens = self._queued_tokens + self._placement.unread_tokens
         expected_ms = _FIRST_EVENT_OVERHEAD_MS + tokens / PREFILL_TOKENS_PER_MS
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -1,9 +1,11 @@
 """Runs a request: places it, makes an attempt, and decides whether to retry."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from typing import Protocol
 
+from bulrushbend.core.budget import RetryBudget
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.gateway import metrics
@@ -96,8 +98,10 @@
         self, call: Call, sink: ResponseSink, framer: EventFramer | None
     ) -> AttemptResult:
         refusals = 0
+        placement: Placement | None = None
         while True:
-            placement = await self._place(call)
+            if placement is None:
+                placement = await self._place(call)
             result = await self._attempt(call, placement, sink, framer)
             self._log_failure(call, placement, result)
             if result.verdict is Verdict.ANSWERED:
@@ -109,8 +113,9 @@
                 call.uncertain_attempts += 1
             if sink.started and not _can_resume(framer):
                 return result
-            if not self._may_retry(call, result, refusals):
+            if result.successor is None and not self._may_retry(call, result, refusals):
                 return self._end_without_response(call, result, sink)
+            placement = result.successor
             metrics.RETRIES.labels(call.service).inc()
             if framer is not None:
                 framer.restart()
@@ -148,11 +153,20 @@
         if endpoint is None:
             self._context.loads.release(placement)
             return AttemptResult(Verdict.NOT_RUN, "endpoint gone")
-        may_repeat = call.route.allows_retry and (
+        successors: _Successors | None = None
+        if call.route.allows_retry and (
             call.uncertain_attempts + 1 < call.route.most_endpoints
-        )
+        ):
+            successors = _Successors(
+                call,
+                sink,
+                framer,
+                self._placement_for(call.service),
+                self._budgets.for_service(call.service),
+                self._context,
+            )
         attempt = Attempt(
-            self._context, call, placement, endpoint, sink, framer, may_repeat
+            self._context, call, placement, endpoint, sink, framer, successors
         )
         return await attempt.run()
 
@@ -203,6 +217,53 @@
         )
 
 
+class _Successors:
+    """Reserves an endpoint and a retry for a request whose endpoint is silent."""
+
+    def __init__(
+        self,
+        call: Call,
+        sink: ResponseSink,
+        framer: EventFramer | None,
+        placement: ServicePlacement,
+        budget: RetryBudget,
+        context: AttemptContext,
+    ):
+        self._call = call
+        self._sink = sink
+        self._framer = framer
+        self._placement = placement
+        self._budget = budget
+        self._context = context
+
+    async def reserve(self) -> Placement | None:
+        """Return a placement at another endpoint, None if no retry is possible."""
+        if self._sink.started and not _can_resume(self._framer):
+            return None
+        now_ms = self._context.clock.now_ms()
+        if self._call.remaining_ms(now_ms) < _MIN_TIME_FOR_RETRY_MS:
+            return None
+        if not self._budget.try_acquire():
+            return None
+        demand = demand_of(self._call, now_ms)
+        avoided = demand.avoided | {self._call.endpoint}
+        try:
+            return await self._placement.place(
+                dataclasses.replace(demand, avoided=avoided)
+            )
+        except RequestError:
+            self._budget.release()
+            return None
+        except BaseException:
+            self._budget.release()
+            raise
+
+    def release(self, placement: Placement) -> None:
+        """Release a placement that is not used, and its retry."""
+        self._context.loads.release(placement)
+        self._budget.release()
+
+
 def _can_resume(framer: EventFramer | None) -> bool:
     """Return whether a started response can be resumed after its last event."""
     return framer is not None and bool(framer.last_id)
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -269,6 +269,63 @@
         assert runs(fixture) == 1
 
 
+async def test_silent_stream_is_not_cut_without_retry_budget():
+    # Guards against a sound stream that is cut since it paused and cannot be resumed.
+    first = [stream_head() + chunk(event(1)), 1.6, chunk(event(2)) + END_OF_CHUNKS]
+    async with running_dispatcher([first], [RESPONSE], budget=0) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2)
+        assert runs(fixture) == 1
+        assert fixture.is_idle
+
+
+async def test_silent_stream_is_not_cut_at_its_last_permitted_endpoint():
+    # Guards against a resumed stream that is cut since it paused once more.
+    first = stream_head() + chunk(event(1))
+    second = [stream_head() + chunk(event(2)), 1.6, chunk(event(3)) + END_OF_CHUNKS]
+    async with running_dispatcher([[first, 0.05, "reset"]], [second]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2) + event(3)
+
+
+async def test_silent_stream_is_not_cut_while_no_other_endpoint_has_room():
+    # Guards against a sound stream that is given up before another endpoint takes it.
+    first = [stream_head() + chunk(event(1)), 1.6, chunk(event(2)) + END_OF_CHUNKS]
+    async with running_dispatcher([first]) as fixture:
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2)
+        assert runs(fixture) == 1
+        assert fixture.is_idle
+
+
+async def test_late_response_is_forwarded_when_no_retry_is_possible():
+    # Guards against an error in place of an answer that an endpoint was working on.
+    route = make_route(kind=RouteKind.IDEMPOTENT, most_endpoints=2, objective_ms=100)
+    async with running_dispatcher(
+        [[0.8, plain_response(b"late")]], [RESPONSE], budget=0
+    ) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == b"late"
+        assert runs(fixture) == 1
+
+
+async def test_time_limit_releases_the_load_of_a_silent_stream():
+    # Guards against load that stays counted when a silent request ends while waiting.
+    first = [stream_head() + chunk(event(1)), "hang"]
+    async with running_dispatcher([first]) as fixture:
+        result = await fixture.serve(route=RESUMABLE, limit_ms=1_800)
+        assert result.verdict is Verdict.BROKEN_OFF
+        await asyncio.sleep(0.05)
+        assert fixture.is_idle
+
+
 async def test_broken_stream_that_cannot_be_resumed_is_broken_off():
     first = stream_head() + chunk(event(1))
     async with running_dispatcher([[first, 0.05, "reset"]], [RESPONSE]) as fixture:
