Quarantine prompt parts that crash endpoints

Cause: a gateway treated a crash as a failure of the endpoint only. Nothing recorded which requests an endpoint had when it crashed, and each gateway saw only its own. Class of fault: the cause of a failure travels with the work that is retried.

Change: when a connection ends early, the gateway tries a new connection. If it is refused, the endpoint crashed, and the requests without a response are its suspects, less the prompt parts with which any response began in the last minute. Crashes with suspects are sent to all gateways, others to the coordinators; gateways that know a part as sound correct the sender. A part that explains two crashes with two requests is quarantined for a minute, and for twice as long after each further crash. The strongest cause is chosen first, and what it explains is no evidence against the parts beside it; parts that always occur together are refused together only. Requests with a quarantined part are refused at once, also those that wait, and coordinators refuse them for gateways that have just started. A suspect is not repeated. Crashed endpoints are avoided by all coordinators at once.

Ruled out: a count of failures by team or by kind of request (sound requests share both); marking a request by its first part (shared too); one crash as proof (all requests that wait at an endpoint are present); a connection that was reset without a crash (the endpoint accepts a new one).

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -18,14 +18,20 @@
 from tornado.httputil import HTTPHeaders
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import ConnectError, PeerError, PeerTimeoutError
+from bulrushbend.core.errors import (
+    ConnectError,
+    PeerError,
+    PeerTimeoutError,
+    TruncatedResponseError,
+)
 from bulrushbend.gateway.call import Call, Placement
+from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.header_codec import HeaderCodec
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.sink import ResponseSink
-from bulrushbend.wire.eventstream import EventFramer
+from bulrushbend.wire.eventstream import EventFramer, contains_event_end
 from bulrushbend.wire.exchange import Exchange, ExchangeRequest, ExchangeTimeouts
 
 # Time without a response after which a request that may be repeated looks for another
@@ -71,12 +77,15 @@
         Status code of the endpoint, 0 without a response.
     successor : Placement or None
         Endpoint for the next attempt, reserved before this one was ended.
+    is_suspect : bool
+        Whether the endpoint crashed and the request may be the cause.
     """
 
     verdict: Verdict
     reason: str = ""
     status: int = 0
     successor: Placement | None = None
+    is_suspect: bool = False
 
 
 class SuccessorSource(Protocol):
@@ -98,6 +107,7 @@
     header_codec: HeaderCodec
     loads: LoadView
     health: EndpointHealth
+    crash_reports: CrashReports
     clock: Clock
     connect_ms: float
 
@@ -153,6 +163,8 @@
         self._sent = False
         self._has_headers = False
         self._has_body = False
+        self._has_event = False
+        self._is_sound = False
         self._was_silent = False
         self._last_chunk_ms = 0.0
         self._last_progress_ms = 0.0
@@ -209,7 +221,14 @@
             if self._sink.started:
                 verdict = Verdict.BROKEN_OFF
             reason = f"{error.step}: {error.message}"
-            return AttemptResult(verdict, reason, successor=self._successor)
+            is_suspect = False
+            if isinstance(error, TruncatedResponseError):
+                is_suspect = await self._context.crash_reports.examine(
+                    self._endpoint, self._call, self._is_sound
+                )
+            return AttemptResult(
+                verdict, reason, successor=self._successor, is_suspect=is_suspect
+            )
         finally:
             exchange.close()
 
@@ -247,6 +266,7 @@
         if not self._sink.started:
             self._sink.start(status, self._response_headers(exchange))
         await self._forward_body(exchange)
+        self._record_sound()
         self._context.health.record_answer(self._endpoint.id)
         return AttemptResult(Verdict.ANSWERED, status=status)
 
@@ -274,9 +294,12 @@
             gap_ms = now_ms - self._last_chunk_ms
             self._call.record_pause(gap_ms)
             self._gaps_ms.append(gap_ms)
+        if self._has_event:
+            self._record_sound()
         self._last_chunk_ms = now_ms
         piece = chunk if self._framer is None else self._framer.feed(chunk)
         if piece:
+            self._has_event = self._has_event or contains_event_end(piece)
             self._record_progress()
             self._sink.write(piece)
 
@@ -333,6 +356,12 @@
             self._reservation.cancel()
             self._reservation = None
 
+    def _record_sound(self) -> None:
+        """Record that the prompt did not crash the endpoint when it responded."""
+        if not self._is_sound:
+            self._is_sound = True
+            self._context.crash_reports.record_sound(self._call)
+
     def _record_first_event(self) -> None:
         tokens = self._queued_tokens + self._placement.unread_tokens
         expected_ms = _FIRST_EVENT_OVERHEAD_MS + tokens / PREFILL_TOKENS_PER_MS
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -7,6 +7,9 @@
 from bulrushbend.core.errors import BulrushbendError
 from bulrushbend.core.manifest import Route
 
+# Code of the error for a request whose prompt crashes endpoints.
+QUARANTINED = "prompt-quarantined"
+
 
 @dataclass(frozen=True)
 class PromptPart:
@@ -85,6 +88,11 @@
     first_event_ms: float | None = None
     longest_pause_ms: float = 0.0
 
+    @property
+    def shared_digests(self) -> tuple[str, ...]:
+        """Digests of the parts of the prompt that other requests may share."""
+        return tuple(part.digest for part in self.details.shared_parts)
+
     @property
     def tokens(self) -> int:
         """Tokens of the prompt, at least 1 so that requests without a prompt count."""
@@ -150,6 +158,18 @@
     return RequestError(status, code, message, retry_after_ms=retry_after_ms)
 
 
+def quarantine_error(remaining_ms: float) -> RequestError:
+    """Return the error for a request whose prompt crashes endpoints.
+
+    Parameters
+    ----------
+    remaining_ms : float
+        Time for which such requests are refused.
+    """
+    message = "endpoints crash on a part of the prompt; the request was not sent"
+    return not_run_error(503, QUARANTINED, message, remaining_ms)
+
+
 def outcome_unknown_error(code: str, message: str) -> RequestError:
     """Return the error for a request that may have run."""
     return RequestError(502, code, message)
--- a/libs/gateway/src/bulrushbend/gateway/coordinators.py
+++ b/libs/gateway/src/bulrushbend/gateway/coordinators.py
@@ -87,6 +87,10 @@
         """Return the address of another gateway, None if it is gone."""
         return self._addresses.get(name)
 
+    def addresses(self) -> set[str]:
+        """Return the addresses of all other gateways."""
+        return set(self._addresses.values())
+
     def choose(self, service: str) -> str | None:
         """Return the coordinator of a service, None if it is this gateway."""
         now_ms = self._clock.now_ms()
--- /dev/null
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -0,0 +1,233 @@
+"""Detection of endpoint crashes, and their exchange between the gateways.
+
+Requests with the same prompt part arrive at any gateway, and each gateway sees only
+its own connections to an endpoint. The gateways therefore send each other the crashes
+that they observe. A crash without suspects only concerns the placement of requests, so
+it is sent to the coordinators.
+"""
+
+import asyncio
+import random
+from collections.abc import Collection, Iterable
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.errors import ConnectError
+from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.gateway import metrics
+from bulrushbend.gateway.call import Call
+from bulrushbend.gateway.coordinators import Coordinators
+from bulrushbend.gateway.endpoints import DiscoveredEndpoint
+from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.placement_client import DatagramSender
+from bulrushbend.gateway.quarantine import PromptQuarantine, Suspect
+from bulrushbend.wire.exchange import Exchange, ExchangeTimeouts
+from bulrushbend.wire.fleet_pb2 import (
+    CrashNote,
+    EndpointCrash,
+    GatewayDatagram,
+    SuspectPrompt,
+)
+
+# Interval at which known crashes are repeated to a few gateways, in case a datagram was
+# lost or a gateway has restarted.
+_REPEAT_INTERVAL_MS = 1_000.0
+_REPEAT_RECIPIENTS = 3
+# Crashes in one note; the datagram stays under 8 KB.
+_MAX_CRASHES_IN_NOTE = 8
+
+
+class CrashReports:
+    """Detects crashes of endpoints and exchanges them with the other gateways.
+
+    Parameters
+    ----------
+    quarantine : PromptQuarantine
+        Collects the evidence.
+    health : EndpointHealth
+        Avoids crashed endpoints.
+    coordinators : Coordinators
+        Knows the other gateways.
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Records crashes.
+    send : callable
+        Sends a datagram to an address.
+    connect_ms : float
+        Time-out for establishing a connection to an endpoint, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        quarantine: PromptQuarantine,
+        health: EndpointHealth,
+        coordinators: Coordinators,
+        clock: Clock,
+        events: EventLog,
+        send: DatagramSender,
+        connect_ms: float,
+    ):
+        self._quarantine = quarantine
+        self._health = health
+        self._coordinators = coordinators
+        self._clock = clock
+        self._events = events
+        self._send = send
+        self._timeouts = ExchangeTimeouts(connect_ms=connect_ms)
+        self._random = random.Random()
+        # Parts that this gateway reported as suspected.
+        self._reported: set[str] = set()
+        # Probe in progress of each endpoint, and the requests that wait for its result.
+        self._probes: dict[str, asyncio.Task[bool]] = {}
+        self._candidates: dict[str, list[Call]] = {}
+
+    def record_sound(self, call: Call) -> None:
+        """Record that the response to a request began and went on."""
+        if not call.details.shared_parts:
+            return
+        self._broadcast_released(self._quarantine.record_sound(call.shared_digests))
+
+    async def examine(
+        self, endpoint: DiscoveredEndpoint, call: Call, has_begun: bool
+    ) -> bool:
+        """Examine why the connection of a request ended.
+
+        Parameters
+        ----------
+        endpoint : DiscoveredEndpoint
+            Endpoint that ended the connection.
+        call : Call
+            The request.
+        has_begun : bool
+            Whether the endpoint had responded.
+
+        Returns
+        -------
+        is_suspect : bool
+            Whether the endpoint crashed and the request may be the cause.
+        """
+        probe = self._probes.get(endpoint.id)
+        if probe is None:
+            probe = asyncio.create_task(self._probe(endpoint))
+            self._probes[endpoint.id] = probe
+            self._candidates[endpoint.id] = []
+        if has_begun or not self._quarantine.unproven(call.shared_digests):
+            return False
+        self._candidates[endpoint.id].append(call)
+        has_crashed = await asyncio.shield(probe)
+        return has_crashed and bool(self._quarantine.unproven(call.shared_digests))
+
+    def handle_note(self, note: CrashNote, sender: str) -> None:
+        """Handle a note of another gateway, and correct it if it suspects sound parts.
+
+        Parameters
+        ----------
+        note : CrashNote
+            The note.
+        sender : str
+            Address of the other gateway.
+        """
+        now_ms = self._clock.now_ms()
+        released = self._quarantine.record_sound(note.sound)
+        self._broadcast_released(self._reported.intersection(released))
+        sound: set[str] = set()
+        for crash in note.crashes:
+            digests = {d for suspect in crash.suspects for d in suspect.digests}
+            sound |= digests.difference(self._quarantine.unproven(digests))
+            is_new = self._quarantine.record_crash(
+                crash.endpoint,
+                now_ms - crash.age_ms,
+                [Suspect(s.request_id, tuple(s.digests)) for s in crash.suspects],
+            )
+            if is_new:
+                self._health.record_crash(crash.endpoint)
+        if sound:
+            correction = CrashNote(sound=sorted(sound))
+            self._send(sender, GatewayDatagram(crash_note=correction))
+
+    async def run(self) -> None:
+        """Repeat known crashes to some gateways until cancelled."""
+        while True:
+            await self._clock.sleep_ms(_REPEAT_INTERVAL_MS)
+            metrics.QUARANTINED.set(self._quarantine.active)
+            crashes = self._quarantine.crashes
+            addresses = sorted(self._coordinators.addresses())
+            if not crashes or not addresses:
+                continue
+            now_ms = self._clock.now_ms()
+            note = CrashNote()
+            for crash in crashes[-_MAX_CRASHES_IN_NOTE:]:
+                note.crashes.append(
+                    _describe(
+                        crash.endpoint,
+                        now_ms - crash.crashed_ms,
+                        crash.suspects.values(),
+                    )
+                )
+            count = min(_REPEAT_RECIPIENTS, len(addresses))
+            for address in self._random.sample(addresses, count):
+                self._send(address, GatewayDatagram(crash_note=note))
+
+    async def _probe(self, endpoint: DiscoveredEndpoint) -> bool:
+        """Return whether an endpoint crashed, and report it with its suspects.
+
+        An endpoint that accepts a new connection only ended single responses.
+        """
+        crashed_ms = self._clock.now_ms()
+        try:
+            exchange = await Exchange.connect(endpoint.address, self._timeouts)
+        except ConnectError:
+            self._report(endpoint.id, crashed_ms)
+            return True
+        finally:
+            del self._probes[endpoint.id]
+            self._candidates.pop(endpoint.id, None)
+        exchange.close()
+        return False
+
+    def _report(self, endpoint: str, crashed_ms: float) -> None:
+        suspects = []
+        for call in self._candidates[endpoint]:
+            digests = self._quarantine.unproven(call.shared_digests)
+            if digests:
+                suspects.append(Suspect(call.details.request_id, digests))
+        is_new = self._quarantine.record_crash(endpoint, crashed_ms, suspects)
+        if not is_new and not suspects:
+            return
+        metrics.CRASHES.inc()
+        self._health.record_crash(endpoint)
+        self._events.write(
+            EventKind.ENDPOINT_CRASHED,
+            endpoint=endpoint,
+            suspects={s.request_id: list(s.digests) for s in suspects},
+        )
+        age_ms = self._clock.now_ms() - crashed_ms
+        note = CrashNote(crashes=[_describe(endpoint, age_ms, suspects)])
+        if suspects:
+            self._reported.update(d for suspect in suspects for d in suspect.digests)
+            self._send_to(self._coordinators.addresses(), note)
+        else:
+            self._send_to(self._coordinators.report_addresses(), note)
+
+    def _broadcast_released(self, digests: Collection[str]) -> None:
+        """Tell all gateways that responses with suspected parts began."""
+        if digests:
+            self._reported.difference_update(digests)
+            note = CrashNote(sound=sorted(digests))
+            self._send_to(self._coordinators.addresses(), note)
+
+    def _send_to(self, addresses: Iterable[str], note: CrashNote) -> None:
+        for address in addresses:
+            self._send(address, GatewayDatagram(crash_note=note))
+
+
+def _describe(
+    endpoint: str, age_ms: float, suspects: Iterable[Suspect]
+) -> EndpointCrash:
+    return EndpointCrash(
+        endpoint=endpoint,
+        age_ms=max(0, int(age_ms)),
+        suspects=[
+            SuspectPrompt(request_id=s.request_id, digests=s.digests) for s in suspects
+        ],
+    )
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -24,6 +24,7 @@
 from bulrushbend.gateway.budgets import RetryBudgets
 from bulrushbend.gateway.call import Call, RequestError, not_run_error
 from bulrushbend.gateway.coordinators import Coordinators
+from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange, reader_rank
 from bulrushbend.gateway.endpoints import EndpointDirectory, EndpointSource
@@ -43,6 +44,7 @@
 from bulrushbend.gateway.placement_server import PlacementServer
 from bulrushbend.gateway.placer import PlacementLimits, Placer
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
+from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.gateway.routes import RouteTable, choose_service
 from bulrushbend.gateway.server import CallerServer
 from bulrushbend.gateway.shares import TeamShares
@@ -160,9 +162,6 @@
             settings.data_centre,
         )
         self._budgets = RetryBudgets(settings.retry_share, settings.retry_burst)
-        context = AttemptContext(
-            header_codec, self._loads, self._health, clock, settings.connect_ms
-        )
         self._loop_monitor = EventLoopMonitor(clock)
         self._was_overloaded = False
         self._usage = UsageMeter(clock)
@@ -183,10 +182,21 @@
             self._peer_protocol.send,
             settings.data_centre,
         )
+        quarantine = PromptQuarantine(clock, events)
+        self._crash_reports = CrashReports(
+            quarantine,
+            self._health,
+            self._coordinators,
+            clock,
+            events,
+            self._peer_protocol.send,
+            settings.connect_ms,
+        )
         server = PlacementServer(
             *identity_args,
             self._queues.for_service,
             lambda: self._accepts_placements,
+            quarantine,
             clock,
             events,
             self._peer_protocol.send,
@@ -198,10 +208,25 @@
             self._placement_client,
             server,
             self._list_exchange,
+            self._crash_reports,
             self._queues.place_waiting_soon,
         )
+        context = AttemptContext(
+            header_codec,
+            self._loads,
+            self._health,
+            self._crash_reports,
+            clock,
+            settings.connect_ms,
+        )
         self._dispatcher = Dispatcher(
-            context, self._directory, self._placement_for, self._budgets, clock, events
+            context,
+            self._directory,
+            self._placement_for,
+            self._budgets,
+            quarantine,
+            clock,
+            events,
         )
         self._in_force.add_listener(self._apply_manifest)
         self._watch.add_listener(self._update_members)
@@ -315,6 +340,7 @@
             "load-reports": self._peer_protocol.run,
             "state-monitor": self._monitor_state,
             "loop-monitor": self._loop_monitor.run,
+            "crash-reports": self._crash_reports.run,
             "load-events": self._write_load_events,
         }
         await run_supervised(tasks, self._clock, self._events)
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -17,9 +17,11 @@
     RequestError,
     not_run_error,
     outcome_unknown_error,
+    quarantine_error,
 )
 from bulrushbend.gateway.demand import Demand, demand_of
 from bulrushbend.gateway.endpoints import EndpointDirectory
+from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.gateway.sink import ResponseSink
 from bulrushbend.wire.eventstream import EventFramer
 
@@ -53,6 +55,8 @@
         Returns the `ServicePlacement` of a service.
     budgets : RetryBudgets
         Retry budgets.
+    quarantine : PromptQuarantine
+        Prompts that are not sent to endpoints.
     clock : Clock
         Source of time.
     events : EventLog
@@ -65,6 +69,7 @@
         directory: EndpointDirectory,
         placement_for: Callable[[str], ServicePlacement],
         budgets: RetryBudgets,
+        quarantine: PromptQuarantine,
         clock: Clock,
         events: EventLog,
     ):
@@ -72,6 +77,7 @@
         self._directory = directory
         self._placement_for = placement_for
         self._budgets = budgets
+        self._quarantine = quarantine
         self._clock = clock
         self._events = events
 
@@ -83,6 +89,7 @@
         RequestError
             No endpoint completed the request, and nothing was sent to the caller.
         """
+        self._check_quarantine(call)
         self._budgets.for_service(call.service).record_request()
         framer = EventFramer() if call.route.resumable else None
         try:
@@ -113,7 +120,9 @@
                 call.uncertain_attempts += 1
             if sink.started and not _can_resume(framer):
                 return result
-            if result.successor is None and not self._may_retry(call, result, refusals):
+            if result.successor is None and (
+                result.is_suspect or not self._may_retry(call, result, refusals)
+            ):
                 return self._end_without_response(call, result, sink)
             placement = result.successor
             metrics.RETRIES.labels(call.service).inc()
@@ -150,6 +159,11 @@
         call.record_placement(self._clock.now_ms())
         call.coordinator = placement.coordinator
         endpoint = self._directory.get(placement.endpoint)
+        try:
+            self._check_quarantine(call)
+        except RequestError:
+            self._context.loads.release(placement)
+            raise
         if endpoint is None:
             self._context.loads.release(placement)
             return AttemptResult(Verdict.NOT_RUN, "endpoint gone")
@@ -170,6 +184,16 @@
         )
         return await attempt.run()
 
+    def _check_quarantine(self, call: Call) -> None:
+        """Raise `RequestError` if the prompt of a request crashes endpoints."""
+        remaining_ms = self._quarantine.remaining_ms(call.shared_digests)
+        if remaining_ms <= 0.0:
+            return
+        error = quarantine_error(remaining_ms)
+        if call.uncertain_attempts:
+            raise outcome_unknown_error(error.code, error.message)
+        raise error
+
     def _may_retry(self, call: Call, result: AttemptResult, refusals: int) -> bool:
         if call.remaining_ms(self._clock.now_ms()) < _MIN_TIME_FOR_RETRY_MS:
             return False
--- a/libs/gateway/src/bulrushbend/gateway/health.py
+++ b/libs/gateway/src/bulrushbend/gateway/health.py
@@ -148,6 +148,13 @@
             pause_ms=backoff_ms,
         )
 
+    def record_crash(self, endpoint: str) -> None:
+        """Avoid an endpoint that does not accept connections any more."""
+        record = self._records.setdefault(endpoint, _EndpointRecord())
+        record.failures += 1
+        record.avoided_until_ms = self._clock.now_ms() + _MAX_BACKOFF_MS
+        self._avoided_until_ms = max(self._avoided_until_ms, record.avoided_until_ms)
+
     def record_answer(self, endpoint: str) -> None:
         """Record a complete response, which ends the backoff of the endpoint."""
         record = self._records.get(endpoint)
--- a/libs/gateway/src/bulrushbend/gateway/metrics.py
+++ b/libs/gateway/src/bulrushbend/gateway/metrics.py
@@ -18,6 +18,14 @@
 WAITING = Gauge("bulrushbend_gateway_waiting", "Requests that wait for an endpoint.")
 RUNNING = Gauge("bulrushbend_gateway_running", "Requests in progress.")
 CONNECTIONS = Gauge("bulrushbend_gateway_connections", "Open connections of callers.")
+CRASHES = Counter(
+    "bulrushbend_gateway_endpoint_crashes_total",
+    "Crashes of endpoints that this gateway observed.",
+)
+QUARANTINED = Gauge(
+    "bulrushbend_gateway_quarantined_prompts",
+    "Prompt parts that crash endpoints and are refused.",
+)
 LOOP_DELAY = Gauge(
     "bulrushbend_gateway_loop_delay_seconds",
     "Mean delay with which tasks of the process run.",
--- a/libs/gateway/src/bulrushbend/gateway/peer_protocol.py
+++ b/libs/gateway/src/bulrushbend/gateway/peer_protocol.py
@@ -9,6 +9,7 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.core.settings import split_address
 from bulrushbend.gateway.coordinators import Coordinators
+from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placement_client import PlacementClient
@@ -58,6 +59,7 @@
         self._client: PlacementClient | None = None
         self._server: PlacementServer | None = None
         self._list_exchange: EndpointListExchange | None = None
+        self._crash_reports: CrashReports | None = None
         self._on_load_change: Callable[[], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._last_full_report_ms = clock.now_ms()
@@ -71,12 +73,14 @@
         client: PlacementClient,
         server: PlacementServer,
         list_exchange: EndpointListExchange,
+        crash_reports: CrashReports,
         on_load_change: Callable[[], None],
     ) -> None:
         """Set the receivers of the messages and the callback for load changes."""
         self._client = client
         self._server = server
         self._list_exchange = list_exchange
+        self._crash_reports = crash_reports
         self._on_load_change = on_load_change
 
     async def open(self, address: str) -> None:
@@ -161,6 +165,8 @@
                 self._list_exchange.handle_request(datagram.list_request, sender)
             case "list_page":
                 self._list_exchange.handle_page(datagram.list_page)
+            case "crash_note":
+                self._crash_reports.handle_note(datagram.crash_note, sender)
             case _:
                 _log.warning(
                     "dropped a datagram from %s without a known message", sender
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -6,7 +6,12 @@
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.gateway.admission import AdmissionQueue
-from bulrushbend.gateway.call import Placement, not_run_error
+from bulrushbend.gateway.call import (
+    QUARANTINED,
+    Placement,
+    not_run_error,
+    quarantine_error,
+)
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.loads import LoadView
@@ -133,6 +138,8 @@
         if reply.result == PlaceReply.GRANTED:
             return _placement_from_reply(reply)
         if reply.result == PlaceReply.REFUSED:
+            if reply.code == QUARANTINED:
+                raise quarantine_error(reply.retry_after_ms)
             message = "no endpoint can take the request in time"
             raise not_run_error(503, reply.code, message, reply.retry_after_ms)
         self._coordinators.suspect(coordinator, reply.code or "declined")
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -8,9 +8,10 @@
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.admission import QueueFactory
-from bulrushbend.gateway.call import PromptPart, RequestError
+from bulrushbend.gateway.call import QUARANTINED, PromptPart, RequestError
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.placement_client import DatagramSender
+from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.wire.fleet_pb2 import (
     GatewayDatagram,
     PlaceCancel,
@@ -48,6 +49,9 @@
         Returns the queue of a service.
     accepts_placements : callable
         Returns whether this gateway accepts requests of other gateways now.
+    quarantine : PromptQuarantine
+        Prompts that are not sent to endpoints. A gateway that has just started does
+        not know them yet.
     clock : Clock
         Source of time.
     events : EventLog
@@ -62,6 +66,7 @@
         incarnation: int,
         queue_for: QueueFactory,
         accepts_placements: Callable[[], bool],
+        quarantine: PromptQuarantine,
         clock: Clock,
         events: EventLog,
         send: DatagramSender,
@@ -70,6 +75,7 @@
         self._incarnation = incarnation
         self._queue_for = queue_for
         self._accepts_placements = accepts_placements
+        self._quarantine = quarantine
         self._clock = clock
         self._events = events
         self._send = send
@@ -86,6 +92,16 @@
             declined = self._build_reply(request, PlaceReply.DECLINED, code="not open")
             self._send_reply(address, declined)
             return
+        quarantine_ms = self._quarantine.remaining_ms(request.digests)
+        if quarantine_ms > 0.0:
+            refused = self._build_reply(
+                request,
+                PlaceReply.REFUSED,
+                code=QUARANTINED,
+                retry_after_ms=quarantine_ms,
+            )
+            self._send_reply(address, refused)
+            return
         state = self._placements[key] = _PlacementState()
         state.task = asyncio.create_task(self._place(state, request, address))
         state.task.add_done_callback(lambda _: self._schedule_removal(key, state))
--- a/libs/gateway/tests/fleet_model.py
+++ b/libs/gateway/tests/fleet_model.py
@@ -84,6 +84,7 @@
             1,
             self.queue_for,
             self.accepts_placements,
+            self.components.quarantine,
             clock,
             self.components.events,
             self.send,
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -13,6 +13,7 @@
 from bulrushbend.core.manifest import Route, RouteKind, Split
 from bulrushbend.gateway.admission import AdmissionQueue
 from bulrushbend.gateway.call import Call, CallDetails, Placement, PromptPart
+from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.demand import Demand, demand_of
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
 from bulrushbend.gateway.header_codec import (
@@ -24,6 +25,7 @@
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placer import PlacementLimits, Placer
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
+from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.gateway.shares import TeamShares
 
 SERVICE = "flor-llm"
@@ -77,6 +79,10 @@
     )
 
 
+def make_quarantine(clock):
+    return PromptQuarantine(clock, MemoryEventLog())
+
+
 class FakeSource:
     """Endpoint source whose list a test sets."""
 
@@ -130,6 +136,7 @@
         self.prefix_cache = PrefixCacheIndex()
         self.loads = LoadView(name, 1, self.clock, self.prefix_cache)
         self.health = EndpointHealth(self.clock, self.events)
+        self.quarantine = PromptQuarantine(self.clock, self.events)
         self.shares = TeamShares(self.clock)
         self.placer = Placer(
             self.loads,
@@ -148,6 +155,17 @@
             most_waiting,
         )
 
+    def make_crash_reports(self, coordinators, send, connect_ms=300.0):
+        return CrashReports(
+            self.quarantine,
+            self.health,
+            coordinators,
+            self.clock,
+            self.events,
+            send,
+            connect_ms,
+        )
+
     def choose(self, call, remaining_wait=1.0):
         demand = demand_of(call, self.clock.now_ms())
         return self.placer.choose(
@@ -204,6 +222,7 @@
 
     A step is bytes to send, a number of seconds to wait, or an end of the connection:
     ``"close"``, ``"reset"``, or ``"hang"``, which waits until the peer disconnects.
+    ``"stop"`` stops listening.
     """
 
     def __init__(self, *scripts):
@@ -211,10 +230,12 @@
         self.requests = []
         self.disconnects = 0
         self.address = ""
+        self._server = None
 
     @contextlib.asynccontextmanager
     async def running(self):
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = server
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         try:
             yield self
@@ -239,6 +260,8 @@
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 writer.transport.abort()
                 return
+            elif step == "stop":
+                self._server.close()
             elif step == "hang":
                 with contextlib.suppress(OSError):
                     while await reader.read(65_536):
--- /dev/null
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -0,0 +1,111 @@
+"""Tests of crash detection and of the notes between gateways."""
+
+from gateway_builders import (
+    GatewayComponents,
+    ScriptedEndpoint,
+    make_call,
+    make_endpoint,
+)
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.gateway.coordinators import Coordinators
+
+PROMPT = (("aa", 100), ("bad", 50), ("own", 30))
+
+
+class Fleet:
+    """Gateways that deliver crash notes to each other at once."""
+
+    def __init__(self, *names):
+        clock = Clock()
+        self.components = {}
+        self.reports = {}
+        self.sent = []
+        for name in names:
+            components = GatewayComponents(clock=clock, name=name)
+            coordinators = Coordinators(name, clock, components.events)
+            coordinators.set_peers({n: n for n in names if n != name})
+            self.components[name] = components
+            self.reports[name] = components.make_crash_reports(
+                coordinators, self._sender(name)
+            )
+
+    def _sender(self, name):
+        def send(address, datagram):
+            self.sent.append((name, address))
+            self.reports[address].handle_note(datagram.crash_note, name)
+
+        return send
+
+    def suspects(self, name):
+        return {
+            digest
+            for crash in self.components[name].quarantine.crashes
+            for suspect in crash.suspects.values()
+            for digest in suspect.digests
+        }
+
+
+def crashed_endpoint(name="e1"):
+    return make_endpoint(name, "127.0.0.1:1")
+
+
+def make_prompt_call(request_id="r1"):
+    return make_call(prefix=PROMPT, request_id=request_id)
+
+
+async def test_suspects_of_a_crash_are_known_to_all_gateways():
+    fleet = Fleet("g1", "g2", "g3")
+    assert await fleet.reports["g1"].examine(
+        crashed_endpoint(), make_prompt_call(), False
+    )
+    for name in fleet.reports:
+        assert fleet.suspects(name) == {"aa", "bad"}
+
+
+async def test_endpoint_that_accepts_connections_did_not_crash():
+    # Guards against prompts that are suspected since an endpoint resets connections.
+    fleet = Fleet("g1", "g2")
+    async with ScriptedEndpoint(["hang"]).running() as endpoint:
+        assert not await fleet.reports["g1"].examine(
+            make_endpoint("e1", endpoint.address), make_prompt_call(), False
+        )
+    assert not fleet.sent
+
+
+async def test_gateway_that_saw_a_response_corrects_the_one_that_suspects_its_prompt():
+    # Guards against a quarantine of parts that are rare at the reporting gateway.
+    fleet = Fleet("g1", "g2", "g3")
+    fleet.components["g3"].quarantine.record_sound(["aa"])
+    await fleet.reports["g1"].examine(crashed_endpoint(), make_prompt_call(), False)
+    for name in fleet.reports:
+        assert fleet.suspects(name) == {"bad"}
+
+
+async def test_second_crash_quarantines_the_prompt_at_all_gateways():
+    # Guards against requests that crash further endpoints through another gateway.
+    fleet = Fleet("g1", "g2", "g3")
+    await fleet.reports["g1"].examine(crashed_endpoint(), make_prompt_call("r1"), False)
+    for components in fleet.components.values():
+        components.quarantine.record_sound(["aa"])
+        for crash in components.quarantine.crashes:
+            crash.crashed_ms -= 1_000.0
+    await fleet.reports["g2"].examine(
+        crashed_endpoint("e2"), make_prompt_call("r2"), False
+    )
+    for components in fleet.components.values():
+        assert components.quarantine.remaining_ms(["bad"]) > 0.0
+        assert components.quarantine.remaining_ms(["aa"]) == 0.0
+
+
+async def test_crash_during_responses_is_reported_without_suspects():
+    fleet = Fleet("g1", "g2")
+    endpoint = crashed_endpoint()
+    assert not await fleet.reports["g1"].examine(endpoint, make_prompt_call(), True)
+    await fleet.reports["g1"]._probes[endpoint.id]
+    assert not fleet.suspects("g1")
+    events = fleet.components["g1"].events.records
+    assert events[-1]["kind"] == "endpoint-crashed"
+    components = fleet.components["g1"]
+    others = [crashed_endpoint(), make_endpoint("e2"), make_endpoint("e3")]
+    assert components.health.avoided(others) == {"e1"}
--- a/libs/gateway/tests/test_datagram_fuzzing.py
+++ b/libs/gateway/tests/test_datagram_fuzzing.py
@@ -11,6 +11,8 @@
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange
 from bulrushbend.gateway.peer_protocol import PeerProtocol
 from bulrushbend.wire.fleet_pb2 import (
+    CrashNote,
+    EndpointCrash,
     EndpointEntry,
     EndpointListNote,
     EndpointListPage,
@@ -23,6 +25,7 @@
     PlaceReply,
     PlaceRequest,
     SharedPrompt,
+    SuspectPrompt,
     TeamUse,
     WaitingLevel,
 )
@@ -105,6 +108,29 @@
             retry_after_ms=st.floats(),
         ),
     ),
+    messages(
+        GatewayDatagram,
+        crash_note=messages(
+            CrashNote,
+            crashes=st.lists(
+                messages(
+                    EndpointCrash,
+                    endpoint=texts,
+                    age_ms=counts,
+                    suspects=st.lists(
+                        messages(
+                            SuspectPrompt,
+                            request_id=texts,
+                            digests=st.lists(texts, max_size=3),
+                        ),
+                        max_size=3,
+                    ),
+                ),
+                max_size=3,
+            ),
+            sound=st.lists(texts, max_size=3),
+        ),
+    ),
     messages(
         GatewayDatagram,
         cancel=messages(PlaceCancel, gateway=texts, incarnation=counts, number=counts),
@@ -162,6 +188,7 @@
             self.gateway.client,
             self.gateway.server,
             exchange,
+            components.make_crash_reports(self.gateway.coordinators, lambda *_: None),
             components.queue.place_waiting_soon,
         )
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -22,7 +22,9 @@
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.budgets import RetryBudgets
 from bulrushbend.gateway.call import RequestError
+from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.dispatch import Dispatcher
+from bulrushbend.gateway.quarantine import Suspect
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -35,10 +37,12 @@
         found = [make_endpoint(f"e{i}", e.address) for i, e in enumerate(endpoints)]
         self.components = GatewayComponents(*found, clock=clock)
         budgets = RetryBudgets(0.0 if budget == 0 else 1.0, budget)
+        coordinators = Coordinators("g1", clock, self.components.events)
         context = AttemptContext(
             PlainHeaderCodec(),
             self.components.loads,
             self.components.health,
+            self.components.make_crash_reports(coordinators, lambda *_: None),
             clock,
             300.0,
         )
@@ -47,6 +51,7 @@
             self.components.directory,
             lambda service: self.components.queue,
             budgets,
+            self.components.quarantine,
             clock,
             self.components.events,
         )
@@ -62,6 +67,13 @@
             await self.serve(**fields)
         return raised.value
 
+    def quarantine(self, digest):
+        clock, quarantine = self.clock, self.components.quarantine
+        for number in (1, 2):
+            suspect = Suspect(f"s{number}", (digest,))
+            crashed_ms = clock.now_ms() - 2_000.0 * number
+            quarantine.record_crash(f"x{number}", crashed_ms, [suspect])
+
     @property
     def is_idle(self):
         loads = self.components.loads
@@ -372,3 +384,79 @@
         error = await fixture.serve_error(tokens=5_000, route=route, limit_ms=600)
     assert error.status == 503
     assert 0 < error.retry_after_ms <= 300
+
+
+PROMPT = (("aa", 100), ("bb", 50), ("own", 30))
+
+
+async def test_request_that_may_have_crashed_its_endpoint_is_not_repeated():
+    # Guards against a prompt that crashes one endpoint after the other.
+    async with running_dispatcher([["stop", "reset"]], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        error = await fixture.serve_error(route=RESUMABLE, prefix=PROMPT)
+        assert error.status == 502
+        assert runs(fixture) == 1
+        assert fixture.is_idle
+
+
+async def test_request_with_a_sound_prompt_is_repeated_after_a_crash():
+    # Guards against sound requests that fail since they were at a crashed endpoint.
+    async with running_dispatcher([["stop", "reset"]], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        fixture.components.quarantine.record_sound(["aa", "bb"])
+        result = await fixture.serve(route=RESUMABLE, prefix=PROMPT)
+        assert result.verdict is Verdict.ANSWERED
+
+
+async def test_request_is_repeated_after_a_reset_of_its_connection_only():
+    # Guards against prompts that are suspected although no endpoint crashed.
+    async with running_dispatcher([["reset"]], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE, prefix=PROMPT)
+        assert result.verdict is Verdict.ANSWERED
+        assert not fixture.components.quarantine.crashes
+
+
+async def test_prompt_that_began_before_the_crash_is_not_suspected():
+    first = stream_head() + b"".join(chunk(event(n)) for n in (1, 2))
+    rest = [0.05, chunk(event(3)), 0.05, "stop", "reset"]
+    second = stream_head() + chunk(event(4)) + END_OF_CHUNKS
+    async with running_dispatcher([[first, *rest]], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE, prefix=PROMPT)
+        assert result.verdict is Verdict.ANSWERED
+        assert not fixture.components.quarantine.unproven(["aa", "bb"])
+
+
+async def test_crash_within_the_first_event_makes_the_prompt_suspected():
+    # Guards against a prompt that counts as sound since a part of an event arrived.
+    first = [stream_head() + b"9\r\nid: 1", 0.05, b"\ndat\r\n", 0.05]
+    async with running_dispatcher([[*first, "stop", "reset"]]) as fixture:
+        await fixture.serve_error(route=RESUMABLE, prefix=PROMPT)
+        (crash,) = fixture.components.quarantine.crashes
+        assert crash.suspects["r1"].digests == ("aa", "bb")
+
+
+async def test_quarantined_prompt_reaches_no_endpoint():
+    async with running_dispatcher([RESPONSE]) as fixture:
+        fixture.quarantine("bb")
+        error = await fixture.serve_error(prefix=PROMPT)
+        assert (error.status, error.code) == (503, "prompt-quarantined")
+        assert runs(fixture) == 0
+        result = await fixture.serve(prefix=(("aa", 100), ("own", 30)))
+        assert result.verdict is Verdict.ANSWERED
+
+
+async def test_prompt_quarantined_while_its_request_waits_reaches_no_endpoint():
+    # Guards against requests in the queue that crash further endpoints.
+    async with running_dispatcher([RESPONSE]) as fixture:
+        fixture.components.begin("e0", tokens=9_000)
+        task = asyncio.create_task(fixture.serve_error(prefix=PROMPT))
+        await asyncio.sleep(0.05)
+        fixture.quarantine("bb")
+        fixture.components.loads.end_prefill("e0", 9_000)
+        fixture.components.loads.end("e0")
+        error = await task
+        assert (error.status, error.code) == (503, "prompt-quarantined")
+        assert runs(fixture) == 0
+        assert fixture.is_idle
--- /dev/null
+++ b/libs/gateway/tests/test_quarantine.py
@@ -0,0 +1,174 @@
+"""Tests of the evidence about prompts that crash endpoints."""
+
+from gateway_builders import make_quarantine
+
+from bulrushbend.core.clock import ManualClock
+from bulrushbend.gateway.quarantine import Suspect
+
+
+class QuarantineFixture:
+    """A quarantine whose crashes happen at set times."""
+
+    def __init__(self):
+        self.clock = ManualClock(1_000_000.0)
+        self.quarantine = make_quarantine(self.clock)
+
+    def crash(self, endpoint, **digests_by_request):
+        suspects = [Suspect(name, tuple(d)) for name, d in digests_by_request.items()]
+        return self.quarantine.record_crash(endpoint, self.clock.now_ms(), suspects)
+
+    async def crash_twice(self, digest):
+        self.crash("e1", **{f"{digest}-1": [digest]})
+        await self.clock.advance(1_000.0)
+        self.crash("e2", **{f"{digest}-2": [digest]})
+
+    def is_quarantined(self, *digests):
+        return self.quarantine.remaining_ms(digests) > 0.0
+
+
+async def test_part_in_different_requests_at_two_crashes_is_quarantined():
+    fixture = QuarantineFixture()
+    fixture.crash("e1", r1=["aa", "bad"])
+    await fixture.clock.advance(1_000.0)
+    assert not fixture.is_quarantined("bad")
+    fixture.crash("e2", r2=["bb", "bad"])
+    assert fixture.is_quarantined("cc", "bad")
+    assert not fixture.is_quarantined("aa", "bb")
+
+
+async def test_part_with_which_a_response_began_is_never_suspected():
+    # Guards against the beginning that all requests of a kind share being refused.
+    fixture = QuarantineFixture()
+    fixture.quarantine.record_sound(["common"])
+    for number in range(5):
+        fixture.crash(f"e{number}", **{f"r{number}": ["common", "bad"]})
+        await fixture.clock.advance(1_000.0)
+    assert fixture.is_quarantined("bad")
+    assert not fixture.is_quarantined("common")
+
+
+async def test_parts_beside_the_cause_are_not_quarantined():
+    # Guards against sound requests that are refused since they share a rare part.
+    fixture = QuarantineFixture()
+    fixture.crash("e1", r1=["rare", "bad"], r2=["bad"])
+    await fixture.clock.advance(1_000.0)
+    fixture.crash("e2", r3=["rare", "bad"])
+    assert fixture.is_quarantined("bad")
+    assert not fixture.is_quarantined("rare")
+
+
+async def test_parts_that_always_occur_together_are_refused_together():
+    # Guards against sound requests that are refused since one part could be the cause.
+    fixture = QuarantineFixture()
+    fixture.crash("e1", r1=["rare", "bad"])
+    await fixture.clock.advance(1_000.0)
+    fixture.crash("e2", r2=["rare", "bad"])
+    assert fixture.is_quarantined("rare", "bad")
+    assert not fixture.is_quarantined("rare")
+    fixture.quarantine.record_sound(["rare"])
+    assert fixture.is_quarantined("bad")
+
+
+async def test_part_that_was_chosen_wrongly_is_released():
+    # Guards against a sound part that stays refused after the cause was found.
+    fixture = QuarantineFixture()
+    fixture.crash("e1", r1=["rare", "bad"], r2=["rare", "bad"], r3=["bad", "other"])
+    fixture.quarantine.record_sound(["other"])
+    await fixture.clock.advance(1_000.0)
+    fixture.crash("e2", r4=["rare", "worse"], r5=["rare", "worse"])
+    assert fixture.is_quarantined("rare")
+    await fixture.clock.advance(1_000.0)
+    fixture.crash("e3", r6=["bad"], r7=["worse"])
+    await fixture.clock.advance(1_000.0)
+    fixture.crash("e4", r8=["bad"], r9=["worse"])
+    assert fixture.is_quarantined("bad")
+    assert fixture.is_quarantined("worse")
+    assert not fixture.is_quarantined("rare")
+
+
+async def test_one_request_at_two_crashed_endpoints_is_no_proof():
+    # Guards against a sound prompt that was repeated at another failing endpoint.
+    fixture = QuarantineFixture()
+    fixture.crash("e1", r1=["rare"])
+    await fixture.clock.advance(1_000.0)
+    fixture.crash("e2", r1=["rare"])
+    assert not fixture.is_quarantined("rare")
+
+
+async def test_endpoints_that_crash_together_count_once():
+    # Guards against sound prompts that are suspected since a rack was lost.
+    fixture = QuarantineFixture()
+    for number in range(3):
+        fixture.crash(f"e{number}", **{f"r{number}": ["rare"]})
+        await fixture.clock.advance(50.0)
+    assert not fixture.is_quarantined("rare")
+
+
+async def test_crashes_in_quick_succession_are_not_one_fault():
+    # Guards against a part that crashes all endpoints before it is quarantined.
+    fixture = QuarantineFixture()
+    for number in range(3):
+        fixture.crash(f"e{number}", **{f"r{number}": ["bad"]})
+        await fixture.clock.advance(150.0)
+    assert fixture.is_quarantined("bad")
+
+
+async def test_reports_of_several_gateways_about_one_crash_count_once():
+    fixture = QuarantineFixture()
+    assert fixture.crash("e1", r1=["rare"])
+    await fixture.clock.advance(500.0)
+    assert not fixture.crash("e1", r2=["rare"])
+    assert not fixture.is_quarantined("rare")
+
+
+async def test_restarted_endpoint_can_crash_again():
+    fixture = QuarantineFixture()
+    fixture.crash("e1", r1=["bad"])
+    await fixture.clock.advance(4_000.0)
+    fixture.crash("e1", r2=["bad"])
+    assert fixture.is_quarantined("bad")
+
+
+async def test_response_with_a_suspected_part_releases_it():
+    fixture = QuarantineFixture()
+    await fixture.crash_twice("bad")
+    assert fixture.quarantine.record_sound(["bad", "aa"]) == ["bad"]
+    assert not fixture.is_quarantined("bad")
+    assert not fixture.quarantine.crashes
+    assert fixture.quarantine.record_sound(["bad"]) == []
+
+
+async def test_old_crashes_are_no_evidence():
+    fixture = QuarantineFixture()
+    fixture.crash("e1", r1=["rare"])
+    await fixture.clock.advance(61_000.0)
+    fixture.crash("e2", r2=["rare"])
+    assert not fixture.is_quarantined("rare")
+
+
+async def test_quarantine_ends_and_doubles_after_a_single_crash():
+    # Guards against a part that crashes two endpoints after each quarantine.
+    fixture = QuarantineFixture()
+    await fixture.crash_twice("bad")
+    await fixture.clock.advance(60_100.0)
+    assert not fixture.is_quarantined("bad")
+    fixture.crash("e3", r3=["bad"])
+    assert fixture.is_quarantined("bad")
+    await fixture.clock.advance(100_000.0)
+    assert fixture.is_quarantined("bad")
+    await fixture.clock.advance(30_000.0)
+    assert not fixture.is_quarantined("bad")
+
+
+async def test_memory_is_bounded():
+    fixture = QuarantineFixture()
+    for number in range(20_000):
+        fixture.quarantine.record_sound([f"s{number}"])
+    for number in range(1_000):
+        names = {f"r{number}-{i}": [f"d{number}"] for i in range(30)}
+        fixture.crash(f"e{number}", **names)
+        await fixture.clock.advance(10.0)
+    assert len(fixture.quarantine.unproven([f"s{n}" for n in range(20_000)])) > 10_000
+    crashes = fixture.quarantine.crashes
+    assert len(crashes) <= 64
+    assert max(len(crash.suspects) for crash in crashes) <= 16
--- a/libs/wire/src/bulrushbend/wire/eventstream.py
+++ b/libs/wire/src/bulrushbend/wire/eventstream.py
@@ -10,6 +10,11 @@
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 
 
+def contains_event_end(data: bytes) -> bool:
+    """Return whether an event ends within `data`."""
+    return _EVENT_END.search(data) is not None
+
+
 class EventFramer:
     """Splits an event stream at event boundaries and tracks the last event id.
 
