Avoid an endpoint at all coordinators once another one has its address

Callers got 503 "endpoint-refused" for seconds after an endpoint had restarted.

Cause: a restarted endpoint has a new id at its old address, and the endpoint list shows it late. It refuses requests for the old id (421), the gateway counted that as a refusal like any other, and the coordinator, which places the requests of all gateways, did not learn of it at all.

Change: a 421 makes the gateway avoid the old id, and is reported to the coordinators, once a second for each endpoint.

Evidence: the new tests fail without the change (the second request to the same endpoint ends as not run).

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -13,6 +13,7 @@
 import asyncio
 import enum
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -256,6 +257,8 @@
         if not (self._framer is not None and _is_event_stream(exchange)):
             self._stop_watching()
         if header_codec.proves_not_run(status, headers):
+            if status == HTTPStatus.MISDIRECTED_REQUEST:
+                self._context.crash_reports.record_replaced(self._endpoint.id)
             return AttemptResult(Verdict.NOT_RUN, "endpoint refused", status)
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -32,6 +32,9 @@
 # lost or a gateway has restarted.
 _REPEAT_INTERVAL_MS = 1_000.0
 _REPEAT_RECIPIENTS = 3
+# Time after which a replaced endpoint is reported again, and the number remembered.
+_REPLACED_INTERVAL_MS = 1_000.0
+_MAX_REPLACED = 256
 # Crashes in one note; the datagram stays under 8 KB.
 _MAX_CRASHES_IN_NOTE = 8
 
@@ -77,6 +80,8 @@
         self._random = random.Random()
         # Parts that this gateway reported as suspected.
         self._reported: set[str] = set()
+        # Times at which replaced endpoints were reported.
+        self._replaced: dict[str, float] = {}
         # Probe in progress of each endpoint, and the requests that wait for its result.
         self._probes: dict[str, asyncio.Task[bool]] = {}
         self._candidates: dict[str, list[Call]] = {}
@@ -87,6 +92,23 @@
             return
         self._broadcast_released(self._quarantine.record_sound(call.shared_digests))
 
+    def record_replaced(self, endpoint: str) -> None:
+        """Record that another endpoint responds at the address of this one.
+
+        The endpoint list shows a restarted endpoint late, and the coordinators place
+        requests at the old one until then.
+        """
+        self._health.record_crash(endpoint)
+        now_ms = self._clock.now_ms()
+        reported_ms = self._replaced.get(endpoint, float("-inf"))
+        if now_ms - reported_ms < _REPLACED_INTERVAL_MS:
+            return
+        self._replaced[endpoint] = now_ms
+        while len(self._replaced) > _MAX_REPLACED:
+            del self._replaced[next(iter(self._replaced))]
+        addresses = self._coordinators.report_addresses()
+        self._send_to(addresses, CrashNote(replaced=[endpoint]))
+
     async def examine(
         self, endpoint: DiscoveredEndpoint, call: Call, has_begun: bool
     ) -> bool:
@@ -130,6 +152,8 @@
         now_ms = self._clock.now_ms()
         released = self._quarantine.record_sound(note.sound)
         self._broadcast_released(self._reported.intersection(released))
+        for endpoint in note.replaced:
+            self._health.record_crash(endpoint)
         sound: set[str] = set()
         for crash in note.crashes:
             digests = {d for suspect in crash.suspects for d in suspect.digests}
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -20,11 +20,13 @@
         clock = Clock()
         self.components = {}
         self.reports = {}
+        self.coordinators = []
         self.sent = []
         for name in names:
             components = GatewayComponents(clock=clock, name=name)
             coordinators = Coordinators(name, clock, components.events)
             coordinators.set_peers({n: n for n in names if n != name})
+            self.coordinators.append(coordinators)
             self.components[name] = components
             self.reports[name] = components.make_crash_reports(
                 coordinators, self._sender(name)
@@ -37,6 +39,10 @@
 
         return send
 
+    def set_services(self, *services):
+        for coordinators in self.coordinators:
+            coordinators.set_services(services)
+
     def suspects(self, name):
         return {
             digest
@@ -109,3 +115,15 @@
     components = fleet.components["g1"]
     others = [crashed_endpoint(), make_endpoint("e2"), make_endpoint("e3")]
     assert components.health.avoided(others) == {"e1"}
+
+
+async def test_replaced_endpoint_is_avoided_by_the_coordinator():
+    # Guards against requests that are sent to the address of an ended endpoint.
+    fleet = Fleet("g1", "g2")
+    fleet.set_services("llm")
+    for _ in range(5):
+        fleet.reports["g1"].record_replaced("e1")
+    assert fleet.sent == [("g1", "g2")]
+    endpoints = [make_endpoint(name) for name in ("e1", "e2", "e3")]
+    for components in fleet.components.values():
+        assert components.health.avoided(endpoints) == {"e1"}
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -150,6 +150,17 @@
         assert result.verdict is Verdict.ANSWERED
 
 
+async def test_endpoint_that_another_one_replaced_is_avoided():
+    # Guards against requests that are refused since the endpoint list is late.
+    misdirected = [plain_response(b"", "421 Misdirected", Not_Run="1")]
+    async with running_dispatcher([misdirected], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        for _ in range(3):
+            result = await fixture.serve(route=ONCE)
+            assert result.verdict is Verdict.ANSWERED
+        assert len(fixture.endpoints[0].requests) == 1
+
+
 async def test_request_refused_by_all_endpoints_is_reported_as_not_run():
     refusal = [plain_response(b"", "503 Busy", Not_Run="1")]
     async with running_dispatcher([refusal]) as fixture:
