Accept a refusal as proof only if it belongs to the request

Callers of requests that may run once could be told that their request did not run, or it was sent to a second endpoint, although the first one ran it: an endpoint that writes an earlier refusal once more is enough.

Cause: an attempt took Not-Executed and status 421 as proof before it compared the echoed request id.

Change: a response that echoes another id is 'may have run', also a refusal. A refusal without an id is accepted as before: endpoints answer 400 without one.

Ruled out: kept connections. Each exchange has a connection of its own, so a refusal that is left over from an earlier request cannot meet a later one, and bytes after a complete response are dropped.

Evidence: the two cases of the new test fail before (the request ran at a second endpoint and no error was raised) and pass after.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -236,10 +236,11 @@
         self._record_progress()
         if not (self._framer is not None and _is_event_stream(exchange)):
             self._stop_watching()
-        if header_codec.proves_not_run(status, headers):
-            return AttemptResult(Verdict.NOT_RUN, "endpoint refused", status)
+        # A refusal of another request proves nothing about this one.
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
+        if header_codec.proves_not_run(status, headers):
+            return AttemptResult(Verdict.NOT_RUN, "endpoint refused", status)
         if self._sink.started and status != 200:
             return AttemptResult(Verdict.BROKEN_OFF, "resume refused", status)
         if status >= 500 and self._successors is not None:
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -184,7 +184,7 @@
         return headers
 
     def proves_not_run(self, status, headers):
-        return "Not-Run" in headers
+        return "Not-Run" in headers or status == 421
 
     def is_genuine(self, call, status, headers):
         return headers.get("Id", call.details.request_id) == call.details.request_id
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -146,6 +146,32 @@
         assert error.retry_after_ms > 0
 
 
+@pytest.mark.parametrize(
+    "refusal", [{"status": "503 Busy", "Not_Run": "1"}, {"status": "421 Misdirected"}]
+)
+async def test_refusal_of_another_request_does_not_prove_that_this_one_did_not_run(
+    refusal,
+):
+    stale = [plain_response(b"", Id="r0", **refusal)]
+    async with running_dispatcher([stale], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        error = await fixture.serve_error(route=ONCE)
+        assert error.status not in NOT_RUN_STATUSES
+        assert runs(fixture) == 1
+        assert fixture.is_idle
+
+
+@pytest.mark.parametrize("status", ["400 Bad Request", "421 Misdirected"])
+async def test_refusal_without_an_id_is_accepted(status):
+    # Guards against a refused request that is given up although it did not run.
+    refusal = [plain_response(b"", status, Not_Run="1")]
+    async with running_dispatcher([refusal], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=ONCE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == b"done"
+
+
 async def test_failed_connect_costs_no_retry_budget():
     async with running_dispatcher([RESPONSE], budget=0) as fixture:
         absent = make_endpoint("e0", "127.0.0.1:1")
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -109,6 +109,9 @@
         (200, {"Attempt-Id": "9c41"}, False),
         (200, {"Instance-Seal": "s", "Attempt-Id": "other"}, False),
         (500, {}, True),
+        (400, {"Not-Executed": "1"}, True),
+        (421, {"Attempt-Id": "other"}, False),
+        (503, {"Not-Executed": "1", "Attempt-Id": "other"}, False),
     ],
 )
 def test_success_requires_a_seal_and_the_request_id(status, headers, genuine):
