Append only the rest of an event stream to a broken one

Callers of a stream that had begun and broke off could find the text of an error in the middle of it, and see the stream end as complete: the next endpoint answered with 200 and another content type, or with a body that is no event stream.

Cause: of a second answer only the status was checked, and what followed its last event was written to the caller as part of a complete answer.

Change: the second answer must be an event stream as well, and one that ends inside an event is broken off; it is then resumed elsewhere or the caller's connection is reset. A body that is no event stream is not split into events any more. Content types are compared without case.

Ruled out: answers with another status than 200 and refusals were discarded before; the test keeps both.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -18,7 +18,12 @@
 from tornado.httputil import HTTPHeaders
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import ConnectError, PeerError, PeerTimeoutError
+from bulrushbend.core.errors import (
+    ConnectError,
+    PeerError,
+    PeerTimeoutError,
+    TruncatedResponseError,
+)
 from bulrushbend.gateway.call import Call, Placement
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.header_codec import HeaderCodec
@@ -147,6 +152,7 @@
         self._sink = sink
         self._framer = framer
         self._successors = successors
+        self._is_resumed = framer is not None and sink.started
         self._successor: Placement | None = None
         self._reservation: asyncio.Task[None] | None = None
         self._is_prefill_ended = False
@@ -234,14 +240,17 @@
         status, headers = exchange.status, exchange.headers
         self._has_headers = True
         self._record_progress()
-        if not (self._framer is not None and _is_event_stream(exchange)):
+        is_event_stream = _is_event_stream(exchange)
+        if not is_event_stream:
+            self._framer = None
+        if self._framer is None:
             self._stop_watching()
         # A refusal of another request proves nothing about this one.
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
         if header_codec.proves_not_run(status, headers):
             return AttemptResult(Verdict.NOT_RUN, "endpoint refused", status)
-        if self._sink.started and status != 200:
+        if self._is_resumed and not is_event_stream:
             return AttemptResult(Verdict.BROKEN_OFF, "resume refused", status)
         if status >= 500 and self._successors is not None:
             return AttemptResult(Verdict.MAY_HAVE_RUN, "endpoint failed", status)
@@ -263,6 +272,12 @@
         await exchange.forward(self._forward_chunk)
         self._context.health.record_event_gaps(self._endpoint.id, self._gaps_ms)
         if self._framer is not None and (rest := self._framer.finish()):
+            if self._is_resumed and rest.strip():
+                raise TruncatedResponseError(
+                    "resumed stream ends inside an event",
+                    step="body",
+                    peer=exchange.peer,
+                )
             self._sink.write(rest)
 
     def _forward_chunk(self, chunk: bytes) -> None:
@@ -355,4 +370,6 @@
 
 def _is_event_stream(exchange: Exchange) -> bool:
     content_type = exchange.headers.get("Content-Type", "")
-    return exchange.status == 200 and content_type.startswith("text/event-stream")
+    return exchange.status == 200 and content_type.lower().startswith(
+        "text/event-stream"
+    )
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -266,6 +266,58 @@
         assert b"Last-Event-Id: 2" in fixture.endpoints[1].requests[0]
 
 
+ERROR_TEXT = b'{"error": "overloaded"}'
+ERROR_HEAD = b"HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\nfailed\n\n"
+EVENT_STREAM = {"Content_Type": "text/event-stream"}
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        plain_response(ERROR_TEXT, "500 Error"),
+        plain_response(ERROR_TEXT, "503 Busy", Not_Run="1"),
+        plain_response(ERROR_TEXT, "404 Not Found", **EVENT_STREAM),
+        plain_response(event(2), "206 Partial Content", **EVENT_STREAM),
+        plain_response(ERROR_TEXT, Content_Type="application/json"),
+        plain_response(event(2), Content_Type="text/plain"),
+        plain_response(event(2)),
+        plain_response(ERROR_TEXT, **EVENT_STREAM),
+        stream_head() + chunk(ERROR_TEXT) + END_OF_CHUNKS,
+        plain_response(b"data: half", **EVENT_STREAM),
+    ],
+)
+async def test_answer_that_is_no_continuation_is_not_appended_to_a_broken_stream(
+    second,
+):
+    first = stream_head() + chunk(event(1)) + chunk(b"id: 2")
+    async with running_dispatcher([[first, 0.05, "reset"]], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        with contextlib.suppress(RequestError):
+            result = await fixture.serve(route=RESUMABLE)
+            assert result.verdict is not Verdict.ANSWERED
+        assert fixture.sink.body == event(1)
+        assert runs(fixture) == 2
+        assert fixture.is_idle
+
+
+async def test_stream_is_resumed_at_a_third_endpoint_after_an_error_of_the_second():
+    route = make_route(kind=RouteKind.STREAM, resumable=True, most_endpoints=3)
+    first = stream_head() + chunk(event(1)) + chunk(b"id: 2")
+    error = plain_response(ERROR_TEXT, **EVENT_STREAM)
+    third = stream_head() + chunk(event(2)) + END_OF_CHUNKS
+    async with running_dispatcher(
+        [[first, 0.05, "reset"]], [[error]], [[third]]
+    ) as fixture:
+        fixture.components.health.record_failure("e2", "the test")
+        fixture.components.health.record_failure("e2", "the test")
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2)
+        assert b"Last-Event-Id: 1" in fixture.endpoints[2].requests[0]
+        assert runs(fixture) == 3
+
+
 async def test_stalled_stream_that_sends_single_bytes_is_resumed():
     # Guards against a stalled stream that never ends since a byte arrives now and then.
     bytes_of_event = [chunk(b"d"), 0.2] * 30
