Break a resumed stream off that does not continue after its last event

Callers of a stream that broke off and was resumed would get events twice, or the head of an error in the middle of the stream, if the second endpoint ignored Last-Event-Id and started again, or sent text with blank lines as an event stream; the stream ended as complete.

Cause: the framer passed on everything between two blank lines, and took any id as the new last id.

Change: until the first event with an id, a resumed stream may only contain comments, blank lines and events with known fields, and this id has to follow the last one: decimal ids increase, other ids differ. Events are checked before the state changes, so a further resume goes on after the last event that was passed on. Later events are not checked again.

Not detected: a gap, since ids need not be consecutive.

Tests of the agent, the framer and the dispatcher pass.

--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -318,6 +318,28 @@
         assert runs(fixture) == 3
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"".join(chunk(event(n)) for n in (1, 2, 3)),
+        chunk(event(2)) + chunk(event(3)),
+        chunk(b"data: extra\n\n" + event(1) + event(2) + event(3)),
+        chunk(ERROR_HEAD),
+        chunk(ERROR_TEXT + b"\n\n" + event(3)),
+    ],
+)
+async def test_stream_that_does_not_continue_after_the_last_event_is_broken_off(body):
+    # Guards against events that come twice, and pieces of two runs in one stream.
+    first = stream_head() + chunk(event(1)) + chunk(event(2)) + chunk(b"id: 3")
+    second = stream_head() + body + END_OF_CHUNKS
+    async with running_dispatcher([[first, 0.05, "reset"]], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.BROKEN_OFF
+        assert fixture.sink.body == event(1) + event(2)
+        assert fixture.is_idle
+
+
 async def test_stalled_stream_that_sends_single_bytes_is_resumed():
     # Guards against a stalled stream that never ends since a byte arrives now and then.
     bytes_of_event = [chunk(b"d"), 0.2] * 30
--- a/libs/wire/src/bulrushbend/wire/eventstream.py
+++ b/libs/wire/src/bulrushbend/wire/eventstream.py
@@ -8,6 +8,8 @@
 _MAX_EVENT_BYTES = 1 << 20
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _LINE_END = re.compile(rb"\r\n|\n|\r")
+# Line of a known field, or comment.
+_KNOWN_LINE = re.compile(rb"(?:id|data|event|retry)(?::|$)|:")
 
 
 class EventFramer:
@@ -16,6 +18,9 @@
     Only complete events are returned, so a stream that breaks inside an event can be
     resumed without a gap or a repeated byte. Events without an id that followed the
     last id are sent again by the endpoint after a resume, and are skipped then.
+
+    A resumed stream is checked until its first event with an id, which has to follow
+    the last id. Decimal ids increase; other ids differ.
     """
 
     def __init__(self) -> None:
@@ -23,6 +28,7 @@
         self._last_id = ""
         self._events_after_id = 0
         self._events_to_skip = 0
+        self._must_continue = False
 
     @property
     def last_id(self) -> str:
@@ -35,9 +41,12 @@
         Raises
         ------
         PeerProtocolError
-            An event is larger than 1 MiB.
+            An event is larger than 1 MiB, or a resumed stream does not continue after
+            the last event. No event of `data` counts as passed on then.
         """
         self._partial += data
+        if self._must_continue:
+            self._check_continuation()
         passed: list[bytes] = []
         start = 0
         for match in _EVENT_END.finditer(self._partial):
@@ -59,6 +68,28 @@
         """Reset the state for the stream that the endpoint sends after a resume."""
         self._partial = b""
         self._events_to_skip = self._events_after_id
+        self._must_continue = bool(self._last_id)
+
+    def _check_continuation(self) -> None:
+        start = 0
+        for match in _EVENT_END.finditer(self._partial):
+            event = self._partial[start : match.end()]
+            start = match.end()
+            lines = [line for line in _LINE_END.split(event) if line]
+            if lines and not any(map(_KNOWN_LINE.match, lines)):
+                raise PeerProtocolError(
+                    "resumed stream contains no events", step="event stream"
+                )
+            event_id, _ = _parse_event(event)
+            if event_id is None:
+                continue
+            if not _follows(event_id, self._last_id):
+                raise PeerProtocolError(
+                    f"resumed stream has event {event_id!r} after {self._last_id!r}",
+                    step="event stream",
+                )
+            self._must_continue = False
+            return
 
     def _is_new(self, event: bytes) -> bool:
         event_id, has_data = _parse_event(event)
@@ -85,3 +116,14 @@
         elif line.startswith(b"data"):
             has_data = True
     return event_id, has_data
+
+
+def _follows(event_id: str, last_id: str) -> bool:
+    if not (_is_decimal(event_id) and _is_decimal(last_id)):
+        return event_id != last_id
+    number, last_number = event_id.lstrip("0"), last_id.lstrip("0")
+    return (len(number), number) > (len(last_number), last_number)
+
+
+def _is_decimal(text: str) -> bool:
+    return text.isascii() and text.isdigit()
--- a/libs/wire/tests/test_eventstream.py
+++ b/libs/wire/tests/test_eventstream.py
@@ -40,3 +40,40 @@
         framer = EventFramer()
         assert framer.feed(stream) == stream
         assert framer.last_id == "1"
+
+
+def resumed_framer(*events):
+    framer = EventFramer()
+    framer.feed(b"".join(events) + b"id: ")
+    framer.restart()
+    return framer
+
+
+@pytest.mark.parametrize(
+    ("last_id", "next_id"),
+    [(b"9", b"9"), (b"10", b"9"), (b"10", b"010"), (b"9", b"1"), (b"a", b"a")],
+)
+def test_resumed_stream_that_repeats_an_event_is_rejected(last_id, next_id):
+    # Guards against an endpoint that ignores the last event id and starts again.
+    framer = resumed_framer(b"id: %s\ndata: x\n\n" % last_id)
+    with pytest.raises(PeerProtocolError):
+        framer.feed(b"id: %s\ndata: y\n\n" % next_id)
+
+
+@pytest.mark.parametrize(
+    ("last_id", "next_id"), [(b"9", b"10"), (b"9", b"30"), (b"a", b"b"), (b"b", b"a")]
+)
+def test_resumed_stream_that_continues_is_accepted(last_id, next_id):
+    framer = resumed_framer(b"id: %s\ndata: x\n\n" % last_id)
+    stream = b": comment\n\n\nversions: 2\nid: %s\ndata: y\n\n" % next_id
+    assert framer.feed(stream) + framer.finish() == stream
+
+
+def test_rejected_events_do_not_change_where_the_stream_is_resumed():
+    # Guards against a gap: events in front of the rejected one were not passed on.
+    framer = resumed_framer(EVENTS[0], EVENTS[1])
+    with pytest.raises(PeerProtocolError):
+        framer.feed(b"data: extra\n\n" + EVENTS[0])
+    framer.restart()
+    rest = b"data: untitled\n\n" + EVENTS[2]
+    assert framer.feed(rest) == rest
