Send resumable streams in chunks, whatever their first answer announced

A caller of a resumable stream whose endpoint announces a length would wait for bytes that never come, or take the surplus for its next answer, when the stream is resumed and the rest of the second run has another length.

Cause: Content-Length of the first answer was passed on although the rest may come from another endpoint.

Change: resumable event streams are sent without a length, so in chunks, or to a caller of HTTP/1.0 until the end of the connection. Answers to HEAD keep it.

Evidence: the test of the resumed stream fails before and passes after.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -241,7 +241,7 @@
         self._has_headers = True
         self._record_progress()
         is_event_stream = _is_event_stream(exchange)
-        if not is_event_stream:
+        if not is_event_stream or self._call.method == "HEAD":
             self._framer = None
         if self._framer is None:
             self._stop_watching()
@@ -263,7 +263,8 @@
     def _response_headers(self, exchange: Exchange) -> HTTPHeaders:
         headers = self._context.header_codec.caller_headers(exchange.headers)
         length = exchange.headers.get("Content-Length")
-        if length is not None:
+        # The rest of a resumable stream may come from another endpoint.
+        if length is not None and self._framer is None:
             headers["Content-Length"] = length
         return headers
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -340,6 +340,28 @@
         assert fixture.is_idle
 
 
+async def test_resumed_stream_is_not_framed_by_the_length_of_its_first_answer():
+    # Guards against a caller that waits for bytes of an answer that is replaced, or
+    # takes the surplus for its next answer.
+    body = event(1) + event(2)
+    cut = plain_response(body, **EVENT_STREAM)[: -len(event(2))]
+    second = stream_head() + chunk(b"id: 2\ndata: longer\n\n") + END_OF_CHUNKS
+    async with running_dispatcher([[cut, 0.05, "reset"]], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + b"id: 2\ndata: longer\n\n"
+        assert "Content-Length" not in fixture.sink.headers
+
+
+async def test_answer_to_head_keeps_its_length_on_a_resumable_route():
+    head = plain_response(b"x" * 9, **EVENT_STREAM)[:-9]
+    async with running_dispatcher([[head]]) as fixture:
+        result = await fixture.serve(route=RESUMABLE, method="HEAD", body=b"")
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.headers["Content-Length"] == "9"
+
+
 async def test_stalled_stream_that_sends_single_bytes_is_resumed():
     # Guards against a stalled stream that never ends since a byte arrives now and then.
     bytes_of_event = [chunk(b"d"), 0.2] * 30
