Test answers that are cut at any byte

The tests cut answers with a length, in chunks, without either, after interim responses, without a body (204, 304) and to HEAD at each byte of head and framing, and pass on the unchanged code.

Not detectable: an answer without length or chunks whose endpoint ends in the middle of the body with a regular close, unless it is an event stream.

--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -215,6 +215,33 @@
         assert not fixture.sink.finished
 
 
+@pytest.mark.parametrize("method", ["POST", "HEAD"])
+@pytest.mark.parametrize(
+    "cut",
+    [
+        b"HTTP/1.1 200 OK\r\nSeal: s\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nSeal: s\r\n",
+        b"HTTP/1.1 204 No Content\r\nSeal: s\r\n",
+    ],
+)
+async def test_answer_that_ends_inside_its_head_is_not_forwarded(cut, method):
+    # Guards against a 200 with an empty body that looks complete.
+    async with running_dispatcher([[cut, "close"]]) as fixture:
+        error = await fixture.serve_error(route=ONCE, method=method)
+        assert error.status == 502
+        assert fixture.sink.status == 0
+        assert fixture.is_idle
+
+
+@pytest.mark.parametrize("cut", [plain_response()[:-4], stream_head() + b"5\r"])
+async def test_answer_that_ends_before_its_body_is_not_reported_complete(cut):
+    async with running_dispatcher([[cut, "close"]]) as fixture:
+        error = await fixture.serve_error(route=ONCE)
+        assert error.status == 502
+        assert not fixture.sink.started
+
+
 async def test_started_response_is_not_continued_by_another_run():
     # Guards against a body composed of two runs: in a benchmark, this happened when an
     # endpoint crashed during the response to an idempotent request.
--- a/libs/wire/tests/test_exchange.py
+++ b/libs/wire/tests/test_exchange.py
@@ -55,6 +55,44 @@
             await exchange.body()
 
 
+WITH_LENGTH = b"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 12\r\n\r\n" + b"x" * 12
+IN_CHUNKS = CHUNKED + b"3;a=b\r\nabc\r\n1\r\nd\r\n0\r\nTrailer: c\r\n\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n"
+NO_CONTENT = b"HTTP/1.1 204 No Content\r\nA: b\r\n\r\n"
+NOT_MODIFIED = b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("answer", "method"),
+    [
+        (WITH_LENGTH, "POST"),
+        (IN_CHUNKS, "POST"),
+        (UNFRAMED, "POST"),
+        (INTERIM + WITH_LENGTH, "POST"),
+        (INTERIM + UNFRAMED, "POST"),
+        (NO_CONTENT, "POST"),
+        (NOT_MODIFIED, "GET"),
+        (WITH_LENGTH[:-12], "HEAD"),
+        (UNFRAMED, "HEAD"),
+        (INTERIM + CHUNKED, "HEAD"),
+    ],
+)
+async def test_answer_cut_at_any_byte_is_not_complete(answer, method):
+    # Guards against a 200 with an empty or short body that looks complete.
+    request = ExchangeRequest(method, "/x")
+    for size in range(len(answer)):
+        server, address = await serve_raw(answer[:size])
+        async with server:
+            with pytest.raises(TruncatedResponseError):
+                exchange = await Exchange.open(address, request, TIMEOUTS)
+                await exchange.body()
+    server, address = await serve_raw(answer)
+    async with server:
+        exchange = await Exchange.open(address, request, TIMEOUTS)
+        await exchange.body()
+
+
 async def test_connection_closed_before_the_end_of_headers_raises_an_error():
     server, address = await serve_raw(b"HTTP/1.1 200 OK\r\n")
     async with server:
