Break a stream off whose connection ends inside an event

An event stream without length or chunks whose endpoint ended in the middle of an event was passed on with half an event and ended as complete, on resumable routes as well; one that ended before its first event became an empty 200.

Cause: the end of the connection ended such a body, whatever it contained. The framer of a resumable route returned the half event as the rest of the stream, and other routes have no framer.

Change: for event streams that end with their connection, an attempt keeps the last three bytes. They have to end a blank line; otherwise the stream is broken off, and a resumable one is resumed at another endpoint. Answers to HEAD, 204 and 304 do not end with the connection.

Not changed: streams with a length or chunks are complete when their framing says so, whatever their last event, and cost one comparison a chunk more. Answers of other types without a length cannot be checked.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -30,7 +30,7 @@
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.sink import ResponseSink
-from bulrushbend.wire.eventstream import EventFramer
+from bulrushbend.wire.eventstream import EventFramer, StreamTail
 from bulrushbend.wire.exchange import Exchange, ExchangeRequest, ExchangeTimeouts
 
 # Time without a response after which a request that may be repeated looks for another
@@ -152,6 +152,7 @@
         self._sink = sink
         self._framer = framer
         self._successors = successors
+        self._tail: StreamTail | None = None
         self._is_resumed = framer is not None and sink.started
         self._successor: Placement | None = None
         self._reservation: asyncio.Task[None] | None = None
@@ -245,6 +246,8 @@
             self._framer = None
         if self._framer is None:
             self._stop_watching()
+        if is_event_stream and exchange.ends_with_connection:
+            self._tail = StreamTail()
         # A refusal of another request proves nothing about this one.
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
@@ -272,13 +275,14 @@
         self._sink.set_flow_control(exchange.pause, exchange.resume)
         await exchange.forward(self._forward_chunk)
         self._context.health.record_event_gaps(self._endpoint.id, self._gaps_ms)
-        if self._framer is not None and (rest := self._framer.finish()):
-            if self._is_resumed and rest.strip():
-                raise TruncatedResponseError(
-                    "resumed stream ends inside an event",
-                    step="body",
-                    peer=exchange.peer,
-                )
+        rest = b"" if self._framer is None else self._framer.finish()
+        if (self._tail is not None and not self._tail.is_after_event) or (
+            self._is_resumed and rest.strip()
+        ):
+            raise TruncatedResponseError(
+                "stream ended inside an event", step="body", peer=exchange.peer
+            )
+        if rest:
             self._sink.write(rest)
 
     def _forward_chunk(self, chunk: bytes) -> None:
@@ -292,6 +296,8 @@
             self._call.record_pause(gap_ms)
             self._gaps_ms.append(gap_ms)
         self._last_chunk_ms = now_ms
+        if self._tail is not None:
+            self._tail.feed(chunk)
         piece = chunk if self._framer is None else self._framer.feed(chunk)
         if piece:
             self._record_progress()
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -88,6 +88,11 @@
     return sum(len(endpoint.requests) for endpoint in fixture.endpoints)
 
 
+def single_bytes(data):
+    """Return the steps of a script that send `data` byte by byte."""
+    return [step for i in range(len(data)) for step in (data[i : i + 1], 0.002)]
+
+
 IDEMPOTENT = make_route(kind=RouteKind.IDEMPOTENT, most_endpoints=2)
 ONCE = make_route(kind=RouteKind.NON_IDEMPOTENT, most_endpoints=2)
 RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True, most_endpoints=2)
@@ -281,6 +286,96 @@
         assert result.verdict is Verdict.BROKEN_OFF
 
 
+UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+STREAM = make_route(kind=RouteKind.STREAM)
+
+
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+@pytest.mark.parametrize(
+    "cut",
+    [
+        b"id: 2",
+        b"id: 2\ndata: t2",
+        b"id: 2\ndata: t2\n",
+        b"id: 2\r\ndata: t2\r\n",
+        b"id: 2\r\ndata: t2\r\n\r",
+        b": comment",
+        b": comment\n",
+    ],
+)
+async def test_stream_whose_connection_ends_inside_an_event_is_broken_off(cut, route):
+    # Guards against an endpoint that ends in the middle of an event and looks complete.
+    script = [UNFRAMED_STREAM + event(1), 0.02, *single_bytes(cut), "close"]
+    async with running_dispatcher([script], budget=0) as fixture:
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.BROKEN_OFF
+        assert fixture.sink.body.startswith(event(1))
+        assert fixture.is_idle
+
+
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+@pytest.mark.parametrize(
+    "end",
+    [
+        b"",
+        b"data: [DONE]\n\n",
+        b"id: 2\r\ndata: t2\r\n\r\n",
+        b"id: 2\rdata: t2\r\r",
+        b": comment\n\n",
+        b"\n",
+        b"\n\n",
+    ],
+)
+async def test_stream_whose_connection_ends_after_an_event_is_complete(end, route):
+    # Guards against whole streams that are broken off, wherever their chunks begin.
+    script = [UNFRAMED_STREAM + event(1)[:-1], 0.02, b"\n", *single_bytes(end)]
+    async with running_dispatcher([[*script, "close"]]) as fixture:
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + end
+
+
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+async def test_stream_whose_connection_ends_before_its_first_event_is_no_answer(route):
+    # Guards against the empty answer of an endpoint that crashes at its first event.
+    async with running_dispatcher([[UNFRAMED_STREAM, "close"]], budget=0) as fixture:
+        error = await fixture.serve_error(route=route)
+        assert error.status == 502
+        assert not fixture.sink.started
+
+
+async def test_stream_whose_connection_ended_inside_an_event_is_resumed():
+    first = UNFRAMED_STREAM + event(1) + b"id: 2\nda"
+    second = UNFRAMED_STREAM + event(2) + event(3)
+    async with running_dispatcher([[first, "close"]], [[second, "close"]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2) + event(3)
+        assert b"Last-Event-Id: 1" in fixture.endpoints[1].requests[0]
+
+
+async def test_answer_to_head_without_a_length_is_complete():
+    # Guards against a whole answer without a body that counts as a broken stream.
+    async with running_dispatcher([[UNFRAMED_STREAM, "close"]]) as fixture:
+        result = await fixture.serve(route=STREAM, method="HEAD", body=b"")
+        assert result.verdict is Verdict.ANSWERED
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+async def test_framed_stream_is_complete_although_its_last_event_is_not(framing, route):
+    # Guards against a whole body that is broken off because of its content.
+    body = event(1) + b"id: 2\ndata: t2"
+    script = stream_head() + chunk(body) + END_OF_CHUNKS
+    if framing == "length":
+        script = plain_response(body, **EVENT_STREAM)
+    async with running_dispatcher([[script]]) as fixture:
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == body
+
+
 async def test_broken_stream_is_resumed_at_another_endpoint_without_gap():
     # Guards against events that are lost, repeated or truncated where a stream resumes.
     first = stream_head() + b"".join(chunk(event(n)) for n in (1, 2)) + chunk(b"id: 3")
@@ -389,7 +484,7 @@
         assert fixture.sink.headers["Content-Length"] == "9"
 
 
-async def test_stalled_stream_that_sends_single_bytes_is_resumed():
+async def test_stalled_stream_that_sendssingle_bytes_is_resumed():
     # Guards against a stalled stream that never ends since a byte arrives now and then.
     bytes_of_event = [chunk(b"d"), 0.2] * 30
     first = [stream_head() + chunk(event(1)), *bytes_of_event, "hang"]
--- a/libs/wire/src/bulrushbend/wire/eventstream.py
+++ b/libs/wire/src/bulrushbend/wire/eventstream.py
@@ -1,4 +1,4 @@
-"""Framing of server-sent events for streams that can be resumed."""
+"""Framing of server-sent events."""
 
 import re
 
@@ -10,6 +10,27 @@
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 # Line of a known field, or comment.
 _KNOWN_LINE = re.compile(rb"(?:id|data|event|retry)(?::|$)|:")
+_BLANK_LINE_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+
+
+class StreamTail:
+    """Tells from the last bytes of an event stream whether it ends after an event.
+
+    A stream that ends with its connection has been broken off otherwise. A comment has
+    to end with a blank line as well: it may be the first line of an event.
+    """
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    @property
+    def is_after_event(self) -> bool:
+        """Whether the stream ends with a blank line."""
+        return self._tail.endswith(_BLANK_LINE_ENDS)
+
+    def feed(self, data: bytes) -> None:
+        """Append `data` to the stream."""
+        self._tail = data[-3:] if len(data) > 2 else (self._tail + data)[-3:]
 
 
 class EventFramer:
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -77,12 +77,13 @@
         self.headers_done: asyncio.Future[None] = loop.create_future()
         self.body_done: asyncio.Future[None] = loop.create_future()
         self.is_head_request = False
+        # Whether only the end of the connection ends the body.
+        self.ends_with_connection = False
         self.last_received_s = loop.time()
         self._loop = loop
         self._parser = httptools.HttpResponseParser(self)
         self._header_bytes = 0
         self._has_headers = False
-        self._ends_with_connection = False
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._consumer: ChunkConsumer | None = None
@@ -124,7 +125,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         # A body without a length ends when the peer closes the connection. A reset
         # means that the body was truncated.
-        if self._has_headers and self._ends_with_connection and error is None:
+        if self._has_headers and self.ends_with_connection and error is None:
             self._complete()
         step = "before the body was complete"
         if not self._has_headers:
@@ -143,8 +144,9 @@
         self.status = status
         self._has_headers = True
         coding = self.headers.get("Transfer-Encoding")
-        self._ends_with_connection = (
-            coding is None and "Content-Length" not in self.headers
+        has_body = not (self.is_head_request or status in STATUSES_WITHOUT_BODY)
+        self.ends_with_connection = (
+            has_body and coding is None and "Content-Length" not in self.headers
         )
         if coding is not None and coding.lower() != "chunked":
             self.fail(self._make_error(f"unknown coding {coding}", PeerProtocolError))
@@ -154,7 +156,7 @@
             )
         elif not self.headers_done.done():
             self.headers_done.set_result(None)
-        if self.is_head_request or status in STATUSES_WITHOUT_BODY:
+        if not has_body:
             self._complete()
 
     def on_body(self, chunk: bytes) -> None:
@@ -269,6 +271,11 @@
         """Headers of the response."""
         return self._reader.headers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has neither length nor chunks."""
+        return self._reader.ends_with_connection
+
     @property
     def is_paused(self) -> bool:
         """Whether reading the response is paused."""
