--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -32,7 +32,7 @@
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.sink import ResponseSink
-from bulrushbend.wire.eventstream import EventFramer, contains_event_end
+from bulrushbend.wire.eventstream import EventFramer, StreamTail, contains_event_end
 from bulrushbend.wire.exchange import Exchange, ExchangeRequest, ExchangeTimeouts
 
 # Time without a response after which a request that may be repeated looks for another
@@ -158,6 +158,8 @@
         self._sink = sink
         self._framer = framer
         self._successors = successors
+        self._tail: StreamTail | None = None
+        self._is_resumed = framer is not None and sink.started
         self._successor: Placement | None = None
         self._reservation: asyncio.Task[None] | None = None
         self._is_prefill_ended = False
@@ -254,15 +256,21 @@
         status, headers = exchange.status, exchange.headers
         self._has_headers = True
         self._record_progress()
-        if not (self._framer is not None and _is_event_stream(exchange)):
+        is_event_stream = _is_event_stream(exchange)
+        if not is_event_stream or self._call.method == "HEAD":
+            self._framer = None
+        if self._framer is None:
             self._stop_watching()
+        if is_event_stream and exchange.ends_with_connection:
+            self._tail = StreamTail()
+        # A refusal of another request proves nothing about this one.
+        if not header_codec.is_genuine(self._call, status, headers):
+            return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
         if header_codec.proves_not_run(status, headers):
             if status == HTTPStatus.MISDIRECTED_REQUEST:
                 self._context.crash_reports.record_replaced(self._endpoint.id)
             return AttemptResult(Verdict.NOT_RUN, "endpoint refused", status)
-        if not header_codec.is_genuine(self._call, status, headers):
-            return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
-        if self._sink.started and status != 200:
+        if self._is_resumed and not is_event_stream:
             return AttemptResult(Verdict.BROKEN_OFF, "resume refused", status)
         if status >= 500 and self._successors is not None:
             return AttemptResult(Verdict.MAY_HAVE_RUN, "endpoint failed", status)
@@ -276,7 +284,8 @@
     def _response_headers(self, exchange: Exchange) -> HTTPHeaders:
         headers = self._context.header_codec.caller_headers(exchange.headers)
         length = exchange.headers.get("Content-Length")
-        if length is not None:
+        # The rest of a resumable stream may come from another endpoint.
+        if length is not None and self._framer is None:
             headers["Content-Length"] = length
         return headers
 
@@ -284,7 +293,14 @@
         self._sink.set_flow_control(exchange.pause, exchange.resume)
         await exchange.forward(self._forward_chunk)
         self._context.health.record_event_gaps(self._endpoint.id, self._gaps_ms)
-        if self._framer is not None and (rest := self._framer.finish()):
+        rest = b"" if self._framer is None else self._framer.finish()
+        if (self._tail is not None and not self._tail.is_after_event) or (
+            self._is_resumed and rest.strip()
+        ):
+            raise TruncatedResponseError(
+                "stream ended inside an event", step="body", peer=exchange.peer
+            )
+        if rest:
             self._sink.write(rest)
 
     def _forward_chunk(self, chunk: bytes) -> None:
@@ -300,6 +316,8 @@
         if self._has_event:
             self._record_sound()
         self._last_chunk_ms = now_ms
+        if self._tail is not None:
+            self._tail.feed(chunk)
         piece = chunk if self._framer is None else self._framer.feed(chunk)
         if piece:
             self._has_event = self._has_event or contains_event_end(piece)
@@ -386,4 +404,6 @@
 
 def _is_event_stream(exchange: Exchange) -> bool:
     content_type = exchange.headers.get("Content-Type", "")
-    return exchange.status == 200 and content_type.startswith("text/event-stream")
+    return exchange.status == 200 and content_type.lower().startswith(
+        "text/event-stream"
+    )
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -100,6 +100,11 @@
     return sum(len(endpoint.requests) for endpoint in fixture.endpoints)
 
 
+def single_bytes(data):
+    """Return the steps of a script that send `data` byte by byte."""
+    return [step for i in range(len(data)) for step in (data[i : i + 1], 0.002)]
+
+
 IDEMPOTENT = make_route(kind=RouteKind.IDEMPOTENT, most_endpoints=2)
 ONCE = make_route(kind=RouteKind.NON_IDEMPOTENT, most_endpoints=2)
 RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True, most_endpoints=2)
@@ -169,6 +174,32 @@
         assert error.retry_after_ms > 0
 
 
+@pytest.mark.parametrize(
+    "refusal", [{"status": "503 Busy", "Not_Run": "1"}, {"status": "421 Misdirected"}]
+)
+async def test_refusal_of_another_request_does_not_prove_that_this_one_did_not_run(
+    refusal,
+):
+    stale = [plain_response(b"", Id="r0", **refusal)]
+    async with running_dispatcher([stale], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        error = await fixture.serve_error(route=ONCE)
+        assert error.status not in NOT_RUN_STATUSES
+        assert runs(fixture) == 1
+        assert fixture.is_idle
+
+
+@pytest.mark.parametrize("status", ["400 Bad Request", "421 Misdirected"])
+async def test_refusal_without_an_id_is_accepted(status):
+    # Guards against a refused request that is given up although it did not run.
+    refusal = [plain_response(b"", status, Not_Run="1")]
+    async with running_dispatcher([refusal], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=ONCE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == b"done"
+
+
 async def test_failed_connect_costs_no_retry_budget():
     async with running_dispatcher([RESPONSE], budget=0) as fixture:
         absent = make_endpoint("e0", "127.0.0.1:1")
@@ -212,6 +243,33 @@
         assert not fixture.sink.finished
 
 
+@pytest.mark.parametrize("method", ["POST", "HEAD"])
+@pytest.mark.parametrize(
+    "cut",
+    [
+        b"HTTP/1.1 200 OK\r\nSeal: s\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nSeal: s\r\n",
+        b"HTTP/1.1 204 No Content\r\nSeal: s\r\n",
+    ],
+)
+async def test_answer_that_ends_inside_its_head_is_not_forwarded(cut, method):
+    # Guards against a 200 with an empty body that looks complete.
+    async with running_dispatcher([[cut, "close"]]) as fixture:
+        error = await fixture.serve_error(route=ONCE, method=method)
+        assert error.status == 502
+        assert fixture.sink.status == 0
+        assert fixture.is_idle
+
+
+@pytest.mark.parametrize("cut", [plain_response()[:-4], stream_head() + b"5\r"])
+async def test_answer_that_ends_before_its_body_is_not_reported_complete(cut):
+    async with running_dispatcher([[cut, "close"]]) as fixture:
+        error = await fixture.serve_error(route=ONCE)
+        assert error.status == 502
+        assert not fixture.sink.started
+
+
 async def test_started_response_is_not_continued_by_another_run():
     # Guards against a body composed of two runs: in a benchmark, this happened when an
     # endpoint crashed during the response to an idempotent request.
@@ -251,6 +309,96 @@
         assert result.verdict is Verdict.BROKEN_OFF
 
 
+UNFRAMED_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+STREAM = make_route(kind=RouteKind.STREAM)
+
+
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+@pytest.mark.parametrize(
+    "cut",
+    [
+        b"id: 2",
+        b"id: 2\ndata: t2",
+        b"id: 2\ndata: t2\n",
+        b"id: 2\r\ndata: t2\r\n",
+        b"id: 2\r\ndata: t2\r\n\r",
+        b": comment",
+        b": comment\n",
+    ],
+)
+async def test_stream_whose_connection_ends_inside_an_event_is_broken_off(cut, route):
+    # Guards against an endpoint that ends in the middle of an event and looks complete.
+    script = [UNFRAMED_STREAM + event(1), 0.02, *single_bytes(cut), "close"]
+    async with running_dispatcher([script], budget=0) as fixture:
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.BROKEN_OFF
+        assert fixture.sink.body.startswith(event(1))
+        assert fixture.is_idle
+
+
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+@pytest.mark.parametrize(
+    "end",
+    [
+        b"",
+        b"data: [DONE]\n\n",
+        b"id: 2\r\ndata: t2\r\n\r\n",
+        b"id: 2\rdata: t2\r\r",
+        b": comment\n\n",
+        b"\n",
+        b"\n\n",
+    ],
+)
+async def test_stream_whose_connection_ends_after_an_event_is_complete(end, route):
+    # Guards against whole streams that are broken off, wherever their chunks begin.
+    script = [UNFRAMED_STREAM + event(1)[:-1], 0.02, b"\n", *single_bytes(end)]
+    async with running_dispatcher([[*script, "close"]]) as fixture:
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + end
+
+
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+async def test_stream_whose_connection_ends_before_its_first_event_is_no_answer(route):
+    # Guards against the empty answer of an endpoint that crashes at its first event.
+    async with running_dispatcher([[UNFRAMED_STREAM, "close"]], budget=0) as fixture:
+        error = await fixture.serve_error(route=route)
+        assert error.status == 502
+        assert not fixture.sink.started
+
+
+async def test_stream_whose_connection_ended_inside_an_event_is_resumed():
+    first = UNFRAMED_STREAM + event(1) + b"id: 2\nda"
+    second = UNFRAMED_STREAM + event(2) + event(3)
+    async with running_dispatcher([[first, "close"]], [[second, "close"]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2) + event(3)
+        assert b"Last-Event-Id: 1" in fixture.endpoints[1].requests[0]
+
+
+async def test_answer_to_head_without_a_length_is_complete():
+    # Guards against a whole answer without a body that counts as a broken stream.
+    async with running_dispatcher([[UNFRAMED_STREAM, "close"]]) as fixture:
+        result = await fixture.serve(route=STREAM, method="HEAD", body=b"")
+        assert result.verdict is Verdict.ANSWERED
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+async def test_framed_stream_is_complete_although_its_last_event_is_not(framing, route):
+    # Guards against a whole body that is broken off because of its content.
+    body = event(1) + b"id: 2\ndata: t2"
+    script = stream_head() + chunk(body) + END_OF_CHUNKS
+    if framing == "length":
+        script = plain_response(body, **EVENT_STREAM)
+    async with running_dispatcher([[script]]) as fixture:
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == body
+
+
 async def test_broken_stream_is_resumed_at_another_endpoint_without_gap():
     # Guards against events that are lost, repeated or truncated where a stream resumes.
     first = stream_head() + b"".join(chunk(event(n)) for n in (1, 2)) + chunk(b"id: 3")
@@ -263,7 +411,103 @@
         assert b"Last-Event-Id: 2" in fixture.endpoints[1].requests[0]
 
 
-async def test_stalled_stream_that_sends_single_bytes_is_resumed():
+ERROR_TEXT = b'{"error": "overloaded"}'
+ERROR_HEAD = b"HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\nfailed\n\n"
+EVENT_STREAM = {"Content_Type": "text/event-stream"}
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        plain_response(ERROR_TEXT, "500 Error"),
+        plain_response(ERROR_TEXT, "503 Busy", Not_Run="1"),
+        plain_response(ERROR_TEXT, "404 Not Found", **EVENT_STREAM),
+        plain_response(event(2), "206 Partial Content", **EVENT_STREAM),
+        plain_response(ERROR_TEXT, Content_Type="application/json"),
+        plain_response(event(2), Content_Type="text/plain"),
+        plain_response(event(2)),
+        plain_response(ERROR_TEXT, **EVENT_STREAM),
+        stream_head() + chunk(ERROR_TEXT) + END_OF_CHUNKS,
+        plain_response(b"data: half", **EVENT_STREAM),
+    ],
+)
+async def test_answer_that_is_no_continuation_is_not_appended_to_a_broken_stream(
+    second,
+):
+    first = stream_head() + chunk(event(1)) + chunk(b"id: 2")
+    async with running_dispatcher([[first, 0.05, "reset"]], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        with contextlib.suppress(RequestError):
+            result = await fixture.serve(route=RESUMABLE)
+            assert result.verdict is not Verdict.ANSWERED
+        assert fixture.sink.body == event(1)
+        assert runs(fixture) == 2
+        assert fixture.is_idle
+
+
+async def test_stream_is_resumed_at_a_third_endpoint_after_an_error_of_the_second():
+    route = make_route(kind=RouteKind.STREAM, resumable=True, most_endpoints=3)
+    first = stream_head() + chunk(event(1)) + chunk(b"id: 2")
+    error = plain_response(ERROR_TEXT, **EVENT_STREAM)
+    third = stream_head() + chunk(event(2)) + END_OF_CHUNKS
+    async with running_dispatcher(
+        [[first, 0.05, "reset"]], [[error]], [[third]]
+    ) as fixture:
+        fixture.components.health.record_failure("e2", "the test")
+        fixture.components.health.record_failure("e2", "the test")
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=route)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2)
+        assert b"Last-Event-Id: 1" in fixture.endpoints[2].requests[0]
+        assert runs(fixture) == 3
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"".join(chunk(event(n)) for n in (1, 2, 3)),
+        chunk(event(2)) + chunk(event(3)),
+        chunk(b"data: extra\n\n" + event(1) + event(2) + event(3)),
+        chunk(ERROR_HEAD),
+        chunk(ERROR_TEXT + b"\n\n" + event(3)),
+    ],
+)
+async def test_stream_that_does_not_continue_after_the_last_event_is_broken_off(body):
+    # Guards against events that come twice, and pieces of two runs in one stream.
+    first = stream_head() + chunk(event(1)) + chunk(event(2)) + chunk(b"id: 3")
+    second = stream_head() + body + END_OF_CHUNKS
+    async with running_dispatcher([[first, 0.05, "reset"]], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.BROKEN_OFF
+        assert fixture.sink.body == event(1) + event(2)
+        assert fixture.is_idle
+
+
+async def test_resumed_stream_is_not_framed_by_the_length_of_its_first_answer():
+    # Guards against a caller that waits for bytes of an answer that is replaced, or
+    # takes the surplus for its next answer.
+    body = event(1) + event(2)
+    cut = plain_response(body, **EVENT_STREAM)[: -len(event(2))]
+    second = stream_head() + chunk(b"id: 2\ndata: longer\n\n") + END_OF_CHUNKS
+    async with running_dispatcher([[cut, 0.05, "reset"]], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + b"id: 2\ndata: longer\n\n"
+        assert "Content-Length" not in fixture.sink.headers
+
+
+async def test_answer_to_head_keeps_its_length_on_a_resumable_route():
+    head = plain_response(b"x" * 9, **EVENT_STREAM)[:-9]
+    async with running_dispatcher([[head]]) as fixture:
+        result = await fixture.serve(route=RESUMABLE, method="HEAD", body=b"")
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.headers["Content-Length"] == "9"
+
+
+async def test_stalled_stream_that_sendssingle_bytes_is_resumed():
     # Guards against a stalled stream that never ends since a byte arrives now and then.
     bytes_of_event = [chunk(b"d"), 0.2] * 30
     first = [stream_head() + chunk(event(1)), *bytes_of_event, "hang"]
