Answer the requests that a stopping gateway cannot finish

Callers whose request was still running when the drain of a gateway ended saw their connection close without an answer or a refusal, and the event log had no line for the request: it could not be told from one that never arrived.

Cause: after `drain_ms` the gateway closed all connections and its process ended before the cancelled request tasks had run. Class of fault: work is dropped with its owner instead of being ended.

Change: when the drain ends, the time limits of all requests in progress expire. Requests whose response has not started get 502, or 503 if they were never sent; started responses are reset, and every request has its line, with the reason "draining".

Evidence: the session test fails before ("connection ended before the headers") and passes after, as do three tests of the dispatcher, which call a new method.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -72,6 +72,8 @@
 _OVERLOADED_RETRY_AFTER_MS = 100.0
 # Time in which requests on the connections accepted last can arrive and be refused.
 _LATE_REQUESTS_GRACE_MS = 300.0
+# Time in which the errors of requests that are ended by a drain can be sent.
+_ERRORS_SENT_MS = 200.0
 _MONITOR_INTERVAL_MS = 200.0
 # Interval of the load events. It is short, because the effects of a fault in the fleet
 # appear within a few seconds.
@@ -331,7 +333,8 @@
         """Report unready, stop accepting requests and wait for those that run.
 
         Requests are still accepted for `drain_notice_ms`, the time in which callers
-        detect that the gateway is not ready.
+        detect that the gateway is not ready. Those that still run after `drain_ms` are
+        ended with an error.
         """
         self._is_draining = True
         self._events.write(EventKind.PROCESS_DRAINING, running=self._running)
@@ -341,9 +344,15 @@
         self._rejects_requests = True
         stop_listening()
         await self._clock.sleep_ms(_LATE_REQUESTS_GRACE_MS)
+        await self._wait_until_idle(self._drain_deadline_ms)
+        self._dispatcher.end_requests()
+        await self._wait_until_idle(self._clock.now_ms() + _ERRORS_SENT_MS)
+
+    async def _wait_until_idle(self, deadline_ms: float) -> None:
+        """Wait until no request runs and no response is being sent."""
         while (
             self._running or self._server.has_unfinished_work
-        ) and self._clock.now_ms() < self._drain_deadline_ms:
+        ) and self._clock.now_ms() < deadline_ms:
             await self._clock.sleep_ms(20)
 
     def _create_call(
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -74,6 +74,8 @@
         self._budgets = budgets
         self._clock = clock
         self._events = events
+        self._time_limits: set[asyncio.Timeout] = set()
+        self._is_ending = False
 
     async def serve(self, call: Call, sink: ResponseSink) -> AttemptResult:
         """Run `call` and pass its response to `sink`.
@@ -85,14 +87,35 @@
         """
         self._budgets.for_service(call.service).record_request()
         framer = EventFramer() if call.route.resumable else None
+        time_limit = asyncio.timeout(call.remaining_ms(self._clock.now_ms()) / 1000)
+        self._time_limits.add(time_limit)
         try:
-            async with asyncio.timeout(call.remaining_ms(self._clock.now_ms()) / 1000):
+            async with time_limit:
                 return await self._run_attempts(call, sink, framer)
         except TimeoutError:
+            reason = "draining" if self._is_ending else "time limit"
             if sink.started:
-                return AttemptResult(Verdict.BROKEN_OFF, "time limit")
-            message = "no answer within the time limit"
-            raise RequestError(504, "time-limit", message) from None
+                return AttemptResult(Verdict.BROKEN_OFF, reason)
+            if not self._is_ending:
+                message = "no answer within the time limit"
+                raise RequestError(504, "time-limit", message) from None
+            message = "the gateway stops before the endpoint has answered"
+            if call.endpoint:
+                raise outcome_unknown_error(reason, message) from None
+            raise not_run_error(503, reason, message, _REFUSED_RETRY_AFTER_MS) from None
+        finally:
+            self._time_limits.discard(time_limit)
+
+    def end_requests(self) -> None:
+        """End all requests in progress because the process is about to stop.
+
+        A request whose response has not started gets an error response.
+        """
+        self._is_ending = True
+        now_s = asyncio.get_running_loop().time()
+        for time_limit in self._time_limits:
+            if not time_limit.expired():
+                time_limit.reschedule(now_s)
 
     async def _run_attempts(
         self, call: Call, sink: ResponseSink, framer: EventFramer | None
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -343,6 +343,40 @@
         assert result.verdict is Verdict.ANSWERED
 
 
+async def serve_until_ended(fixture, **fields):
+    task = asyncio.create_task(fixture.serve(**fields))
+    await asyncio.sleep(0.1)
+    fixture.dispatcher.end_requests()
+    return await task
+
+
+async def test_stopping_gateway_answers_a_request_at_a_silent_endpoint():
+    # Guards against a connection that a stopping gateway closes without an answer.
+    async with running_dispatcher([["hang"]]) as fixture:
+        with pytest.raises(RequestError) as raised:
+            await serve_until_ended(fixture, route=ONCE)
+        assert (raised.value.status, raised.value.step) == (502, "draining")
+        assert fixture.is_idle
+
+
+async def test_stopping_gateway_refuses_a_waiting_request():
+    # Guards against a waiting request that a stopping gateway drops without an answer.
+    async with running_dispatcher([["hang"]]) as fixture:
+        fixture.components.queue.place = lambda demand: asyncio.sleep(60)
+        with pytest.raises(RequestError) as raised:
+            await serve_until_ended(fixture, route=ONCE)
+        assert (raised.value.status, raised.value.step) == (503, "draining")
+        assert runs(fixture) == 0
+
+
+async def test_stopping_gateway_breaks_off_a_started_response():
+    # Guards against a truncated response that looks complete.
+    first = [stream_head() + chunk(event(1)), "hang"]
+    async with running_dispatcher([first]) as fixture:
+        result = await serve_until_ended(fixture, route=RESUMABLE)
+        assert (result.verdict, result.reason) == (Verdict.BROKEN_OFF, "draining")
+
+
 async def test_time_limit_ends_a_running_request():
     # Guards against requests that run past the time limit of their route.
     async with running_dispatcher([["hang"]]) as fixture:
--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -32,10 +32,19 @@
         Number of machines.
     has_links : bool, default=False
         Whether endpoints are reached through a proxy that can inject link faults.
+    grace_s : float, default=8
+        Time between SIGTERM and SIGKILL that the settings state.
     """
 
-    def __init__(self, folder: Path, size: int = 3, has_links: bool = False):
+    def __init__(
+        self,
+        folder: Path,
+        size: int = 3,
+        has_links: bool = False,
+        grace_s: float = 8,
+    ):
         self.folder = folder
+        self._grace_s = grace_s
         self.hosts = [f"{_ADDRESS_PREFIX}.{10 + number}" for number in range(size)]
         self.engines = [
             Engine(f"i-{number}", "llm", f"{_ADDRESS_PREFIX}.{100 + number}", 8080)
@@ -164,7 +173,7 @@
             "bootstrap": bootstrap,
             "data_dir": str(self.folder / f"data-{host}"),
             "listen": {name: f"{host}:{port}" for name, port in _PORTS.items()},
-            "bounds": {"grace_s": 8, "revoke_ms": 5000},
+            "bounds": {"grace_s": self._grace_s, "revoke_ms": 5000},
             "cloud": {"addr": self.cloud.address, "rate_per_s": 1000.0},
         }
         if not has_disk:
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -16,6 +16,8 @@
     ----------
     runs : list of tuple
         Request id, tenant and path of each run.
+    silent_s : float
+        Time from the start of a run until the first byte of the response.
     """
 
     def __init__(self, name, service, host, port, slots=8):
@@ -29,6 +31,7 @@
         self.refuses = False
         self.events = 5
         self.pause_s = 0.01
+        self.silent_s = 0.0
         application = Application([(r"/.*", _EngineHandler, {"engine": self})])
         self._server = HTTPServer(application)
         self._server.add_sockets(bind_sockets(port, host))
@@ -64,6 +67,7 @@
             return
         run = (headers["Attempt-Id"], headers.get("Tenant"), self.request.uri)
         engine.runs.append(run)
+        await asyncio.sleep(engine.silent_s)
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Instance-Seal", f"{engine.name}.seal")
         if "Authorization" in headers:
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -28,8 +28,8 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(folder):
-    machines = Machines(folder)
+async def deployment(folder, **options):
+    machines = Machines(folder, **options)
     try:
         await machines.start_all()
 
@@ -182,6 +182,22 @@
         assert await asyncio.wait_for(process.wait(), 10) == 0
 
 
+async def test_stopping_gateway_answers_requests_that_have_not_ended(tmp_path):
+    # Guards against a request that ends with its gateway, without an answer or a trace.
+    async with deployment(tmp_path, grace_s=4) as machines:
+        host = machines.hosts[0]
+        machines.engines[2].silent_s = 20.0
+        running = asyncio.create_task(send_booking(machines, host, "b1"))
+        await asyncio.sleep(0.3)
+        machines.send(signal.SIGTERM, host, "gateway")
+        status, _, body = await running
+        assert (status, json.loads(body)["error"]["code"]) == (502, "draining")
+        process = machines.processes[host, "gateway"]
+        assert await asyncio.wait_for(process.wait(), 10) == 0
+        log = next(tmp_path.glob(f"{host}-gateway.log")).read_text()
+        assert '"kind":"request-unknown","request_id":"b1"' in log
+
+
 async def test_sighup_does_not_end_a_running_process(tmp_path):
     # Guards against the default action of SIGHUP, which ends the process.
     async with deployment(tmp_path) as machines:
