--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -36,6 +36,8 @@
         Number of engines that answer with event streams.
     seed : int, default=0
         Seed of the engines' faults.
+    grace_s : float, default=8
+        Time between SIGTERM and SIGKILL that the settings state.
     """
 
     def __init__(
@@ -45,8 +47,10 @@
         has_links: bool = False,
         model_engines: int = 2,
         seed: int = 0,
+        grace_s: float = 8,
     ):
         self.folder = folder
+        self._grace_s = grace_s
         self.hosts = [f"{_ADDRESS_PREFIX}.{10 + number}" for number in range(size)]
         self.engines = [
             Engine(
@@ -181,7 +185,7 @@
             "bootstrap": bootstrap,
             "data_dir": str(self.folder / f"data-{host}"),
             "listen": {name: f"{host}:{port}" for name, port in _PORTS.items()},
-            "bounds": {"grace_s": 8, "revoke_ms": 5000},
+            "bounds": {"grace_s": self._grace_s, "revoke_ms": 5000},
             "cloud": {"addr": self.cloud.address, "rate_per_s": 1000.0},
         }
         if not has_disk:
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -95,6 +95,8 @@
         Time for which the engine refuses connections after a crash.
     silences : list of float
         Pauses that are made, one in each of the next streams, before their third event.
+    silent_s : float
+        Time from the start of a run until the first byte of the response.
     """
 
     def __init__(self, name, service, host, port, slots=8, seed=0):
@@ -122,6 +124,7 @@
         self._incarnations = itertools.count(2)
         self._timers = []
         self._host, self._port = host, port
+        self.silent_s = 0.0
         self._listen()
 
     def list_entry(self):
@@ -190,6 +193,7 @@
             return
         run = (headers["Attempt-Id"], headers.get("Tenant"), self.request.uri)
         engine.runs.append(run)
+        await asyncio.sleep(engine.silent_s)
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Instance-Seal", f"{engine.instance}.seal")
         if "Authorization" in headers:
