End a resumable stream that stalls within an event

What callers saw: a stream of which the endpoint sends single bytes but no whole event held its slot and its caller until the deadline of the request.

Cause: the agent looked at the idle time-out of the endpoint only when it had to reconnect; the time-out of the connection starts anew with each byte.

Change: the agent checks after each chunk whether an event was completed within the idle time-out, as the class already promised. Time in which the router does not read is no stall.

Evidence: the new test fails before (no end within 2 s at an idle time-out of 0.2 s) and passes after. Ruled out: slow streams with whole events, comments included, which count as progress.

--- a/libs/agent/src/bulrushbend/agent/resume.py
+++ b/libs/agent/src/bulrushbend/agent/resume.py
@@ -63,8 +63,11 @@
                     async for chunk in exchange.chunks():
                         events = self._framer.feed(chunk)
                         if events:
-                            self._record_progress()
                             yield events
+                            # Time in which the reader applies backpressure is no stall.
+                            self._record_progress()
+                        else:
+                            self._check_stall()
                     yield self._framer.finish()
                     return
                 except (TruncatedResponseError, PeerTimeoutError) as error:
@@ -73,6 +76,16 @@
         finally:
             exchange.close()
 
+    def _check_stall(self) -> None:
+        """Raise if no event was completed within the idle time-out.
+
+        The time-out of the exchange does not expire while single bytes arrive.
+        """
+        if self._clock.now_ms() >= self._last_progress_ms + self._endpoint.idle_ms:
+            raise PeerTimeoutError(
+                "no complete event within the idle timeout", step="body"
+            )
+
     def _record_progress(self) -> None:
         self._last_progress_ms = self._clock.now_ms()
         self._backoff_ms = _MIN_BACKOFF_MS
--- a/libs/agent/tests/test_attempts.py
+++ b/libs/agent/tests/test_attempts.py
@@ -172,6 +172,23 @@
         await eventually(lambda: endpoint.requests[-1].method == "DELETE")
 
 
+async def test_stream_that_stalls_within_an_event_ends_although_bytes_arrive():
+    async def trickle(request, writer):
+        writer.write(EVENTS + chunk(b"id: 0\ndata: 0\n\ndata: "))
+        while True:
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(chunk(b"x"))
+
+    manifest = build_manifest(resume="last-event-id")
+    async with running_agent(trickle, manifest, endpoint_idle_ms=200) as parts:
+        router = parts[3]
+        exchange = await router.post(await router.claim())
+        async with asyncio.timeout(2):
+            with pytest.raises(TruncatedResponseError):
+                await exchange.body()
+
+
 async def test_refused_endpoint_means_not_run_and_stops_claims():
     async with running_agent(answer, endpoint_up=False) as (settings, _, _, router):
         exchange = await router.post(await router.claim(waiting=2))
