Do not cut a started answer at the deadline of its request

What callers saw: an answer was broken off in the middle when the time given in Bulrushbend-Deadline-Ms (by default two minutes) had passed, although the endpoint was sound and docs/callers.md promises that a started answer is not cut.

Cause: the agent applied the deadline to the whole exchange. Nothing replaces the answer then: the router may not retry once bytes have reached the caller.

Change: the deadline applies until the headers of the answer. Afterwards the idle time-out of the endpoint and the wait for a router that does not read (orphan_ms) bound the attempt.

Evidence: the new test fails before (the answer ends truncated after 0.1 s) and passes after. Ruled out: the router, which uses the deadline only while it has received no byte.

--- a/libs/agent/src/bulrushbend/agent/attempt.py
+++ b/libs/agent/src/bulrushbend/agent/attempt.py
@@ -56,7 +56,7 @@
     resumable : bool
         Whether the service can resume event streams.
     deadline_ms : float
-        Time in milliseconds until the deadline.
+        Time in milliseconds until the deadline, by which the answer must start.
     forward : ExchangeRequest
         HTTP request to send to the endpoint.
     """
@@ -168,8 +168,7 @@
 
     async def _run(self) -> None:
         try:
-            async with asyncio.timeout(self._request.deadline_ms / 1000.0):
-                await self._forward()
+            await self._forward()
         except asyncio.CancelledError:
             reason = self._cancel_reason or "agent stops"
             self._end(AttemptState.CANCELLED, FailureKind.UNKNOWN, reason)
@@ -194,7 +193,8 @@
             self._succeed()
 
     async def _forward(self) -> None:
-        exchange = await self._endpoint.open(self._request.forward)
+        async with asyncio.timeout(self._request.deadline_ms / 1000.0):
+            exchange = await self._endpoint.open(self._request.forward)
         try:
             self._check_identity(exchange)
             self._check_framing(exchange)
--- a/libs/agent/tests/test_attempts.py
+++ b/libs/agent/tests/test_attempts.py
@@ -172,6 +172,13 @@
         await eventually(lambda: endpoint.requests[-1].method == "DELETE")
 
 
+async def test_started_answer_is_not_cut_by_the_deadline():
+    async with running_agent(answer_slowly) as (_, _, endpoint, router):
+        exchange = await router.post(await router.claim(), deadline_ms="100")
+        assert await exchange.body() == b"begin end"
+        assert [r.method for r in endpoint.requests] == ["POST"]
+
+
 async def test_stream_that_stalls_within_an_event_ends_although_bytes_arrive():
     async def trickle(request, writer):
         writer.write(EVENTS + chunk(b"id: 0\ndata: 0\n\ndata: "))
