Keep an attempt that its agent still runs

What callers saw: 502 unknown, or a stream broken off in the middle, although the endpoint was sound and only computed or paused for some seconds: while the link between router and agent was down, and for any request in progress when a manifest moved its endpoint to another service.

Cause: without a link, an exchange that is silent for the silence time-out is aborted and looked up on a new connection. The agent sends nothing on it until the endpoint does, so it was aborted as well; then the router gave the attempt up after one silence time-out (before the headers) or five lookups (after them), without asking whether the attempt runs. A change of the service replaces the link, and attempts in progress hold the old one, which never comes up again. Class of fault: a resource is given up before its replacement is secured.

Change: before it gives up, the router asks the agent for the state of the attempt. While the agent reports it as running, the router goes on. The limits are those of the agent, and the deadline before the first byte.

Evidence: the three new tests fail before (502, truncated, 502) and pass after. With an agent that cannot be reached, started attempts end as before; if it accepts connections and does not answer, up to 2 s (the time-out of the state query) later.

Ruled out: claims that expire beside a change of the manifest (the agent refuses the request and the router queues it again), reports that are missing after a link came up again (the lookup answers), and restarts of the agent (it answers 404). Not changed: the old connection is still closed before the new one is open, which matters only if the agent accepts no connections.

--- a/libs/router/src/bulrushbend/router/attempt.py
+++ b/libs/router/src/bulrushbend/router/attempt.py
@@ -4,6 +4,7 @@
 import json
 import re
 from dataclasses import dataclass
+from typing import NoReturn
 
 from tornado.httputil import HTTPHeaders
 
@@ -245,7 +246,10 @@
             )
         if exchange.status == 502 and HEADER_FAILURE in headers:
             raise _error_from_headers(headers, self._peer)
-        await self._raise_outcome(f"the agent answered {exchange.status}")
+        state = None
+        if not self._started:
+            state = await self.stop_unless_started(cancel=False)
+        self._raise_outcome(state, f"the agent answered {exchange.status}")
 
     async def _forward_answer(self, sink: AnswerSink) -> None:
         exchange = self._exchange
@@ -275,14 +279,27 @@
             self._reading = False
 
     async def _resume(self, cause: PeerError) -> None:
-        """Open a new connection that continues the answer after the bytes received."""
+        """Open a new connection that continues the answer after the bytes received.
+
+        The attempt is given up only when its agent cannot be reached or no longer runs
+        it.
+        """
+        while (error := await self._try_resume(cause)) is not None:
+            state = await self.stop_unless_started(cancel=False)
+            if state is not AttemptState.RUNNING:
+                self._raise_outcome(state, error.message)
+            self._resumes_without_data = _MAX_RESUMES_WITHOUT_DATA - 1
+            await self._clock.sleep_ms(_RESUME_DELAY_MS)
+
+    async def _try_resume(self, cause: PeerError) -> PeerError | None:
+        """Return None once a connection continues the answer, else the last error."""
         link = self._grant.link
         resume_deadline_ms = self._clock.now_ms() + link.silence_ms
         path = f"{self._path}?offset={self._received_bytes}"
         while True:
             self._resumes_without_data += 1
             if self._resumes_without_data > _MAX_RESUMES_WITHOUT_DATA:
-                break
+                return cause
             self._check_deadline()
             try:
                 await self._open(ExchangeRequest("GET", path, self._identity_headers()))
@@ -291,7 +308,7 @@
                     EventKind.ATTEMPT_RESUMED, offset=self._received_bytes
                 )
                 await self._check_head()
-                return
+                return None
             except ConnectError:
                 # The agent may be restarting. A failed connection counts only against
                 # the time limit, not against the number of resumes without data.
@@ -299,9 +316,8 @@
             except PeerError as error:
                 cause = error
             if self._clock.now_ms() >= resume_deadline_ms:
-                break
+                return cause
             await self._clock.sleep_ms(_RESUME_DELAY_MS)
-        await self._raise_outcome(cause.message)
 
     def _check_deadline(self) -> None:
         if (
@@ -312,12 +328,10 @@
                 "the deadline passed", step="attempt", peer=self._peer
             )
 
-    async def _raise_outcome(self, reason: str) -> None:
+    def _raise_outcome(self, state: AttemptState | None, reason: str) -> NoReturn:
         """Raise `RequestNotRunError` if not started, else `OutcomeUnknownError`."""
-        if not self._started:
-            state = await self.stop_unless_started(cancel=False)
-            if state is AttemptState.NOT_STARTED:
-                raise RequestNotRunError("not started", step="proof", peer=self._peer)
+        if state is AttemptState.NOT_STARTED and not self._started:
+            raise RequestNotRunError("not started", step="proof", peer=self._peer)
         raise OutcomeUnknownError(reason, step="attempt", peer=self._peer)
 
     async def _delete(self, *, cancel: bool) -> AttemptState:
--- a/libs/router/tests/test_dispatch.py
+++ b/libs/router/tests/test_dispatch.py
@@ -1,9 +1,11 @@
 import asyncio
+import time
 
 import pytest
 
 from bulrushbend.core.budget import RetryBudget
 from bulrushbend.core.errors import TruncatedResponseError
+from bulrushbend.core.manifest import Manifest
 
 from .builders import (
     FakeAgent,
@@ -289,6 +291,66 @@
     assert (answer.status, answer.outcome) == (502, "unknown")
 
 
+def answer_after(seconds, begin=False):
+    """Return an answer that ends at one moment, on the connection open at that time."""
+    ready_s = time.monotonic() + seconds
+
+    async def answer(exchange):
+        if begin:
+            await exchange.head()
+        await asyncio.sleep(max(0.0, ready_s - time.monotonic()))
+        if exchange.reader.at_eof():
+            return
+        if not begin:
+            await exchange.head()
+        await exchange.chunk("end")
+        await exchange.end()
+
+    return answer
+
+
+async def test_request_is_not_given_up_while_the_unlinked_agent_runs_it(
+    fleet, app_agent
+):
+    await fleet.start(app_agent)
+    answer = answer_after(2.5)
+    app_agent.answers.update(POST=answer, GET=answer, DELETE=answer_running)
+    call = fleet.start_request(APP)
+    await fleet.wait_until(lambda: app_agent.count("POST") == 1)
+    app_agent.heartbeats_enabled = False
+    assert (await call).body == b"end"
+
+
+async def test_stream_is_not_given_up_while_the_unlinked_agent_runs_it(fleet, agent):
+    async def begin(exchange):
+        await exchange.head()
+        await exchange.chunk("begin,")
+        await exchange.wait_closed()
+
+    rest = answer_after(5.0, begin=True)
+    agent.answers.update(POST=begin, GET=rest, DELETE=answer_running)
+    await fleet.start(agent)
+    exchange = await fleet.open()
+    agent.heartbeats_enabled = False
+    assert await exchange.body() == b"begin,end"
+
+
+async def test_request_is_not_given_up_when_its_endpoint_changes_the_service(
+    fleet, app_agent
+):
+    await fleet.start(app_agent)
+    answer = answer_after(2.5)
+    app_agent.answers.update(POST=answer, GET=answer, DELETE=answer_running)
+    call = fleet.start_request(APP)
+    await fleet.wait_until(lambda: app_agent.count("POST") == 1)
+    changed = make_manifest(version=2).model_dump()
+    changed["endpoints"][1]["service"] = "flor-llm"
+    fleet.control.manifest = Manifest.model_validate(changed)
+    fleet.control.changed.set()
+    assert (await call).body == b"end"
+    assert app_agent.links == 2
+
+
 async def test_closed_data_port_requeues_the_request(fleet, agent):
     # Guards against an agent that claims again at once while its port is closed.
     await fleet.start(agent)
