Resume a stream again after a temporary refusal

What callers saw: a resumable stream that broke off ended truncated, although its endpoint still had it and only refused the first attempts to resume it, as an overloaded endpoint does.

Cause: any answer other than an event stream ended the attempt at once; only connection errors were tried again until the idle time-out.

Change: 429, 502, 503 and 504 are tried again with the same backoff and limit. Nothing of such an answer is passed on. 404 and all others still end the stream.

--- a/libs/agent/src/bulrushbend/agent/resume.py
+++ b/libs/agent/src/bulrushbend/agent/resume.py
@@ -11,6 +11,8 @@
 
 _MIN_BACKOFF_MS = 20.0
 _MAX_BACKOFF_MS = 500.0
+# An endpoint that is overloaded or restarting may still have the stream.
+_TEMPORARY_STATUSES = frozenset({429, 502, 503, 504})
 
 
 class ResumingStream:
@@ -102,6 +104,9 @@
                 )
             except PeerError:
                 continue
+            if exchange.status in _TEMPORARY_STATUSES:
+                exchange.close()
+                continue
             try:
                 if not is_event_stream(exchange):
                     raise cause
--- a/libs/agent/tests/test_attempts.py
+++ b/libs/agent/tests/test_attempts.py
@@ -317,6 +317,23 @@
     assert await read_broken_stream(rest) == b"id: 0\ndata: 0\n\nid: 1\ndata: 1\n\n"
 
 
+@pytest.mark.parametrize("status", [429, 503])
+async def test_stream_is_resumed_after_a_resume_was_refused_for_a_time(status):
+    answers = [b"HTTP/1.1 %d Busy\r\nContent-Length: 4\r\n\r\nbusy" % status] * 2
+    answers.append(EVENTS + chunk(b"id: 2\ndata: 2\n\n") + LAST_CHUNK)
+
+    async def refuse_twice(request, writer):
+        await break_then(answers[0])(request, writer)
+        if request.method == "GET":
+            answers.pop(0)
+
+    manifest = build_manifest(resume="last-event-id")
+    async with running_agent(refuse_twice, manifest) as (_, _, _, router):
+        exchange = await router.post(await router.claim())
+        body = await exchange.body()
+        assert body == b"".join(b"id: %d\ndata: %d\n\n" % (i, i) for i in range(3))
+
+
 async def test_stream_that_breaks_without_progress_fails():
     # It must neither be resumed forever nor without backoff.
     async def break_always(request, writer):
