Do not complete a broken-off event with the error event

What callers saw: a stream that broke off inside an event, at a service without resume. The parsers of callers dispatched the fragment as a whole event.

Cause: the router writes a blank line before its error event, and a blank line ends the event before it.

Change: inside an event the router writes at most one line end, so the lines of the fragment become part of the error event. After a whole event nothing changes.

Evidence: of the new cases, fragments that hold data fail before (dispatched as an event of type message) and pass after. Ruled out: resumable services, of which the agent forwards whole events only.

--- a/libs/router/src/bulrushbend/router/http.py
+++ b/libs/router/src/bulrushbend/router/http.py
@@ -108,6 +108,7 @@
         self._headers = HTTPHeaders()
         self._started = False
         self._disconnected = False
+        self._last_bytes = b""
 
     @property
     def started(self) -> bool:
@@ -125,6 +126,7 @@
             return
         self._send_head()
         self._handler.write(chunk)
+        self._last_bytes = (self._last_bytes + chunk[-4:])[-4:]
         await self._flush()
 
     async def finish(self) -> None:
@@ -143,7 +145,8 @@
         metrics.TRUNCATED.inc()
         if not self._disconnected and self._is_event_stream:
             message = error.message.replace("\n", " ")
-            self._handler.write(f"\n\nevent: error\ndata: {message}\n\n")
+            separator = self._error_separator()
+            self._handler.write(f"{separator}event: error\ndata: {message}\n\n")
             await self._flush()
         abort_connection(self._handler)
 
@@ -151,6 +154,16 @@
     def _is_event_stream(self) -> bool:
         return self._headers.get("Content-Type", "").startswith("text/event-stream")
 
+    def _error_separator(self) -> str:
+        """Return the line ends before the ``error`` event.
+
+        An event that was broken off becomes part of the ``error`` event, because a
+        blank line would complete it.
+        """
+        if self._last_bytes.endswith((b"\n\n", b"\r\r", b"\r\n\r\n")):
+            return "\n\n"
+        return "" if self._last_bytes.endswith((b"\n", b"\r")) else "\n"
+
     def _send_head(self) -> None:
         if self._started:
             return
--- a/libs/router/tests/test_dispatch.py
+++ b/libs/router/tests/test_dispatch.py
@@ -254,6 +254,44 @@
     assert not text.endswith("0\r\n\r\n")
 
 
+def dispatched_events(text):
+    """Return type and data of the events that an event-stream parser dispatches."""
+    events, kind, data = [], "message", []
+    for line in text.splitlines():
+        name, _, value = line.partition(": ")
+        if name == "event":
+            kind = value
+        elif name == "data":
+            data.append(value)
+        elif not line:
+            if data:
+                events.append((kind, "\n".join(data)))
+            kind, data = "message", []
+    return events
+
+
+@pytest.mark.parametrize("partial", ["da", "data: ha", "data: half\n", "data: half\r"])
+async def test_error_event_does_not_complete_the_event_that_was_broken_off(
+    fleet, agent, partial
+):
+    async def cut(exchange):
+        await exchange.head(content_type="text/event-stream")
+        await exchange.chunk("data: whole\n\n")
+        await exchange.chunk(partial)
+        await asyncio.sleep(0.05)
+
+    agent.answers["POST"] = cut
+    await fleet.start(agent)
+    exchange = await fleet.open()
+    received = []
+    with pytest.raises(TruncatedResponseError):
+        async for data in exchange.chunks():
+            received.append(data)
+    whole, broken = dispatched_events(b"".join(received).decode())
+    assert whole == ("message", "whole")
+    assert broken[0] == "error"
+
+
 async def test_truncated_answer_to_an_http_1_0_caller_is_reset(fleet, agent):
     # HTTP/1.0 has no chunked encoding, so a normal close would mark the end of the
     # answer.
