Append no second answer after a refusal to a resumed one

What callers saw: where an agent, or what stands for it, refused to continue an answer as 'not started' or 'not run', the router queued the request again and appended the answer of a second run to the bytes that the caller already had, as one complete answer.

Cause: a refusal was believed at any time, also when the answer had begun. The agent itself sends none then, so it takes a faulty peer.

Change: once the answer has begun, anything but its continuation ends the attempt as unknown.

Evidence: of the new cases, the refusal and 'not run' fail before (a complete answer with the bytes of two) and pass after. The others passed before and stay as tests: failure, error, an answer without status or to another request, and a first refusal with the id of another request, which does not count as not run.

--- a/libs/router/src/bulrushbend/router/attempt.py
+++ b/libs/router/src/bulrushbend/router/attempt.py
@@ -239,6 +239,9 @@
         ):
             self._started = True
             return
+        if self._started:
+            # Its bytes may have reached the caller, so no refusal counts any more.
+            self._raise_outcome(None, f"the agent answered {exchange.status}")
         if exchange.status == 409 and HEADER_REFUSED in headers:
             self._record_event(EventKind.ATTEMPT_REFUSED)
             raise RequestNotRunError(
@@ -246,9 +249,7 @@
             )
         if exchange.status == 502 and HEADER_FAILURE in headers:
             raise _error_from_headers(headers, self._peer)
-        state = None
-        if not self._started:
-            state = await self.stop_unless_started(cancel=False)
+        state = await self.stop_unless_started(cancel=False)
         self._raise_outcome(state, f"the agent answered {exchange.status}")
 
     async def _forward_answer(self, sink: AnswerSink) -> None:
--- a/libs/router/tests/test_dispatch.py
+++ b/libs/router/tests/test_dispatch.py
@@ -450,6 +450,64 @@
         await exchange.body()
 
 
+def answer_plain(status, **headers):
+    async def answer(exchange):
+        await exchange.plain(status, "foreign", **headers)
+
+    return answer
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(
+            answer_plain(409, Bulrushbend_Refused="not-started"), id="refusal"
+        ),
+        pytest.param(answer_failure("not-run"), id="not run"),
+        pytest.param(answer_failure("failed"), id="failure"),
+        pytest.param(answer_plain(200), id="answer without status"),
+        pytest.param(answer_plain(500), id="error"),
+        pytest.param(
+            answer_plain(200, Bulrushbend_Status=200, Bulrushbend_Request="req-other"),
+            id="answer to another request",
+        ),
+    ],
+)
+async def test_nothing_is_appended_to_an_answer_that_cannot_be_continued(
+    fleet, agent, answer
+):
+    async def begin(exchange):
+        await exchange.head(content_type="text/event-stream")
+        await exchange.chunk("data: one\n\n")
+        await asyncio.sleep(0.05)
+
+    agent.answers.update(POST=[begin, echo], GET=answer, DELETE=answer_running)
+    await fleet.start(agent)
+    exchange = await fleet.open()
+    received = []
+    with pytest.raises(TruncatedResponseError):
+        async for data in exchange.chunks():
+            received.append(data)
+    events = dispatched_events(b"".join(received).decode())
+    assert events[0] == ("message", "one")
+    assert [kind for kind, _ in events[1:]] == ["error"]
+    assert b"foreign" not in b"".join(received)
+    assert agent.count("POST") == 1
+
+
+async def test_refusal_of_another_request_does_not_queue_a_request_again(
+    fleet, app_agent
+):
+    refusal = answer_plain(
+        409, Bulrushbend_Refused="not-started", Bulrushbend_Request="req-other"
+    )
+    app_agent.answers.update(POST=[refusal, echo], DELETE=answer_running)
+    await fleet.start(app_agent)
+    answer = await fleet.send_request(APP)
+    assert (answer.status, answer.outcome) == (502, "unknown")
+    assert app_agent.count("POST") == 1
+
+
 async def test_retry_that_expires_in_the_queue_is_unknown(fleet, agent):
     # Guards against the outcome "not-run" when an earlier attempt may have run.
     agent.auto_claim = False
