--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -32,14 +32,31 @@
         Number of machines.
     has_links : bool, default=False
         Whether endpoints are reached through a proxy that can inject link faults.
+    model_engines : int, default=2
+        Number of engines that answer with event streams.
+    seed : int, default=0
+        Seed of the engines' faults.
     """
 
-    def __init__(self, folder: Path, size: int = 3, has_links: bool = False):
+    def __init__(
+        self,
+        folder: Path,
+        size: int = 3,
+        has_links: bool = False,
+        model_engines: int = 2,
+        seed: int = 0,
+    ):
         self.folder = folder
         self.hosts = [f"{_ADDRESS_PREFIX}.{10 + number}" for number in range(size)]
         self.engines = [
-            Engine(f"i-{number}", "llm", f"{_ADDRESS_PREFIX}.{100 + number}", 8080)
-            for number in range(2)
+            Engine(
+                f"i-{number}",
+                "llm",
+                f"{_ADDRESS_PREFIX}.{100 + number}",
+                8080,
+                seed=seed,
+            )
+            for number in range(model_engines)
         ]
         self.engines.append(Engine("i-app", "app", f"{_ADDRESS_PREFIX}.110", 8080))
         self.links = Network(lambda client_port, server_port: "") if has_links else None
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -2,40 +2,131 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import random
+import socket
+import struct
+from dataclasses import dataclass
 
 from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+# Age of the entries of the instance list.
+LIST_LAG_S = 0.8
+# Time in which bytes that were written leave the process before a connection is reset.
+_SEND_S = 0.005
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def parse_parts(prefix_hash: str) -> list[str]:
+    """Return the ids of the parts of a prompt without those of the request's own."""
+    return [entry.partition(":")[0] for entry in prefix_hash.split(",")[:-1]]
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that an engine has read.
+
+    Attributes
+    ----------
+    at_s : float
+        Time of the event loop.
+    request_id : str
+        Id of the request.
+    parts : tuple of str
+        Ids of the shared parts of its prompt.
+    """
+
+    at_s: float
+    request_id: str
+    parts: tuple[str, ...]
+
+
+class _Server(HTTPServer):
+    """Server that can reset all its connections."""
+
+    def initialize(self, *arguments, **options):
+        super().initialize(*arguments, **options)
+        self._streams = set()
+
+    def handle_stream(self, stream, address):
+        self._streams = {open_ for open_ in self._streams if not open_.closed()}
+        self._streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def reset(self):
+        for stream in self._streams:
+            reset_stream(stream)
+        self._streams.clear()
+
+
+def reset_stream(stream) -> None:
+    """Close a connection with a reset."""
+    if not stream.closed():
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        stream.close()
+
 
 class Engine:
     """One engine that answers with an event stream or a body and sets its own seal.
 
     Attributes
     ----------
+    instance : str
+        Id of the current incarnation; a crash ends it.
     runs : list of tuple
         Request id, tenant and path of each run.
+    arrivals : list of Arrival
+        All requests with a prompt that were read, also those that were rejected.
+    crashes : list of float
+        Times of the event loop at which the engine crashed.
+    deadly_parts : set of str
+        Parts that crash the engine when it begins to write an answer on them.
+    reset_share : float
+        Share of the answers whose connection is reset before their first event.
+    first_event_s : float
+        Time from the arrival of a request to its first event.
+    waiting : int
+        Number of requests that have no event yet.
+    down_s : float
+        Time for which the engine refuses connections after a crash.
+    silences : list of float
+        Pauses that are made, one in each of the next streams, before their third event.
     """
 
-    def __init__(self, name, service, host, port, slots=8):
+    def __init__(self, name, service, host, port, slots=8, seed=0):
         self.name = name
         self.service = service
         self.address = f"{host}:{port}"
         self.listed_address = self.address
         self.slots = slots
         self.state = "ready"
+        self.instance = name
         self.runs = []
+        self.arrivals = []
+        self.crashes = []
         self.refuses = False
         self.events = 5
         self.pause_s = 0.01
-        application = Application([(r"/.*", _EngineHandler, {"engine": self})])
-        self._server = HTTPServer(application)
-        self._server.add_sockets(bind_sockets(port, host))
+        self.deadly_parts = set()
+        self.reset_share = 0.0
+        self.first_event_s = 0.0
+        self.waiting = 0
+        self.down_s = 2.0
+        self.silences = []
+        self.random = random.Random(f"{seed} {name}")
+        self._listed_instance = name
+        self._incarnations = itertools.count(2)
+        self._timers = []
+        self._host, self._port = host, port
+        self._listen()
 
     def list_entry(self):
         return {
-            "id": self.name,
+            "id": self._listed_instance,
             "service": self.service,
             "addr": self.listed_address,
             "zone": "papantla",
@@ -44,18 +135,53 @@
             "cold_left_ms": 0,
         }
 
-    def stop(self):
+    def crash(self) -> None:
+        """Reset all connections, refuse new ones and start again after `down_s`."""
+        loop = asyncio.get_running_loop()
+        self.crashes.append(loop.time())
+        self.instance = ""
         self._server.stop()
+        self._server.reset()
+        self._timers.append(loop.call_later(self.down_s, self._restart))
+
+    def stop(self):
+        for timer in self._timers:
+            timer.cancel()
+        if self.instance:
+            self._server.stop()
+
+    def _listen(self):
+        application = Application([(r"/.*", _EngineHandler, {"engine": self})])
+        self._server = _Server(application)
+        self._server.add_sockets(bind_sockets(self._port, self._host))
+
+    def _restart(self):
+        self.instance = f"{self.name}.{next(self._incarnations)}"
+        self._listen()
+        loop = asyncio.get_running_loop()
+        self._timers.append(loop.call_later(LIST_LAG_S, self._list, self.instance))
+
+    def _list(self, instance):
+        self._listed_instance = instance
 
 
 class _EngineHandler(RequestHandler):
     def initialize(self, engine):
         self._engine = engine
+        self._is_abandoned = False
+
+    def on_connection_close(self):
+        self._is_abandoned = True
 
     async def post(self):
         engine = self._engine
         headers = self.request.headers
-        if headers.get("Expect-Instance") != engine.name:
+        parts = parse_parts(headers.get("Prefix-Hash", ""))
+        if "Prefix-Hash" in headers:
+            now_s = asyncio.get_running_loop().time()
+            arrival = Arrival(now_s, headers.get("Attempt-Id", ""), tuple(parts))
+            engine.arrivals.append(arrival)
+        if headers.get("Expect-Instance") != engine.instance:
             self.set_status(421)
             return
         if engine.refuses:
@@ -65,21 +191,54 @@
         run = (headers["Attempt-Id"], headers.get("Tenant"), self.request.uri)
         engine.runs.append(run)
         self.set_header("Attempt-Id", headers["Attempt-Id"])
-        self.set_header("Instance-Seal", f"{engine.name}.seal")
+        self.set_header("Instance-Seal", f"{engine.instance}.seal")
         if "Authorization" in headers:
             self.set_header("Leaked-Key", "1")
         if "Model" not in headers:
             self.write(self.request.body + b" at " + engine.name.encode())
             return
+        await self._stream_events(parts)
+
+    get = post
+
+    async def _stream_events(self, parts):
+        engine = self._engine
+        instance = engine.instance
         self.set_header("Content-Type", "text/event-stream")
-        first = int(headers.get("Last-Event-Id", "0")) + 1
+        engine.waiting += 1
+        await asyncio.sleep(engine.first_event_s)
+        engine.waiting -= 1
+        if self._is_abandoned:
+            return
+        first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        if engine.deadly_parts.intersection(parts):
+            await self._write_partially(b"id: %d\ndata: t\n\n" % first)
+            if engine.instance == instance:
+                engine.crash()
+            return
+        if engine.random.random() < engine.reset_share:
+            await self._write_partially(b"id: %d\ndata: t\n\n" % first)
+            reset_stream(self.request.connection.stream)
+            return
+        silence_s = engine.silences.pop() if engine.silences else 0.0
         for number in range(first, engine.events + 1):
+            if number == first + 2:
+                await asyncio.sleep(silence_s)
             self.write(f"id: {number}\ndata: t\n\n")
             with contextlib.suppress(Exception):
                 await self.flush()
             await asyncio.sleep(engine.pause_s)
 
-    get = post
+    async def _write_partially(self, event):
+        """Write nothing, the head, or the head and a part of an event."""
+        choice = self._engine.random.randrange(3)
+        if choice == 0:
+            return
+        if choice == 2:
+            self.write(event[: self._engine.random.randrange(1, len(event) - 2)])
+        with contextlib.suppress(StreamClosedError):
+            await self.flush()
+        await asyncio.sleep(_SEND_S)
 
 
 class Cloud:
