Restrict a fault of a stand-in to one prompt

A fault with `prompt` affects only requests whose first message contains that text, so `kill` with `times = 0` plays an engine that crashes on one prompt and serves all others. The prompt is known only once the body is read, so an invalid request no longer uses up a fault.

The new test fails without the change: the field is refused as unknown.

--- a/libs/standins/src/bulrushbend/standins/engine.py
+++ b/libs/standins/src/bulrushbend/standins/engine.py
@@ -190,16 +190,16 @@
 
     async def post(self) -> None:
         """Generate an answer, as JSON or as server-sent events."""
-        fault = self._engine.server.faults.next_fault()
-        self._writer = AnswerWriter(self, fault)
-        if self._writer.kind is FaultKind.REJECT:
-            self._send_json_error(503, "rejected by a fault")
-            return
         try:
             request = parse_request(self.request.body, self._engine.settings)
         except (ValueError, TypeError) as error:
             self._send_json_error(400, str(error))
             return
+        fault = self._engine.server.faults.next_fault(request.prefix)
+        self._writer = AnswerWriter(self, fault)
+        if self._writer.kind is FaultKind.REJECT:
+            self._send_json_error(503, "rejected by a fault")
+            return
         caller_request_id = self.request.headers.get("X-Request-Id", "")
         request_id = caller_request_id or new_id("cmpl")
         key = self.request.headers.get("Idempotency-Key", "")
--- a/libs/standins/src/bulrushbend/standins/faults.py
+++ b/libs/standins/src/bulrushbend/standins/faults.py
@@ -48,6 +48,9 @@
         Number of requests that are answered normally first.
     times : int
         Number of requests that are affected; 0 means all.
+    prompt : str
+        Text that the first message of a request must contain for the request to be
+        affected or skipped.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -57,6 +60,7 @@
     delay_ms: float = Field(0.0, ge=0, le=86_400_000)
     skip: int = Field(0, ge=0)
     times: int = Field(1, ge=0)
+    prompt: str = ""
 
 
 class FaultPlan:
@@ -84,9 +88,15 @@
         """Remove all faults."""
         self._entries.clear()
 
-    def next_fault(self) -> Fault | None:
-        """Return the fault of the next request, if any, and count it as applied."""
-        if not self._entries:
+    def next_fault(self, prompt: str = "") -> Fault | None:
+        """Return the fault of the next request, if any, and count it as applied.
+
+        Parameters
+        ----------
+        prompt : str, optional
+            First message of the request.
+        """
+        if not self._entries or self._entries[0].fault.prompt not in prompt:
             return None
         entry = self._entries[0]
         if entry.skip > 0:
--- a/libs/standins/tests/test_engine.py
+++ b/libs/standins/tests/test_engine.py
@@ -89,6 +89,20 @@
     assert (await fetch(address, "POST", PATH, asked))[0] == 200
 
 
+async def test_fault_of_a_prompt_breaks_the_answers_on_that_prompt_only(engine):
+    address = engine.server.address
+    sound, deadly = [
+        completion(stream=True, messages=[{"role": "system", "content": text}])
+        for text in ("sound", "deadly")
+    ]
+    fault = {"kind": "truncate", "times": 0, "prompt": "deadly"}
+    await fetch(address, "POST", "/faults", fault)
+    for _ in range(2):
+        assert (await fetch(address, "POST", PATH, sound))[0] == 200
+        with pytest.raises(TruncatedResponseError):
+            await fetch(address, "POST", PATH, deadly)
+
+
 async def test_connections_are_accepted_again_after_refuse_fault(engine):
     address = engine.server.address
     await fetch(address, "POST", "/faults", {"kind": "refuse", "delay_ms": 100})
