Play engines that pause within their streams in the soak test

An engine may fall silent for a second or so in the middle of a stream and go on. The soak now injects such pauses of 1 to 1.6 s, and checks after the last fault that 8 streams whose engines pause, half of them not resumable, are complete at callers of all gateways.

Engines behind links now also refuse connections while they are down.

--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import sys
+from functools import partial
 from pathlib import Path
 
 import tomli_w
@@ -69,6 +70,7 @@
                 listen = f"{_ADDRESS_PREFIX}.{150 + number}:8080"
                 self.links.forward(engine.name, listen, engine.address)
                 engine.listed_address = listen
+                engine.on_listening = partial(self.links.set_listening, engine.name)
         self.cloud = Cloud(f"{_ADDRESS_PREFIX}.200", 8781, self.engines)
         self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
 
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -2,8 +2,9 @@
 
 The programs run as separate processes on loopback addresses. Signals pause, kill, stop
 and restart processes, a proxy drops, silences and delays links to endpoints, endpoints
-refuse requests, and configurations are published throughout. The answers that callers
-received and the requests that endpoints ran are checked against the guarantees.
+refuse requests and pause within their streams, and configurations are published
+throughout. The answers that callers received and the requests that endpoints ran are
+checked against the guarantees.
 
 Run it by hand with ``make soak`` or
 ``python tests/adapter/soak.py --seeds 50 --first 1000 --seconds 20``.
@@ -11,6 +12,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import random
 import shutil
@@ -27,6 +29,7 @@
 import fire
 from machines import Machines
 from platform_builders import encode, make_config, make_route
+from standin_platform import Engine
 
 from bulrushbend.core.errors import BulrushbendError
 from bulrushbend.gateway.outcomes import NOT_RUN_STATUSES
@@ -34,7 +37,9 @@
 ROUTES = [
     make_route("gen", service="llm", type="streaming"),
     make_route("book", service="app", type="non_idempotent", resumable=False),
+    make_route("once", service="llm", max_attempts=1, resumable=False),
 ]
+PREFIXES = {"gen": "5c:50,e4:50", "once": "5c:50,e5:50"}
 ProcessFault = Callable[[str, str], Awaitable[None]]
 AUTHORIZATION = "Token k1"
 EVENTS = 5
@@ -47,6 +52,8 @@
 # Time for all gateways to serve again after the last fault: the platform allows 12 s
 # for a core that lost all its processes, and starting takes some seconds.
 RECOVERY_TIMEOUT_S = 25.0
+# A sound engine may pause within a stream for a second or so.
+SILENCE_S = (1.0, 1.6)
 
 
 @dataclass
@@ -58,7 +65,8 @@
     request_id : str
         Id of the request.
     kind : str
-        ``"book"``, ``"gen"``, or ``"forged"`` for a request with an invalid key.
+        ``"book"``, ``"gen"`` (a stream that may be resumed), ``"once"`` (a stream that
+        may not), or ``"forged"`` for a request with an invalid key.
     status : int
         Status of a complete answer, 0 if there was none.
     body : bytes
@@ -95,9 +103,15 @@
 
     def __post_init__(self):
         self._random = random.Random(self.seed)
+        # Separate, so that the other faults of a seed stay as they were.
+        self._engine_random = random.Random(f"engines {self.seed}")
         self._running = True
         self._busy: set[tuple[str, str]] = set()
 
+    @property
+    def _model_engines(self) -> list[Engine]:
+        return [e for e in self.machines.engines if e.service == "llm"]
+
     async def run(self) -> list[str]:
         """Run with fault injection and return the violations found."""
         await self.machines.start_all()
@@ -107,11 +121,16 @@
             asyncio.create_task(self._send_requests()) for _ in range(CALLER_COUNT)
         ]
         tasks.append(asyncio.create_task(self._publish_periodically()))
-        await self._inject_faults()
+        await asyncio.gather(self._inject_faults(), self._inject_engine_faults())
         await self._wait_until_all_serve("all gateways serve after the faults")
         self._running = False
         await asyncio.gather(*tasks)
-        return [*self._check_answers(), *await self._check_configurations()]
+        violations = await self._check_silent_streams()
+        return [
+            *violations,
+            *self._check_answers(),
+            *await self._check_configurations(),
+        ]
 
     def outcomes(self) -> Counter:
         """Return the number of requests by kind and status."""
@@ -133,12 +152,12 @@
             "Attempt-Id": request.request_id,
         }
         path = "/book/x"
-        if kind == "gen":
-            path = "/gen/x"
+        if kind in PREFIXES:
+            path = f"/{kind}/x"
             headers |= {
                 "Model": "m",
                 "Token-Usage": "100,10",
-                "Prefix-Hash": "5c:50,e4:50",
+                "Prefix-Hash": PREFIXES[kind],
             }
         try:
             status, _, body = await self.machines.call(
@@ -185,6 +204,18 @@
             await asyncio.sleep(self._random.uniform(0.0, MAX_FAULT_INTERVAL_S))
         await asyncio.gather(*open_faults)
 
+    async def _inject_engine_faults(self) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds
+        while loop.time() < end:
+            self._fall_silent()
+            await asyncio.sleep(self._engine_random.uniform(0.0, MAX_FAULT_INTERVAL_S))
+
+    def _fall_silent(self) -> None:
+        engine = self._engine_random.choice(self._model_engines)
+        self.faults.append(f"silences {engine.name}")
+        engine.silences = [self._engine_random.uniform(*SILENCE_S) for _ in range(4)]
+
     async def _wait_fault_duration(self) -> None:
         await asyncio.sleep(self._random.uniform(0.2, MAX_FAULT_S))
 
@@ -260,6 +291,23 @@
                 serves, f"{description}: {host}", RECOVERY_TIMEOUT_S
             )
 
+    async def _check_silent_streams(self) -> list[str]:
+        """Return the streams that did not end well because their engine paused."""
+        for engine in self._model_engines:
+            engine.silences = [self._engine_random.uniform(*SILENCE_S)] * CALLER_COUNT
+        kinds = ["gen", "once"] * (CALLER_COUNT // 2)
+        hosts = itertools.cycle(self.machines.hosts)
+        calls = [self._call(kind, next(hosts)) for kind in kinds]
+        answers = await asyncio.gather(*calls)
+        for engine in self._model_engines:
+            engine.silences = []
+        return [
+            f"{request.kind} {request.request_id}: status {request.status},"
+            f" {len(request.body)} bytes although its engine only paused"
+            for request in answers
+            if request.status != 200 or not _is_complete(request)
+        ]
+
     def _check_answers(self) -> list[str]:
         runs = Counter()
         violations = []
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -97,6 +97,8 @@
         Pauses that are made, one in each of the next streams, before their third event.
     silent_s : float
         Time from the start of a run until the first byte of the response.
+    on_listening : callable
+        Called with False before a crash, and with True after the next start.
     """
 
     def __init__(self, name, service, host, port, slots=8, seed=0):
@@ -119,6 +121,7 @@
         self.waiting = 0
         self.down_s = 2.0
         self.silences = []
+        self.on_listening = lambda is_listening: None
         self.random = random.Random(f"{seed} {name}")
         self._listed_instance = name
         self._incarnations = itertools.count(2)
@@ -143,6 +146,7 @@
         loop = asyncio.get_running_loop()
         self.crashes.append(loop.time())
         self.instance = ""
+        self.on_listening(False)
         self._server.stop()
         self._server.reset()
         self._timers.append(loop.call_later(self.down_s, self._restart))
@@ -161,6 +165,7 @@
     def _restart(self):
         self.instance = f"{self.name}.{next(self._incarnations)}"
         self._listen()
+        self.on_listening(True)
         loop = asyncio.get_running_loop()
         self._timers.append(loop.call_later(LIST_LAG_S, self._list, self.instance))
 
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -74,7 +74,8 @@
         self._identify = identify
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-        self._servers: list[asyncio.Server] = []
+        self._servers: dict[str, asyncio.Server] = {}
+        self._starts: dict[str, Callable[[], Coroutine]] = {}
         self._connections: set[Connection] = set()
         self._rules: dict[tuple[str, str], Rule] = {}
         self._delay_ms = 0.0
@@ -90,10 +91,20 @@
 
         async def start():
             host, port = split_address(listen)
-            self._servers.append(await asyncio.start_server(serve, host, port))
+            self._servers[target] = await asyncio.start_server(serve, host, port)
 
+        self._starts[target] = start
         self._run_in_loop(start())
 
+    def set_listening(self, target: str, is_listening: bool) -> None:
+        """Accept or refuse new connections to `target`; open ones stay."""
+
+        async def stop():
+            self._servers.pop(target).close()
+
+        if is_listening != (target in self._servers):
+            self._run_in_loop(self._starts[target]() if is_listening else stop())
+
     def set_rule(self, rule: Rule, target: str, source: str = "") -> None:
         """Apply a rule to connections to `target` from `source`, or from any source."""
 
@@ -153,7 +164,7 @@
 
     def close(self) -> None:
         async def stop():
-            for server in self._servers:
+            for server in self._servers.values():
                 server.close()
             for connection in list(self._connections):
                 connection.abort()
