Play a prompt part that crashes engines in the soak test

Beside all other faults, requests with one part of a prompt crash the engines. After the last fault and 3 s, 15 more such requests are sent, five at each gateway: at most three may reach engines, and as many more as crashes were missing to five (BUDGET).

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -2,9 +2,9 @@
 
 The programs run as separate processes on loopback addresses. Signals pause, kill, stop
 and restart processes, a proxy drops, silences and delays links to endpoints, endpoints
-refuse requests and pause within their streams, and configurations are published
-throughout. The answers that callers received and the requests that endpoints ran are
-checked against the guarantees.
+refuse requests, pause within their streams and crash on a part of a prompt, and
+configurations are published throughout. The answers that callers received and the
+requests that endpoints ran are checked against the guarantees.
 
 Run it by hand with ``make soak`` or
 ``python tests/adapter/soak.py --seeds 50 --first 1000 --seconds 20``.
@@ -39,7 +39,12 @@
     make_route("book", service="app", type="non_idempotent", resumable=False),
     make_route("once", service="llm", max_attempts=1, resumable=False),
 ]
-PREFIXES = {"gen": "5c:50,e4:50", "once": "5c:50,e5:50"}
+DEADLY_PART = "dead"
+PREFIXES = {
+    "gen": "5c:50,e4:50",
+    "once": "5c:50,e5:50",
+    "deadly": f"5c:50,{DEADLY_PART}:20,e6:30",
+}
 ProcessFault = Callable[[str, str], Awaitable[None]]
 AUTHORIZATION = "Token k1"
 EVENTS = 5
@@ -54,6 +59,11 @@
 RECOVERY_TIMEOUT_S = 25.0
 # A sound engine may pause within a stream for a second or so.
 SILENCE_S = (1.0, 1.6)
+# The platform allows three requests with a part that crashes engines to reach engines
+# later than 3 s after the fifth crash.
+CONTACT_S = 3.0
+CRASHES_UNTIL_KNOWN = 5
+MAX_LATE_ARRIVALS = 3
 
 
 @dataclass
@@ -66,7 +76,8 @@
         Id of the request.
     kind : str
         ``"book"``, ``"gen"`` (a stream that may be resumed), ``"once"`` (a stream that
-        may not), or ``"forged"`` for a request with an invalid key.
+        may not), ``"deadly"`` (a stream whose prompt crashes engines), or ``"forged"``
+        for a request with an invalid key.
     status : int
         Status of a complete answer, 0 if there was none.
     body : bytes
@@ -105,6 +116,8 @@
         self._random = random.Random(self.seed)
         # Separate, so that the other faults of a seed stay as they were.
         self._engine_random = random.Random(f"engines {self.seed}")
+        for engine in self._model_engines:
+            engine.deadly_parts = {DEADLY_PART}
         self._running = True
         self._busy: set[tuple[str, str]] = set()
 
@@ -125,7 +138,10 @@
         await self._wait_until_all_serve("all gateways serve after the faults")
         self._running = False
         await asyncio.gather(*tasks)
-        violations = await self._check_silent_streams()
+        violations = [
+            *await self._check_silent_streams(),
+            *await self._check_deadly_part(),
+        ]
         return [
             *violations,
             *self._check_answers(),
@@ -153,7 +169,7 @@
         }
         path = "/book/x"
         if kind in PREFIXES:
-            path = f"/{kind}/x"
+            path = "/once/x" if kind == "once" else "/gen/x"
             headers |= {
                 "Model": "m",
                 "Token-Usage": "100,10",
@@ -208,14 +224,21 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + self.seconds
         while loop.time() < end:
-            self._fall_silent()
+            fault = self._engine_random.choice((self._fall_silent, self._send_deadly))
+            await fault()
             await asyncio.sleep(self._engine_random.uniform(0.0, MAX_FAULT_INTERVAL_S))
 
-    def _fall_silent(self) -> None:
+    async def _fall_silent(self) -> None:
         engine = self._engine_random.choice(self._model_engines)
         self.faults.append(f"silences {engine.name}")
         engine.silences = [self._engine_random.uniform(*SILENCE_S) for _ in range(4)]
 
+    async def _send_deadly(self) -> None:
+        self.faults.append("deadly part")
+        for _ in range(self._engine_random.randrange(1, 6)):
+            await self._call("deadly", self._engine_random.choice(self.machines.hosts))
+            await asyncio.sleep(self._engine_random.uniform(0.0, 0.5))
+
     async def _wait_fault_duration(self) -> None:
         await asyncio.sleep(self._random.uniform(0.2, MAX_FAULT_S))
 
@@ -308,6 +331,26 @@
             if request.status != 200 or not _is_complete(request)
         ]
 
+    async def _check_deadly_part(self) -> list[str]:
+        """Return a violation if the deadly part reaches too many engines."""
+        await asyncio.sleep(CONTACT_S)
+        before = self._count_deadly_arrivals()
+        crashed = sum(len(engine.crashes) for engine in self._model_engines)
+        for _ in range(CRASHES_UNTIL_KNOWN):
+            for host in self.machines.hosts:
+                await self._call("deadly", host)
+        arrived = self._count_deadly_arrivals() - before
+        if arrived <= max(0, CRASHES_UNTIL_KNOWN - crashed) + MAX_LATE_ARRIVALS:
+            return []
+        return [f"{arrived} requests with the deadly part after {crashed} crashes"]
+
+    def _count_deadly_arrivals(self) -> int:
+        return sum(
+            DEADLY_PART in arrival.parts
+            for engine in self._model_engines
+            for arrival in engine.arrivals
+        )
+
     def _check_answers(self) -> list[str]:
         runs = Counter()
         violations = []
