Close a stopping gateway's connections only after what was read is answered

A caller whose request reached a stopping gateway on a kept connection in the last round of its event loop saw the connection close without an answer, though the gateway had read the request whole.

Cause: the drain ended as soon as nothing ran, but idle connections were still read until all connections were closed a few rounds later, and a request read in the last of them had no chance to be answered. Class of fault: the check for unfinished work comes before the end of the intake.

Change: the drain ends the intake first.

Evidence: the new test fails when the server closes all connections at that moment, as it did (no bytes instead of the response), and passes after.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -372,6 +372,7 @@
         await self._clock.sleep_ms(_LATE_REQUESTS_GRACE_MS)
         await self._wait_until_idle(self._drain_deadline_ms)
         self._dispatcher.end_requests()
+        self._server.close_idle_connections()
         await self._wait_until_idle(self._clock.now_ms() + _ERRORS_SENT_MS)
 
     async def _wait_until_idle(self, deadline_ms: float) -> None:
--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -103,6 +103,7 @@
         self._connections: set[_Connection] = set()
         # Idle connections, the longest idle first.
         self._idle: OrderedDict[_Connection, None] = OrderedDict()
+        self._keeps_idle = True
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None
         self._accepting: set[asyncio.Task[object]] = set()
@@ -164,6 +165,15 @@
     def _create_connection(self) -> "_Connection":
         return _Connection(self)
 
+    def close_idle_connections(self) -> None:
+        """Close connections that wait for a request, and others when they do.
+
+        A request that was read is still answered.
+        """
+        self._keeps_idle = False
+        for connection in list(self._idle):
+            connection.close()
+
     def close_connections(self) -> None:
         """Close all connections."""
         for connection in list(self._connections):
@@ -185,7 +195,9 @@
 
     def set_idle(self, connection: "_Connection", is_idle: bool) -> None:
         """Set whether a connection waits for its next request."""
-        if is_idle:
+        if is_idle and not self._keeps_idle:
+            connection.close()
+        elif is_idle:
             self._idle[connection] = None
         else:
             self._idle.pop(connection, None)
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -379,6 +379,23 @@
     assert b"GET /late" in response
 
 
+async def test_request_that_was_just_read_is_answered_after_the_stop():
+    # Guards against a connection that closes between a request and its response.
+    loop = asyncio.get_running_loop()
+    async with serving(EchoHandler()) as (server, port):
+        with socket.create_connection(("127.0.0.1", port)) as caller:
+            caller.setblocking(False)
+            await asyncio.sleep(0.05)
+            caller.sendall(get("/late"))
+            while not server.has_unfinished_work:
+                await asyncio.sleep(0)
+            server.close_idle_connections()
+            async with asyncio.timeout(2.0):
+                response = await loop.sock_recv(caller, 65_536)
+                assert b"GET /late" in response
+                assert await loop.sock_recv(caller, 65_536) == b""
+
+
 async def test_response_that_is_not_sent_yet_is_unfinished_work():
     # Guards against a planned stop that cuts off a response to a slow caller.
     handler = EchoHandler()
