--- a/libs/agent/tests/test_attempts.py
+++ b/libs/agent/tests/test_attempts.py
@@ -304,6 +304,10 @@
             + LAST_CHUNK,
             id="stream of another request",
         ),
+        pytest.param(
+            EVENTS + chunk(b"id: 0\ndata: 0\n\nid: 1\ndata: 1\n\n") + LAST_CHUNK,
+            id="stream from its start",
+        ),
         pytest.param(EVENTS[:-20], id="head without end"),
         pytest.param(UNFRAMED_EVENTS + b"id: 2\nda", id="event without end"),
         pytest.param(
