Do not repeat a suspected request at an endpoint reserved during the probe

Callers saw nothing of it, but a further endpoint crashed: a request that was silent, then lost its connection to a crashed endpoint, was sent to a second one although its prompt was suspected.

Cause: while the attempt waits for the probe of the endpoint, its reservation of another one goes on. Once it succeeds, the request is repeated there, whatever the probe shows.

Change: the reservation ends with the exchange, and a suspected request gives up an endpoint that was reserved before.

Evidence: the new test, in which an endpoint gets free during the probe, fails before (the request is answered by the second endpoint) and passes after.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -216,6 +216,7 @@
             await exchange.send(self._request())
             return await self._handle_response(exchange)
         except PeerError as error:
+            self._stop_watching()
             if self._successor is None:
                 self._context.health.record_failure(
                     self._endpoint.id, f"{error.step}: {error.message}"
@@ -229,8 +230,9 @@
                 is_suspect = await self._context.crash_reports.examine(
                     self._endpoint, self._call, self._is_sound
                 )
+            successor = None if is_suspect else self._successor
             return AttemptResult(
-                verdict, reason, successor=self._successor, is_suspect=is_suspect
+                verdict, reason, successor=successor, is_suspect=is_suspect
             )
         finally:
             exchange.close()
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -23,6 +23,7 @@
 from bulrushbend.gateway.budgets import RetryBudgets
 from bulrushbend.gateway.call import RequestError
 from bulrushbend.gateway.coordinators import Coordinators
+from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
 from bulrushbend.gateway.quarantine import Suspect
 
@@ -688,6 +689,28 @@
         assert fixture.is_idle
 
 
+async def test_endpoint_freed_during_the_probe_gets_no_suspected_request(monkeypatch):
+    # Guards against a reservation that completes while a crash is examined.
+    probe = CrashReports._probe
+
+    async def probe_slowly(reports, endpoint):
+        await asyncio.sleep(0.3)
+        return await probe(reports, endpoint)
+
+    monkeypatch.setattr(CrashReports, "_probe", probe_slowly)
+    async with running_dispatcher([[0.6, "stop", "reset"]], [RESPONSE]) as fixture:
+        fixture.components.begin("e1", tokens=9_000)
+        route = RESUMABLE.model_copy(update={"objective_ms": 100})
+        task = asyncio.create_task(fixture.serve_error(route=route, prefix=PROMPT))
+        await asyncio.sleep(0.7)
+        fixture.components.loads.end_prefill("e1", 9_000)
+        fixture.components.loads.end("e1")
+        fixture.components.queue.place_waiting_soon()
+        assert (await task).status == 502
+        assert runs(fixture) == 1
+        assert fixture.is_idle
+
+
 async def test_request_with_a_sound_prompt_is_repeated_after_a_crash():
     # Guards against sound requests that fail since they were at a crashed endpoint.
     async with running_dispatcher([["stop", "reset"]], [RESPONSE]) as fixture:
