Do not take an error for proof that a prompt is sound

What callers saw: sound requests lose their endpoints to a prompt that crashes them, because the prompt is never quarantined, or is released too early.

Cause: any complete response, such as 400 or 500, counted as the beginning of a response with the prompt. An endpoint can send an error before it processes the prompt.

Change: only responses with a status of success prove a prompt sound.

Evidence: both cases of the new test fail before and pass after.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -167,6 +167,7 @@
         self._has_headers = False
         self._has_body = False
         self._has_event = False
+        self._is_success = False
         self._is_sound = False
         self._was_silent = False
         self._last_chunk_ms = 0.0
@@ -257,6 +258,7 @@
         header_codec = self._context.header_codec
         status, headers = exchange.status, exchange.headers
         self._has_headers = True
+        self._is_success = 200 <= status < 300
         self._record_progress()
         is_event_stream = _is_event_stream(exchange)
         if not is_event_stream or self._call.method == "HEAD":
@@ -380,8 +382,11 @@
             self._reservation = None
 
     def _record_sound(self) -> None:
-        """Record that the prompt did not crash the endpoint when it responded."""
-        if not self._is_sound:
+        """Record that the prompt did not crash the endpoint when it responded.
+
+        An error may be sent without processing the prompt.
+        """
+        if not self._is_sound and self._is_success:
             self._is_sound = True
             self._context.crash_reports.record_sound(self._call)
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -740,6 +740,14 @@
         assert not fixture.components.quarantine.unproven(["aa", "bb"])
 
 
+@pytest.mark.parametrize("status", ["400 Bad Request", "500 Internal Server Error"])
+async def test_error_response_does_not_prove_a_prompt_sound(status):
+    # Guards against a deadly prompt that is released by an error of an endpoint.
+    async with running_dispatcher([[plain_response(status=status)]]) as fixture:
+        await fixture.serve(route=ONCE, prefix=PROMPT)
+        assert fixture.components.quarantine.unproven(["aa", "bb"]) == ("aa", "bb")
+
+
 async def test_crash_within_the_first_event_makes_the_prompt_suspected():
     # Guards against a prompt that counts as sound since a part of an event arrived.
     first = [stream_head() + b"9\r\nid: 1", 0.05, b"\ndat\r\n", 0.05]
