Expire crashes whatever the order of their reports

What callers saw: nothing yet. Sound prompts could be quarantined for crashes that are older than the minute for which they count.

Cause: only the crash that was reported first was looked at to decide whether any have expired, but repeated reports of other gateways arrive in any order, and their age was not limited. An expired crash could also be repeated to further gateways as long as new ones happened.

Change: all crashes are looked at, and a report of an expired one is ignored.

Evidence: the new test fails before (the crash of 61 s ago still counts) and passes after.

--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -167,9 +167,11 @@
         Returns
         -------
         is_new : bool
-            Whether the crash was not known.
+            Whether the crash was not known and is not too old to count.
         """
         self._expire()
+        if crashed_ms < self._clock.now_ms() - _EVIDENCE_TTL_MS:
+            return False
         crash = self._find(endpoint, crashed_ms)
         is_new = crash is None
         if crash is None:
@@ -300,7 +302,8 @@
 
     def _expire(self) -> None:
         oldest_ms = self._clock.now_ms() - _EVIDENCE_TTL_MS
-        if self._crashes and self._crashes[0].crashed_ms < oldest_ms:
+        # Reports of other gateways do not arrive in the order of the crashes.
+        if any(crash.crashed_ms < oldest_ms for crash in self._crashes):
             self._crashes = [c for c in self._crashes if c.crashed_ms >= oldest_ms]
             self._suspected = {
                 digest
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -172,3 +172,18 @@
     crashes = fixture.quarantine.crashes
     assert len(crashes) <= 64
     assert max(len(crash.suspects) for crash in crashes) <= 16
+
+
+async def test_old_crash_reported_after_a_newer_one_is_no_evidence():
+    # Guards against old crashes that gateways repeat to each other for ever.
+    fixture = QuarantineFixture()
+    now_ms = fixture.clock.now_ms()
+    fixture.crash("e1", r1=["bad"])
+    fixture.quarantine.record_crash("e2", now_ms - 59_000.0, [Suspect("r2", ("rare",))])
+    await fixture.clock.advance(2_000.0)
+    assert [crash.endpoint for crash in fixture.quarantine.crashes] == ["e1"]
+    is_new = fixture.quarantine.record_crash(
+        "e3", now_ms - 4_000_000.0, [Suspect("r3", ("bad",))]
+    )
+    assert not is_new
+    assert not fixture.is_quarantined("bad")
