Bound the size of notes about crashes

What callers saw: nothing yet. Prompts that crash endpoints could stay unknown to the other gateways.

Cause: a note held up to 8 crashes with 16 suspects each, whatever the length of their ids and digests, although its datagram should stay under 8 KB.

Change: suspects are distributed over as many notes as needed. The recipients already combine reports of the same crash.

Evidence: the new test, one crash with 16 suspects of 12 parts, fails before (12,282 bytes) and passes after.

--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -35,8 +35,10 @@
 # Time after which a replaced endpoint is reported again, and the number remembered.
 _REPLACED_INTERVAL_MS = 1_000.0
 _MAX_REPLACED = 256
-# Crashes in one note; the datagram stays under 8 KB.
-_MAX_CRASHES_IN_NOTE = 8
+# Number of crashes that are repeated, and the size of a note; a datagram with one more
+# suspect of the usual size stays under 8 KB.
+_MAX_REPEATED_CRASHES = 8
+_MAX_NOTE_BYTES = 6_144
 
 
 class CrashReports:
@@ -179,18 +181,16 @@
             if not crashes or not addresses:
                 continue
             now_ms = self._clock.now_ms()
-            note = CrashNote()
-            for crash in crashes[-_MAX_CRASHES_IN_NOTE:]:
-                note.crashes.append(
-                    _describe(
-                        crash.endpoint,
-                        now_ms - crash.crashed_ms,
-                        crash.suspects.values(),
-                    )
+            described = [
+                _describe(
+                    crash.endpoint, now_ms - crash.crashed_ms, crash.suspects.values()
                 )
+                for crash in crashes[-_MAX_REPEATED_CRASHES:]
+            ]
             count = min(_REPEAT_RECIPIENTS, len(addresses))
-            for address in self._random.sample(addresses, count):
-                self._send(address, GatewayDatagram(crash_note=note))
+            recipients = self._random.sample(addresses, count)
+            for note in _build_notes(described):
+                self._send_to(recipients, note)
 
     async def _probe(self, endpoint: DiscoveredEndpoint) -> bool:
         """Return whether an endpoint crashed, and report it with its suspects.
@@ -226,12 +226,13 @@
             suspects={s.request_id: list(s.digests) for s in suspects},
         )
         age_ms = self._clock.now_ms() - crashed_ms
-        note = CrashNote(crashes=[_describe(endpoint, age_ms, suspects)])
         if suspects:
             self._reported.update(d for suspect in suspects for d in suspect.digests)
-            self._send_to(self._coordinators.addresses(), note)
+            addresses = self._coordinators.addresses()
         else:
-            self._send_to(self._coordinators.report_addresses(), note)
+            addresses = self._coordinators.report_addresses()
+        for note in _build_notes([_describe(endpoint, age_ms, suspects)]):
+            self._send_to(addresses, note)
 
     def _broadcast_released(self, digests: Collection[str]) -> None:
         """Tell all gateways that responses with suspected parts began."""
@@ -255,3 +256,28 @@
             SuspectPrompt(request_id=s.request_id, digests=s.digests) for s in suspects
         ],
     )
+
+
+def _build_notes(crashes: Iterable[EndpointCrash]) -> list[CrashNote]:
+    """Return notes about crashes, each in one datagram.
+
+    The suspects of a crash may be in several notes, which the recipients combine.
+    """
+    notes = [CrashNote()]
+    size = 0
+    for crash in crashes:
+        head = EndpointCrash(endpoint=crash.endpoint, age_ms=crash.age_ms)
+        part: EndpointCrash | None = None
+        for suspect in crash.suspects or [None]:
+            added = 0 if suspect is None else suspect.ByteSize()
+            if size and size + added > _MAX_NOTE_BYTES:
+                notes.append(CrashNote())
+                size, part = 0, None
+            if part is None:
+                part = notes[-1].crashes.add()
+                part.CopyFrom(head)
+                size += head.ByteSize()
+            if suspect is not None:
+                part.suspects.append(suspect)
+                size += added
+    return notes
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -127,3 +127,20 @@
     endpoints = [make_endpoint(name) for name in ("e1", "e2", "e3")]
     for components in fleet.components.values():
         assert components.health.avoided(endpoints) == {"e1"}
+
+
+async def test_notes_stay_under_the_size_of_a_datagram():
+    # Guards against crashes with many long prompts that no other gateway receives.
+    fleet = Fleet("g1", "g2")
+    reports = fleet.reports["g1"]
+    sizes = []
+    reports._send = lambda address, datagram: sizes.append(datagram.ByteSize())
+    for number in range(16):
+        name = f"{number:036}"
+        prefix = tuple((f"{name}-{part:027}", 100) for part in range(12))
+        reports._candidates.setdefault("e1", []).append(
+            make_call(prefix=prefix, request_id=name)
+        )
+    reports._report("e1", fleet.components["g1"].clock.now_ms())
+    assert sizes
+    assert max(sizes) < 8_192
