Forget reported parts that are not suspected any more

Cause: a gateway kept each prompt part that it had reported as suspected until a response with it began, so its memory grew with each crash. Callers saw nothing of it.

Change: parts whose evidence has expired are dropped with the next report.

Evidence: the new test fails before and passes after.

--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -227,6 +227,7 @@
         )
         age_ms = self._clock.now_ms() - crashed_ms
         if suspects:
+            self._reported &= self._quarantine.suspected
             self._reported.update(d for suspect in suspects for d in suspect.digests)
             addresses = self._coordinators.addresses()
         else:
--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -9,7 +9,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
@@ -109,6 +109,11 @@
         self._expire()
         return [crash for crash in self._crashes if crash.suspects]
 
+    @property
+    def suspected(self) -> Set[str]:
+        """Parts that are suspected or have been quarantined."""
+        return self._suspected
+
     def remaining_ms(self, digests: Iterable[str]) -> float:
         """Return the time for which a prompt with these parts is quarantined, or 0."""
         if not self._quarantines:
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -144,3 +144,15 @@
     reports._report("e1", fleet.components["g1"].clock.now_ms())
     assert sizes
     assert max(sizes) < 8_192
+
+
+async def test_parts_that_are_not_suspected_any_more_are_forgotten():
+    # Guards against memory that grows with each crash.
+    fleet = Fleet("g1", "g2")
+    reports = fleet.reports["g1"]
+    await reports.examine(crashed_endpoint(), make_prompt_call("r1"), False)
+    for crash in fleet.components["g1"].quarantine.crashes:
+        crash.crashed_ms -= 61_000.0
+    other = make_call(prefix=(("cc", 100), ("own", 30)), request_id="r2")
+    await reports.examine(crashed_endpoint("e2"), other, False)
+    assert reports._reported == {"cc"}
