Do not take comments of a stream for the beginning of its events

What callers saw: a prompt that crashes endpoints could not be suspected if the endpoints sent comments to keep the connection open while they processed it.

Change: only events with another line than comments count.

Evidence: the new test fails before and passes after.

--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -757,6 +757,15 @@
         assert crash.suspects["r1"].digests == ("aa", "bb")
 
 
+async def test_comments_before_a_crash_do_not_prove_a_prompt_sound():
+    # Guards against a deadly prompt whose endpoint sent comments while it computed.
+    comment = chunk(b": wait\n\n")
+    script = [stream_head() + comment, 0.05, comment, 0.05, "stop", "reset"]
+    async with running_dispatcher([script]) as fixture:
+        result = await fixture.serve(route=RESUMABLE, prefix=PROMPT)
+        assert result.is_suspect
+
+
 async def test_quarantined_prompt_reaches_no_endpoint():
     async with running_dispatcher([RESPONSE]) as fixture:
         fixture.quarantine("bb")
--- a/libs/wire/src/bulrushbend/wire/eventstream.py
+++ b/libs/wire/src/bulrushbend/wire/eventstream.py
@@ -34,8 +34,13 @@
 
 
 def contains_event_end(data: bytes) -> bool:
-    """Return whether an event ends within `data`."""
-    return _EVENT_END.search(data) is not None
+    """Return whether an event that is not only a comment ends within `data`."""
+    *events, _ = _EVENT_END.split(data)
+    return any(
+        line and not line.startswith(b":")
+        for event in events
+        for line in _LINE_END.split(event)
+    )
 
 
 class EventFramer:
