Reserve another endpoint again after an unexpected error

A silent stream stayed at its endpoint until its time limit when a placement failed with an unexpected error: the failed task counted as a reservation in progress, and its error was logged only when it was collected.

Change: the error is logged and the reservation ends, so the next silence limit starts another one.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -25,6 +25,7 @@
     PeerTimeoutError,
     TruncatedResponseError,
 )
+from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import Call, Placement
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
@@ -35,6 +36,8 @@
 from bulrushbend.wire.eventstream import EventFramer, StreamTail, contains_event_end
 from bulrushbend.wire.exchange import Exchange, ExchangeRequest, ExchangeTimeouts
 
+_log = get_logger("gateway.attempt")
+
 # Time without a response after which a request that may be repeated looks for another
 # endpoint, as a multiple of its objective, with a lower bound. Callers of streams
 # disconnect after four times the objective, so the time between the two remains for the
@@ -361,7 +364,15 @@
 
     async def _move(self, exchange: Exchange) -> None:
         """End the exchange once another endpoint is reserved for the request."""
-        self._successor = await self._successors.reserve()
+        try:
+            self._successor = await self._successors.reserve()
+        except Exception as error:
+            _log.error(
+                "reserving another endpoint for request %s failed with unexpected "
+                "error: %r; trying again later",
+                self._call.details.request_id,
+                error,
+            )
         self._reservation = None
         if self._successor is not None:
             step = "body" if self._has_headers else "headers"
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import itertools
 
 import pytest
 from gateway_builders import (
@@ -571,6 +572,27 @@
         assert fixture.is_idle
 
 
+async def test_silent_stream_moves_after_an_unexpected_error_of_a_reservation():
+    # Guards against a silent stream that stays where it is after one failed placement.
+    first = [stream_head() + chunk(event(1)), "hang"]
+    second = stream_head() + chunk(event(2)) + END_OF_CHUNKS
+    async with running_dispatcher([first], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        queue = fixture.components.queue
+        place, calls = queue.place, itertools.count(1)
+
+        async def fail_once(demand):
+            if next(calls) == 2:
+                raise RuntimeError("a fault of the test")
+            return await place(demand)
+
+        queue.place = fail_once
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2)
+        assert fixture.is_idle
+
+
 async def test_late_response_is_forwarded_when_no_retry_is_possible():
     # Guards against an error in place of an answer that an endpoint was working on.
     route = make_route(kind=RouteKind.IDEMPOTENT, most_endpoints=2, objective_ms=100)
