--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -26,8 +26,9 @@
 _SAME_CRASH_INTERVAL_MS = 2_000.0
 # Time for which a crash and the start of a response count as evidence.
 _EVIDENCE_TTL_MS = 60_000.0
-# Duration of the first quarantine of a part. It doubles with each further one: after a
-# quarantine a single crash suffices, since the part may no longer be the cause.
+# Duration of the first quarantine of a part. Afterwards requests with it are sent
+# again, since it may no longer be the cause, and a single crash suffices for another
+# quarantine of twice the duration.
 _MIN_QUARANTINE_MS = 60_000.0
 _MAX_QUARANTINE_MS = 3_600_000.0
 # Bounds on the memory used.
