Rank endpoints for a new prompt without a hash for each

Hash the ids of the endpoints once per list, and rank them for a part with a multiplication each. The choice stays a rendezvous: all gateways choose the same endpoint, whatever the order of their lists, and an endpoint that goes moves its own prompts only. A ring of points was ruled out: it needs tens of points for each endpoint for even shares, sorted anew with each change of the list.

--- a/libs/bench/src/bulrushbend/bench/placement_costs.py
+++ b/libs/bench/src/bulrushbend/bench/placement_costs.py
@@ -148,7 +148,8 @@
     -------
     dict of str to float
         CPU time in microseconds to decode and apply a brief report, to place a request
-        after each report, and of an admission pass over the backlogged teams.
+        whose prompt is cached, to place one with a prompt that no endpoint has seen,
+        and of an admission pass over the backlogged teams.
     """
     rig = build_rig(gateways, endpoints, requests, seed)
     endpoints_of_service = rig.directory.of_service(_SERVICE)
@@ -159,24 +160,28 @@
 
     half = requests // 2
     report_us = _cpu_us(apply_report, half)
-    demand_list = [next(demands) for _ in range(half)]
-    placements: list[Placement] = []
 
-    def place() -> None:
-        demand = demand_list[len(placements)]
+    def place(demand: Demand) -> None:
         choice = rig.placer.choose(demand, endpoints_of_service, 1.0)
-        if choice is None:
-            placements.append(Placement(endpoints_of_service[0].id, 0))
-            return
-        placement = Placement(choice.endpoint.id, choice.unread_tokens)
-        placements.append(rig.loads.begin(placement, demand))
-        rig.loads.release(placement)
-
-    place_us = _cpu_us(place, half)
+        if choice is not None:
+            placement = Placement(choice.endpoint.id, choice.unread_tokens)
+            rig.loads.begin(placement, demand)
+            rig.loads.release(placement)
+
+    place_us = _cpu_us(lambda: place(next(demands)), half)
+    rng = random.Random(seed)
+    new_prompts = iter(
+        [
+            _build_demand(rng, (PromptPart(f"new-{n:08x}", 1_000),), endpoints)
+            for n in range(half)
+        ]
+    )
+    place_new_us = _cpu_us(lambda: place(next(new_prompts)), half)
     pass_us = asyncio.run(_measure_pass(rig))
     return {
         "apply a brief report us": report_us,
         "place a request us": place_us,
+        "place a new prompt us": place_new_us,
         "admission pass us": pass_us,
     }
 
--- a/libs/bench/tests/test_sweep.py
+++ b/libs/bench/tests/test_sweep.py
@@ -54,6 +54,7 @@
     assert table.splitlines()[0].split(" | ")[1:] == [
         "apply a brief report us",
         "place a request us",
+        "place a new prompt us",
         "admission pass us |",
     ]
     assert len([line for line in table.splitlines() if line[:3] in ("| 8", "| 2")]) == 2
--- a/libs/gateway/src/bulrushbend/gateway/endpoint_index.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoint_index.py
@@ -10,11 +10,11 @@
 import math
 from collections.abc import Callable, Mapping, Sequence
 
-from bulrushbend.core.rendezvous import rendezvous_rank
+from bulrushbend.core.rendezvous import RendezvousNames
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.load_totals import Load
 
-# Prompts whose preferred endpoint is kept. Finding it takes a hash for each endpoint.
+# Prompts whose preferred endpoint is kept, since finding it examines each endpoint.
 _PREFERRED_CACHE_SIZE = 8_192
 
 _NO_LOAD = Load()
@@ -87,6 +87,7 @@
         }
         self._by_unread = KeyedNames()
         self._changed = dict.fromkeys(self._by_id)
+        self._rendezvous = RendezvousNames(self._by_id)
         self.preferred = functools.lru_cache(_PREFERRED_CACHE_SIZE)(
             self._find_preferred
         )
@@ -151,4 +152,4 @@
         Rendezvous hashing: gateways that receive a new prompt at the same time choose
         the same endpoint, and few prompts change it when endpoints come and go.
         """
-        return max(self._by_id, key=lambda name: rendezvous_rank(digest, name))
+        return self._rendezvous.choose(digest)
