--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -63,6 +63,8 @@
     ENDPOINT_CRASHED = "endpoint-crashed"
     PROMPT_QUARANTINED = "prompt-quarantined"
     PROMPT_RELEASED = "prompt-released"
+    REQUEST_QUARANTINED = "request-quarantined"
+    REQUEST_RELEASED = "request-released"
     LEASE_LOST = "lease-lost"
     LEASE_REGAINED = "lease-regained"
     COORDINATOR_LOST = "coordinator-lost"
--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -51,6 +51,9 @@
 # cause is likely the endpoint, which is recorded as failed: processing the longest
 # prompts takes about 1 s.
 _SILENT_ENDPOINT_MS = 1_500.0
+# Time from the first chunk of a response within which a crash may be caused by its
+# request: an endpoint that crashes may send the first events before.
+_EARLY_RESPONSE_MS = 50.0
 # Assumed prefill rate of an endpoint. The users' engines state 64 tokens per
 # millisecond; a busy one is slower, as it also generates tokens.
 PREFILL_TOKENS_PER_MS = 50.0
@@ -173,6 +176,7 @@
         self._is_success = False
         self._is_sound = False
         self._was_silent = False
+        self._first_chunk_ms = 0.0
         self._last_chunk_ms = 0.0
         self._last_progress_ms = 0.0
         self._silence_timer: asyncio.TimerHandle | None = None
@@ -232,7 +236,11 @@
             is_suspect = False
             if isinstance(error, TruncatedResponseError):
                 is_suspect = await self._context.crash_reports.examine(
-                    self._endpoint, self._call, self._is_sound
+                    self._endpoint,
+                    self._call,
+                    self._is_sound,
+                    self._may_have_crashed_endpoint(),
+                    self._started_ms,
                 )
             successor = None if is_suspect else self._successor
             return AttemptResult(
@@ -285,6 +293,8 @@
             self._sink.start(status, self._response_headers(exchange))
         await self._forward_body(exchange)
         self._record_sound()
+        if self._is_success:
+            self._context.crash_reports.record_complete(self._call)
         self._context.health.record_answer(self._endpoint.id)
         return AttemptResult(Verdict.ANSWERED, status=status)
 
@@ -314,6 +324,7 @@
         now_ms = self._context.clock.now_ms()
         if not self._has_body:
             self._has_body = True
+            self._first_chunk_ms = now_ms
             self._record_first_event()
             self._call.record_first_event(now_ms)
         else:
@@ -401,6 +412,11 @@
             self._is_sound = True
             self._context.crash_reports.record_sound(self._call)
 
+    def _may_have_crashed_endpoint(self) -> bool:
+        """Return whether a crash now may be caused by the request."""
+        begun_ms = self._context.clock.now_ms() - self._first_chunk_ms
+        return not self._is_sound or begun_ms < _EARLY_RESPONSE_MS
+
     def _record_first_event(self) -> None:
         tokens = self._queued_tokens + self._placement.unread_tokens
         expected_ms = _FIRST_EVENT_OVERHEAD_MS + tokens / PREFILL_TOKENS_PER_MS
--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -1,5 +1,7 @@
 """Requests of callers as the gateway represents them, and their errors."""
 
+import functools
+import hashlib
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders
@@ -7,8 +9,12 @@
 from bulrushbend.core.errors import BulrushbendError
 from bulrushbend.core.manifest import Route
 
-# Code of the error for a request whose prompt crashes endpoints.
+# Codes of the errors for a request whose prompt crashes endpoints, and for one that
+# does so itself.
 QUARANTINED = "prompt-quarantined"
+REQUEST_QUARANTINED = "request-quarantined"
+
+_IDENTITY_BYTES = 8
 
 
 @dataclass(frozen=True)
@@ -93,6 +99,16 @@
         """Digests of the parts of the prompt that other requests may share."""
         return tuple(part.digest for part in self.details.shared_parts)
 
+    @functools.cached_property
+    def identity(self) -> str:
+        """Digest of what all copies of the request have in common."""
+        head = "\0".join((self.method, self.target, self.team, ""))
+        digest = hashlib.blake2b(
+            head.encode("utf-8", "backslashreplace"), digest_size=_IDENTITY_BYTES
+        )
+        digest.update(self.body)
+        return digest.hexdigest()
+
     @property
     def tokens(self) -> int:
         """Tokens of the prompt, at least 1 so that requests without a prompt count."""
@@ -158,16 +174,19 @@
     return RequestError(status, code, message, retry_after_ms=retry_after_ms)
 
 
-def quarantine_error(remaining_ms: float) -> RequestError:
-    """Return the error for a request whose prompt crashes endpoints.
+def quarantine_error(remaining_ms: float, code: str = QUARANTINED) -> RequestError:
+    """Return the error for a request that crashes endpoints.
 
     Parameters
     ----------
     remaining_ms : float
         Time for which such requests are refused.
+    code : str, default=QUARANTINED
+        Whether a part of the prompt or the whole request is quarantined.
     """
-    message = "endpoints crash on a part of the prompt; the request was not sent"
-    return not_run_error(503, QUARANTINED, message, remaining_ms)
+    cause = "this request" if code == REQUEST_QUARANTINED else "a part of the prompt"
+    message = f"endpoints crash on {cause}; the request was not sent"
+    return not_run_error(503, code, message, remaining_ms)
 
 
 def outcome_unknown_error(code: str, message: str) -> RequestError:
--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Collection, Iterable
+from dataclasses import dataclass
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import ConnectError
@@ -20,6 +21,7 @@
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.placement_client import DatagramSender
 from bulrushbend.gateway.quarantine import PromptQuarantine, Suspect
+from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.wire.exchange import Exchange, ExchangeTimeouts
 from bulrushbend.wire.fleet_pb2 import (
     CrashNote,
@@ -39,6 +41,17 @@
 # suspect of the usual size stays under 8 KB.
 _MAX_REPEATED_CRASHES = 8
 _MAX_NOTE_BYTES = 6_144
+# Requests of one crash that a gateway reports as suspects.
+_MAX_SUSPECTS = 16
+# Time for which complete responses to suspected requests are collected into one note.
+_COMPLETED_DELAY_MS = 100.0
+
+
+@dataclass(frozen=True)
+class _Candidate:
+    call: Call
+    has_begun: bool
+    started_ms: float
 
 
 class CrashReports:
@@ -47,7 +60,9 @@
     Parameters
     ----------
     quarantine : PromptQuarantine
-        Collects the evidence.
+        Collects the evidence about prompts.
+    request_quarantine : RequestQuarantine
+        Collects the evidence about requests.
     health : EndpointHealth
         Avoids crashed endpoints.
     coordinators : Coordinators
@@ -65,6 +80,7 @@
     def __init__(
         self,
         quarantine: PromptQuarantine,
+        request_quarantine: RequestQuarantine,
         health: EndpointHealth,
         coordinators: Coordinators,
         clock: Clock,
@@ -73,6 +89,7 @@
         connect_ms: float,
     ):
         self._quarantine = quarantine
+        self._request_quarantine = request_quarantine
         self._health = health
         self._coordinators = coordinators
         self._clock = clock
@@ -86,7 +103,9 @@
         self._replaced: dict[str, float] = {}
         # Probe in progress of each endpoint, and the requests that wait for its result.
         self._probes: dict[str, asyncio.Task[bool]] = {}
-        self._candidates: dict[str, list[Call]] = {}
+        self._candidates: dict[str, list[_Candidate]] = {}
+        # Suspected requests with complete responses that the others do not know of yet.
+        self._completed: set[str] = set()
 
     def record_sound(self, call: Call) -> None:
         """Record that the response to a request began and went on."""
@@ -94,6 +113,11 @@
             return
         self._broadcast_released(self._quarantine.record_sound(call.shared_digests))
 
+    def record_complete(self, call: Call) -> None:
+        """Record that an endpoint responded to a request completely."""
+        if self._request_quarantine.has_candidates:
+            self._record_completed(call.identity)
+
     def record_replaced(self, endpoint: str) -> None:
         """Record that another endpoint responds at the address of this one.
 
@@ -112,7 +136,12 @@
         self._send_to(addresses, CrashNote(replaced=[endpoint]))
 
     async def examine(
-        self, endpoint: DiscoveredEndpoint, call: Call, has_begun: bool
+        self,
+        endpoint: DiscoveredEndpoint,
+        call: Call,
+        has_begun: bool,
+        may_be_cause: bool = True,
+        started_ms: float = 0.0,
     ) -> bool:
         """Examine why the connection of a request ended.
 
@@ -123,23 +152,32 @@
         call : Call
             The request.
         has_begun : bool
-            Whether the endpoint had responded.
+            Whether the endpoint had responded, so no part of the prompt is the cause.
+        may_be_cause : bool, default=True
+            Whether the request itself may be the cause of a crash.
+        started_ms : float, default=0.0
+            Time at which the request was sent to the endpoint.
 
         Returns
         -------
         is_suspect : bool
-            Whether the endpoint crashed and the request may be the cause.
+            Whether the request must not be sent to another endpoint: this one crashed,
+            and a part of the prompt may be the cause, or the request itself may be and
+            was at another crash before.
         """
         probe = self._probes.get(endpoint.id)
         if probe is None:
             probe = asyncio.create_task(self._probe(endpoint))
             self._probes[endpoint.id] = probe
             self._candidates[endpoint.id] = []
-        if has_begun or not self._quarantine.unproven(call.shared_digests):
+        if has_begun and not may_be_cause:
+            return False
+        candidate = _Candidate(call, has_begun, started_ms)
+        self._candidates[endpoint.id].append(candidate)
+        if not self._is_suspect(endpoint, candidate):
             return False
-        self._candidates[endpoint.id].append(call)
         has_crashed = await asyncio.shield(probe)
-        return has_crashed and bool(self._quarantine.unproven(call.shared_digests))
+        return has_crashed and self._is_suspect(endpoint, candidate)
 
     def handle_note(self, note: CrashNote, sender: str) -> None:
         """Handle a note of another gateway, and correct it if it suspects sound parts.
@@ -156,19 +194,28 @@
         self._broadcast_released(self._reported.intersection(released))
         for endpoint in note.replaced:
             self._health.record_crash(endpoint)
+        for identity in note.completed:
+            self._request_quarantine.record_complete(identity)
         sound: set[str] = set()
+        completed: set[str] = set()
         for crash in note.crashes:
             digests = {d for suspect in crash.suspects for d in suspect.digests}
             sound |= digests.difference(self._quarantine.unproven(digests))
-            is_new = self._quarantine.record_crash(
-                crash.endpoint,
-                now_ms - crash.age_ms,
-                [Suspect(s.request_id, tuple(s.digests)) for s in crash.suspects],
-            )
+            crashed_ms = now_ms - crash.age_ms
+            suspects = [
+                Suspect(s.request_id, tuple(s.digests), s.identity)
+                for s in crash.suspects
+            ]
+            is_new = self._quarantine.record_crash(crash.endpoint, crashed_ms, suspects)
             if is_new:
                 self._health.record_crash(crash.endpoint)
-        if sound:
-            correction = CrashNote(sound=sorted(sound))
+            completed.update(
+                self._request_quarantine.record_crash(
+                    crash.endpoint, crashed_ms, _identities(suspects)
+                )
+            )
+        if sound or completed:
+            correction = CrashNote(sound=sorted(sound), completed=sorted(completed))
             self._send(sender, GatewayDatagram(crash_note=correction))
 
     async def run(self) -> None:
@@ -176,21 +223,17 @@
         while True:
             await self._clock.sleep_ms(_REPEAT_INTERVAL_MS)
             metrics.QUARANTINED.set(self._quarantine.active)
-            crashes = self._quarantine.crashes
-            addresses = sorted(self._coordinators.addresses())
-            if not crashes or not addresses:
-                continue
-            now_ms = self._clock.now_ms()
-            described = [
-                _describe(
-                    crash.endpoint, now_ms - crash.crashed_ms, crash.suspects.values()
-                )
-                for crash in crashes[-_MAX_REPEATED_CRASHES:]
-            ]
-            count = min(_REPEAT_RECIPIENTS, len(addresses))
-            recipients = self._random.sample(addresses, count)
-            for note in _build_notes(described):
-                self._send_to(recipients, note)
+            metrics.QUARANTINED_REQUESTS.set(self._request_quarantine.active)
+            described = self._describe_known()
+            if described:
+                recipients = self._choose_peers()
+                for note in _build_notes(described):
+                    self._send_to(recipients, note)
+
+    def _choose_peers(self) -> list[str]:
+        addresses = sorted(self._coordinators.addresses())
+        count = min(_REPEAT_RECIPIENTS, len(addresses))
+        return self._random.sample(addresses, count)
 
     async def _probe(self, endpoint: DiscoveredEndpoint) -> bool:
         """Return whether an endpoint crashed, and report it with its suspects.
@@ -209,13 +252,50 @@
         exchange.close()
         return False
 
+    def _is_suspect(self, endpoint: DiscoveredEndpoint, candidate: _Candidate) -> bool:
+        call = candidate.call
+        if not candidate.has_begun and self._quarantine.unproven(call.shared_digests):
+            return True
+        requests = self._request_quarantine
+        return requests.has_candidates and requests.is_candidate(
+            call.identity, except_endpoint=endpoint.id
+        )
+
+    def _describe_known(self) -> list[EndpointCrash]:
+        """Return messages about the crashes to repeat."""
+        now_ms = self._clock.now_ms()
+        described = [
+            _describe(
+                crash.endpoint, now_ms - crash.crashed_ms, crash.suspects.values()
+            )
+            for crash in self._quarantine.crashes[-_MAX_REPEATED_CRASHES:]
+        ]
+        for crash in self._request_quarantine.crashes[-_MAX_REPEATED_CRASHES:]:
+            suspects = [
+                Suspect(request_id, (), identity)
+                for identity, requests in crash.candidates.items()
+                for request_id in requests
+            ]
+            age_ms = now_ms - crash.crashed_ms
+            described.append(_describe(crash.endpoint, age_ms, suspects))
+        return described
+
     def _report(self, endpoint: str, crashed_ms: float) -> None:
+        # A crash follows the start of its cause soon.
+        candidates = sorted(
+            self._candidates[endpoint], key=lambda entry: -entry.started_ms
+        )
         suspects = []
-        for call in self._candidates[endpoint]:
-            digests = self._quarantine.unproven(call.shared_digests)
-            if digests:
-                suspects.append(Suspect(call.details.request_id, digests))
+        for candidate in candidates[:_MAX_SUSPECTS]:
+            call = candidate.call
+            digests = ()
+            if not candidate.has_begun:
+                digests = self._quarantine.unproven(call.shared_digests)
+            suspects.append(Suspect(call.details.request_id, digests, call.identity))
         is_new = self._quarantine.record_crash(endpoint, crashed_ms, suspects)
+        self._request_quarantine.record_crash(
+            endpoint, crashed_ms, _identities(suspects)
+        )
         if not is_new and not suspects:
             return
         metrics.CRASHES.inc()
@@ -224,6 +304,7 @@
             EventKind.ENDPOINT_CRASHED,
             endpoint=endpoint,
             suspects={s.request_id: list(s.digests) for s in suspects},
+            identities={s.request_id: s.identity for s in suspects},
         )
         age_ms = self._clock.now_ms() - crashed_ms
         if suspects:
@@ -242,6 +323,20 @@
             note = CrashNote(sound=sorted(digests))
             self._send_to(self._coordinators.addresses(), note)
 
+    def _record_completed(self, identity: str) -> None:
+        """Tell all gateways of a complete response to a suspected request."""
+        if not self._request_quarantine.record_complete(identity):
+            return
+        if not self._completed:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_COMPLETED_DELAY_MS / 1000.0, self._broadcast_completed)
+        self._completed.add(identity)
+
+    def _broadcast_completed(self) -> None:
+        note = CrashNote(completed=sorted(self._completed))
+        self._completed.clear()
+        self._send_to(self._coordinators.addresses(), note)
+
     def _send_to(self, addresses: Iterable[str], note: CrashNote) -> None:
         for address in addresses:
             self._send(address, GatewayDatagram(crash_note=note))
@@ -254,11 +349,18 @@
         endpoint=endpoint,
         age_ms=max(0, int(age_ms)),
         suspects=[
-            SuspectPrompt(request_id=s.request_id, digests=s.digests) for s in suspects
+            SuspectPrompt(
+                request_id=s.request_id, digests=s.digests, identity=s.identity
+            )
+            for s in suspects
         ],
     )
 
 
+def _identities(suspects: Iterable[Suspect]) -> list[tuple[str, str]]:
+    return [(suspect.identity, suspect.request_id) for suspect in suspects]
+
+
 def _build_notes(crashes: Iterable[EndpointCrash]) -> list[CrashNote]:
     """Return notes about crashes, each in one datagram.
 
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -45,6 +45,7 @@
 from bulrushbend.gateway.placer import PlacementLimits, Placer
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
 from bulrushbend.gateway.quarantine import PromptQuarantine
+from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.gateway.routes import RouteTable, choose_service
 from bulrushbend.gateway.server import CallerServer
 from bulrushbend.gateway.shares import TeamShares
@@ -185,8 +186,10 @@
             settings.data_centre,
         )
         quarantine = PromptQuarantine(clock, events)
+        request_quarantine = RequestQuarantine(clock, events)
         self._crash_reports = CrashReports(
             quarantine,
+            request_quarantine,
             self._health,
             self._coordinators,
             clock,
@@ -199,6 +202,7 @@
             self._queues.for_service,
             lambda: self._accepts_placements,
             quarantine,
+            request_quarantine,
             clock,
             events,
             self._peer_protocol.send,
@@ -227,6 +231,7 @@
             self._placement_for,
             self._budgets,
             quarantine,
+            request_quarantine,
             clock,
             events,
         )
--- a/libs/gateway/src/bulrushbend/gateway/demand.py
+++ b/libs/gateway/src/bulrushbend/gateway/demand.py
@@ -36,6 +36,8 @@
         Gateway that requested the placement if it is another one, else empty.
     data_centre : str
         Data centre of the requester; empty for the one of this gateway.
+    identity : str
+        Identity of the request, see `Call.identity`.
     """
 
     team: str
@@ -48,6 +50,7 @@
     request_id: str = ""
     requester: str = ""
     data_centre: str = ""
+    identity: str = ""
 
     @functools.cached_property
     def min_unread_tokens(self) -> int:
@@ -96,4 +99,5 @@
         wait_start_ms=now_ms,
         wait_until_ms=wait_until_ms,
         request_id=call.details.request_id,
+        identity=call.identity,
     )
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -12,6 +12,8 @@
 from bulrushbend.gateway.attempt import Attempt, AttemptContext, AttemptResult, Verdict
 from bulrushbend.gateway.budgets import RetryBudgets
 from bulrushbend.gateway.call import (
+    QUARANTINED,
+    REQUEST_QUARANTINED,
     Call,
     Placement,
     RequestError,
@@ -22,6 +24,7 @@
 from bulrushbend.gateway.demand import Demand, demand_of
 from bulrushbend.gateway.endpoints import EndpointDirectory
 from bulrushbend.gateway.quarantine import PromptQuarantine
+from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.gateway.sink import ResponseSink
 from bulrushbend.wire.eventstream import EventFramer
 
@@ -57,6 +60,8 @@
         Retry budgets.
     quarantine : PromptQuarantine
         Prompts that are not sent to endpoints.
+    request_quarantine : RequestQuarantine
+        Requests that are not sent to endpoints.
     clock : Clock
         Source of time.
     events : EventLog
@@ -70,6 +75,7 @@
         placement_for: Callable[[str], ServicePlacement],
         budgets: RetryBudgets,
         quarantine: PromptQuarantine,
+        request_quarantine: RequestQuarantine,
         clock: Clock,
         events: EventLog,
     ):
@@ -78,6 +84,7 @@
         self._placement_for = placement_for
         self._budgets = budgets
         self._quarantine = quarantine
+        self._request_quarantine = request_quarantine
         self._clock = clock
         self._events = events
         self._time_limits: set[asyncio.Timeout] = set()
@@ -208,11 +215,15 @@
         return await attempt.run()
 
     def _check_quarantine(self, call: Call) -> None:
-        """Raise `RequestError` if the prompt of a request crashes endpoints."""
+        """Raise `RequestError` if a request or its prompt crashes endpoints."""
+        code = QUARANTINED
         remaining_ms = self._quarantine.remaining_ms(call.shared_digests)
+        if remaining_ms <= 0.0 and self._request_quarantine.has_quarantines:
+            code = REQUEST_QUARANTINED
+            remaining_ms = self._request_quarantine.remaining_ms(call.identity)
         if remaining_ms <= 0.0:
             return
-        error = quarantine_error(remaining_ms)
+        error = quarantine_error(remaining_ms, code)
         if call.uncertain_attempts:
             raise outcome_unknown_error(error.code, error.message)
         raise error
--- a/libs/gateway/src/bulrushbend/gateway/metrics.py
+++ b/libs/gateway/src/bulrushbend/gateway/metrics.py
@@ -26,6 +26,10 @@
     "bulrushbend_gateway_quarantined_prompts",
     "Prompt parts that crash endpoints and are refused.",
 )
+QUARANTINED_REQUESTS = Gauge(
+    "bulrushbend_gateway_quarantined_requests",
+    "Requests that crash endpoints and are refused.",
+)
 LOOP_DELAY = Gauge(
     "bulrushbend_gateway_loop_delay_seconds",
     "Mean delay with which tasks of the process run.",
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -8,6 +8,7 @@
 from bulrushbend.gateway.admission import AdmissionQueue
 from bulrushbend.gateway.call import (
     QUARANTINED,
+    REQUEST_QUARANTINED,
     Placement,
     not_run_error,
     quarantine_error,
@@ -138,8 +139,8 @@
         if reply.result == PlaceReply.GRANTED:
             return _placement_from_reply(reply)
         if reply.result == PlaceReply.REFUSED:
-            if reply.code == QUARANTINED:
-                raise quarantine_error(reply.retry_after_ms)
+            if reply.code in (QUARANTINED, REQUEST_QUARANTINED):
+                raise quarantine_error(reply.retry_after_ms, reply.code)
             message = "no endpoint can take the request in time"
             raise not_run_error(503, reply.code, message, reply.retry_after_ms)
         self._coordinators.suspect(coordinator, reply.code or "declined")
@@ -208,6 +209,7 @@
                 wait_ms=int(wait_ms),
                 request_id=demand.request_id,
                 data_centre=self._data_centre,
+                identity=demand.identity,
             )
         )
 
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -8,10 +8,16 @@
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.admission import QueueFactory
-from bulrushbend.gateway.call import QUARANTINED, PromptPart, RequestError
+from bulrushbend.gateway.call import (
+    QUARANTINED,
+    REQUEST_QUARANTINED,
+    PromptPart,
+    RequestError,
+)
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.placement_client import DatagramSender
 from bulrushbend.gateway.quarantine import PromptQuarantine
+from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.wire.fleet_pb2 import (
     GatewayDatagram,
     PlaceCancel,
@@ -52,6 +58,8 @@
     quarantine : PromptQuarantine
         Prompts that are not sent to endpoints. A gateway that has just started does
         not know them yet.
+    request_quarantine : RequestQuarantine
+        Requests that are not sent to endpoints.
     clock : Clock
         Source of time.
     events : EventLog
@@ -67,6 +75,7 @@
         queue_for: QueueFactory,
         accepts_placements: Callable[[], bool],
         quarantine: PromptQuarantine,
+        request_quarantine: RequestQuarantine,
         clock: Clock,
         events: EventLog,
         send: DatagramSender,
@@ -76,6 +85,7 @@
         self._queue_for = queue_for
         self._accepts_placements = accepts_placements
         self._quarantine = quarantine
+        self._request_quarantine = request_quarantine
         self._clock = clock
         self._events = events
         self._send = send
@@ -92,16 +102,22 @@
             declined = self._build_reply(request, PlaceReply.DECLINED, code="not open")
             self._send_reply(address, declined)
             return
-        quarantine_ms = self._quarantine.remaining_ms(request.digests)
-        if quarantine_ms > 0.0:
-            refused = self._build_reply(
-                request,
-                PlaceReply.REFUSED,
-                code=QUARANTINED,
-                retry_after_ms=quarantine_ms,
-            )
-            self._send_reply(address, refused)
-            return
+        for code, quarantine_ms in (
+            (QUARANTINED, self._quarantine.remaining_ms(request.digests)),
+            (
+                REQUEST_QUARANTINED,
+                self._request_quarantine.remaining_ms(request.identity),
+            ),
+        ):
+            if quarantine_ms > 0.0:
+                refused = self._build_reply(
+                    request,
+                    PlaceReply.REFUSED,
+                    code=code,
+                    retry_after_ms=quarantine_ms,
+                )
+                self._send_reply(address, refused)
+                return
         state = self._placements[key] = _PlacementState()
         state.task = asyncio.create_task(self._place(state, request, address))
         state.task.add_done_callback(lambda _: self._schedule_removal(key, state))
@@ -214,4 +230,5 @@
         request_id=request.request_id,
         requester=request.gateway,
         data_centre=request.data_centre,
+        identity=request.identity,
     )
--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -8,6 +8,7 @@
 refused instead of being sent to an endpoint.
 """
 
+import dataclasses
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass, field
@@ -48,10 +49,13 @@
         Id of the request.
     digests : tuple of str
         Shared parts of its prompt that may have caused the crash.
+    identity : str
+        Identity of the request, which its copies share; empty if not known.
     """
 
     request_id: str
     digests: tuple[str, ...]
+    identity: str = ""
 
 
 @dataclass
@@ -189,8 +193,8 @@
             digests = self.unproven(suspect.digests)
             is_known = suspect.request_id in crash.suspects
             if digests and not is_known and len(crash.suspects) < _MAX_SUSPECTS:
-                crash.suspects[suspect.request_id] = Suspect(
-                    suspect.request_id, digests
+                crash.suspects[suspect.request_id] = dataclasses.replace(
+                    suspect, digests=digests
                 )
                 added.update(digests)
         if added:
@@ -257,9 +261,11 @@
                 requests=frozenset(suspects[n][1].request_id for n in numbers),
                 last_ms=times_ms[-1],
             )
-            is_proven = (
-                cause.faults >= _MIN_CRASHES and len(cause.requests) >= _MIN_REQUESTS
-            )
+            # Copies of one request do not show which of its parts is the cause.
+            different = {
+                suspects[n][1].identity or suspects[n][1].request_id for n in numbers
+            }
+            is_proven = cause.faults >= _MIN_CRASHES and len(different) >= _MIN_REQUESTS
             if is_proven or cause.parts in self._quarantines:
                 causes.append(cause)
         return causes
@@ -297,8 +303,8 @@
                     continue
                 digests = tuple(d for d in suspect.digests if d != digest)
                 if digests:
-                    crash.suspects[suspect.request_id] = Suspect(
-                        suspect.request_id, digests
+                    crash.suspects[suspect.request_id] = dataclasses.replace(
+                        suspect, digests=digests
                     )
                 else:
                     del crash.suspects[suspect.request_id]
--- /dev/null
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -0,0 +1,356 @@
+"""Quarantine of requests that crash the endpoints that run them.
+
+A request that crashes every endpoint may share all parts of its prompt with sound ones,
+or have none. What its copies have in common is their identity (`Call.identity`).
+
+Each request that an endpoint had just begun to run when it crashed is a candidate for
+the cause. A complete response clears it. A candidate of several crashes is quarantined
+if no other one was present at the same crashes. Candidates that cannot be told apart
+are quarantined together after a further crash.
+"""
+
+from collections import Counter, OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from bulrushbend.core.clock import Clock
+from bulrushbend.core.events import EventKind, EventLog
+
+# Crashes after which a request is quarantined, by whether it is the only candidate of
+# all of them. Endpoints that share a fault, such as a lost rack, crash within the
+# interval and count as one crash.
+_MIN_CRASHES = 2
+_MIN_CRASHES_IF_AMBIGUOUS = 3
+_SAME_FAULT_INTERVAL_MS = 200.0
+# An endpoint needs longer to restart, so reports about it within this time concern the
+# same crash.
+_SAME_CRASH_INTERVAL_MS = 2_000.0
+# Time for which a crash counts as evidence.
+_EVIDENCE_TTL_MS = 60_000.0
+# Duration of the first quarantine of a request. Afterwards it is sent again, since it
+# may no longer be the cause. Within the same time a single crash suffices for another
+# quarantine of twice the duration.
+_MIN_QUARANTINE_MS = 60_000.0
+_MAX_QUARANTINE_MS = 3_600_000.0
+# Bounds on the memory used.
+_MAX_CRASHES = 64
+_MAX_CANDIDATES = 32
+_MAX_COPIES = 4
+_MAX_COMPLETED = 1_024
+_MAX_QUARANTINES = 256
+
+
+@dataclass
+class CandidateCrash:
+    """A crash of an endpoint, at a monotonic time in milliseconds.
+
+    Attributes
+    ----------
+    endpoint : str
+        Id of the endpoint.
+    crashed_ms : float
+        Time of the crash.
+    candidates : dict of str to set of str
+        Ids of the requests that may be the cause, by identity.
+    """
+
+    endpoint: str
+    crashed_ms: float
+    candidates: dict[str, set[str]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class _Cause:
+    identities: frozenset[str]
+    faults: int
+    requests: frozenset[str]
+    last_ms: float
+
+
+@dataclass
+class _Quarantine:
+    until_ms: float
+    duration_ms: float
+
+
+class RequestQuarantine:
+    """Collects the evidence about crashes and quarantines requests by identity.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    events : EventLog
+        Records the requests that are quarantined and released.
+    """
+
+    def __init__(self, clock: Clock, events: EventLog):
+        self._clock = clock
+        self._events = events
+        # Crashes in the order of their times, and their number by candidate.
+        self._crashes: list[CandidateCrash] = []
+        self._counts: Counter[str] = Counter()
+        # Times of complete responses to requests that were candidates before.
+        self._completed: OrderedDict[str, float] = OrderedDict()
+        # Quarantines in force and past ones, which determine the next duration.
+        self._quarantines: OrderedDict[str, _Quarantine] = OrderedDict()
+
+    @property
+    def active(self) -> int:
+        """Number of quarantines in force."""
+        now_ms = self._clock.now_ms()
+        return sum(entry.until_ms > now_ms for entry in self._quarantines.values())
+
+    @property
+    def has_quarantines(self) -> bool:
+        """Whether there are quarantines, in force or past."""
+        return bool(self._quarantines)
+
+    @property
+    def has_candidates(self) -> bool:
+        """Whether a request may be the cause of a recent crash."""
+        self._expire()
+        return bool(self._counts or self._quarantines)
+
+    @property
+    def crashes(self) -> Sequence[CandidateCrash]:
+        """Crashes for other gateways, those that led to a quarantine last."""
+        self._expire()
+        crashes = [crash for crash in self._crashes if crash.candidates]
+        crashes.sort(
+            key=lambda crash: not self._quarantines.keys().isdisjoint(crash.candidates)
+        )
+        return crashes
+
+    def remaining_ms(self, identity: str) -> float:
+        """Return the time for which a request is quarantined, or 0."""
+        entry = self._quarantines.get(identity)
+        if entry is None:
+            return 0.0
+        return max(0.0, entry.until_ms - self._clock.now_ms())
+
+    def is_candidate(self, identity: str, except_endpoint: str = "") -> bool:
+        """Return whether a request may be the cause of a recent crash.
+
+        Parameters
+        ----------
+        identity : str
+            Identity of the request.
+        except_endpoint : str, default=""
+            Endpoint whose crashes are not considered.
+        """
+        self._expire()
+        if identity in self._quarantines:
+            return True
+        return identity in self._counts and any(
+            identity in crash.candidates and crash.endpoint != except_endpoint
+            for crash in self._crashes
+        )
+
+    def record_complete(self, identity: str) -> bool:
+        """Record a complete response; return whether the request was a candidate."""
+        if identity not in self._quarantines and identity not in self._counts:
+            return False
+        for crash in self._crashes:
+            crash.candidates.pop(identity, None)
+        was_relevant = self._is_relevant(identity)
+        del self._counts[identity]
+        self._completed[identity] = self._clock.now_ms()
+        self._completed.move_to_end(identity)
+        if len(self._completed) > _MAX_COMPLETED:
+            self._completed.popitem(last=False)
+        if identity in self._quarantines:
+            self._end(identity)
+        if was_relevant:
+            self._evaluate()
+        return True
+
+    def record_crash(
+        self,
+        endpoint: str,
+        crashed_ms: float,
+        candidates: Iterable[tuple[str, str]],
+    ) -> list[str]:
+        """Record a crash that this or another gateway observed.
+
+        Parameters
+        ----------
+        endpoint : str
+            Id of the endpoint.
+        crashed_ms : float
+            Monotonic time of the crash.
+        candidates : iterable of tuple of str
+            Identity and id of each request that may be the cause.
+
+        Returns
+        -------
+        completed : list of str
+            Identities to which there was a complete response after the crash.
+        """
+        self._expire()
+        if crashed_ms < self._clock.now_ms() - _EVIDENCE_TTL_MS:
+            return []
+        known = self._find(endpoint, crashed_ms)
+        crash = known or CandidateCrash(endpoint, crashed_ms)
+        completed = []
+        has_changed = False
+        for identity, request_id in candidates:
+            # A gateway of an earlier version sends none.
+            if not identity:
+                continue
+            if self._completed.get(identity, float("-inf")) >= crashed_ms:
+                completed.append(identity)
+                continue
+            copies = crash.candidates.get(identity)
+            if copies is None:
+                if len(crash.candidates) >= _MAX_CANDIDATES:
+                    continue
+                copies = crash.candidates[identity] = set()
+                self._counts[identity] += 1
+            if request_id not in copies and len(copies) < _MAX_COPIES:
+                copies.add(request_id)
+                has_changed = has_changed or self._is_relevant(identity)
+        if known is None and crash.candidates:
+            self._crashes.append(crash)
+            self._crashes.sort(key=lambda entry: entry.crashed_ms)
+            self._drop_oldest(len(self._crashes) - _MAX_CRASHES)
+        if has_changed:
+            self._evaluate()
+        return completed
+
+    def _is_relevant(self, identity: str) -> bool:
+        """Return whether a candidate may be a cause for which the evidence suffices."""
+        return self._counts[identity] >= _MIN_CRASHES or identity in self._quarantines
+
+    def _drop_oldest(self, number: int) -> None:
+        for crash in self._crashes[: max(0, number)]:
+            self._counts.subtract(crash.candidates.keys())
+            for identity in crash.candidates:
+                if not self._counts[identity]:
+                    del self._counts[identity]
+        del self._crashes[: max(0, number)]
+
+    def _find(self, endpoint: str, crashed_ms: float) -> CandidateCrash | None:
+        for crash in self._crashes:
+            distance_ms = abs(crash.crashed_ms - crashed_ms)
+            if crash.endpoint == endpoint and distance_ms < _SAME_CRASH_INTERVAL_MS:
+                return crash
+        return None
+
+    def _evaluate(self) -> None:
+        """Quarantine the requests that explain the crashes.
+
+        The strongest cause is chosen first. A crash that it explains is no evidence
+        against the other candidates.
+        """
+        unexplained = list(self._crashes)
+        explained: set[str] = set()
+        imposed: set[str] = set()
+        while cause := max(self._causes(unexplained), key=_strength, default=None):
+            imposed |= cause.identities
+            self._impose(cause)
+            for crash in unexplained:
+                if not cause.identities.isdisjoint(crash.candidates):
+                    explained.update(crash.candidates)
+            unexplained = [
+                crash
+                for crash in unexplained
+                if cause.identities.isdisjoint(crash.candidates)
+            ]
+        for identity in self._quarantines.keys() & explained - imposed:
+            if not any(identity in crash.candidates for crash in unexplained):
+                self._end(identity)
+
+    def _causes(self, crashes: Sequence[CandidateCrash]) -> list[_Cause]:
+        """Return the possible causes for which the evidence suffices."""
+        support: dict[str, list[int]] = {}
+        for number, crash in enumerate(crashes):
+            for identity in filter(self._is_relevant, crash.candidates):
+                support.setdefault(identity, []).append(number)
+        identities_by_support: dict[tuple[int, ...], set[str]] = {}
+        for identity, numbers in support.items():
+            identities_by_support.setdefault(tuple(numbers), set()).add(identity)
+        causes = []
+        for numbers, identities in identities_by_support.items():
+            supporting = [crashes[number] for number in numbers]
+            faults = max(_count_faults(supporting, name) for name in identities)
+            minimum = _MIN_CRASHES
+            if len(identities) > 1:
+                minimum = _MIN_CRASHES_IF_AMBIGUOUS
+            if faults < minimum:
+                identities = identities & self._quarantines.keys()
+            if identities:
+                requests = {
+                    request
+                    for crash in supporting
+                    for identity in identities
+                    for request in crash.candidates[identity]
+                }
+                causes.append(
+                    _Cause(
+                        frozenset(identities),
+                        faults,
+                        frozenset(requests),
+                        supporting[-1].crashed_ms,
+                    )
+                )
+        return causes
+
+    def _impose(self, cause: _Cause) -> None:
+        for identity in sorted(cause.identities):
+            past = self._quarantines.get(identity)
+            if past is not None and cause.last_ms < past.until_ms:
+                continue
+            duration_ms = _MIN_QUARANTINE_MS
+            if past is not None:
+                duration_ms = min(_MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
+            until_ms = cause.last_ms + duration_ms
+            self._quarantines[identity] = _Quarantine(until_ms, duration_ms)
+            self._quarantines.move_to_end(identity)
+            if len(self._quarantines) > _MAX_QUARANTINES:
+                self._quarantines.popitem(last=False)
+            self._events.write(
+                EventKind.REQUEST_QUARANTINED,
+                identity=identity,
+                crashes=cause.faults,
+                requests=sorted(cause.requests),
+                pause_ms=round(duration_ms),
+            )
+
+    def _end(self, identity: str) -> None:
+        del self._quarantines[identity]
+        self._events.write(EventKind.REQUEST_RELEASED, identity=identity)
+
+    def _expire(self) -> None:
+        now_ms = self._clock.now_ms()
+        oldest_ms = now_ms - _EVIDENCE_TTL_MS
+        self._drop_oldest(sum(crash.crashed_ms < oldest_ms for crash in self._crashes))
+        forgotten = [
+            identity
+            for identity, entry in self._quarantines.items()
+            if now_ms >= entry.until_ms + entry.duration_ms
+        ]
+        for identity in forgotten:
+            del self._quarantines[identity]
+
+
+def _count_faults(crashes: Iterable[CandidateCrash], identity: str) -> int:
+    """Count the crashes of a request, in order; those within an interval are one.
+
+    Attempts of one request follow each other, so its next crash is another fault.
+    """
+    faults = 0
+    began_ms = float("-inf")
+    earlier: set[str] = set()
+    for crash in crashes:
+        requests = crash.candidates[identity]
+        is_later = crash.crashed_ms - began_ms >= _SAME_FAULT_INTERVAL_MS
+        if is_later or not requests.isdisjoint(earlier):
+            faults += 1
+            began_ms = crash.crashed_ms
+        earlier |= requests
+    return faults
+
+
+def _strength(cause: _Cause) -> tuple[int, int, list[str]]:
+    return cause.faults, len(cause.requests), sorted(cause.identities)
--- a/libs/gateway/tests/fleet_model.py
+++ b/libs/gateway/tests/fleet_model.py
@@ -85,6 +85,7 @@
             self.queue_for,
             self.accepts_placements,
             self.components.quarantine,
+            self.components.request_quarantine,
             clock,
             self.components.events,
             self.send,
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -26,6 +26,7 @@
 from bulrushbend.gateway.placer import PlacementLimits, Placer
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
 from bulrushbend.gateway.quarantine import PromptQuarantine
+from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.gateway.shares import TeamShares
 
 SERVICE = "flor-llm"
@@ -57,7 +58,7 @@
     return Call(
         details=details,
         method=fields.pop("method", "POST"),
-        target="/plan/x",
+        target=fields.pop("target", "/plan/x"),
         headers=HTTPHeaders(),
         body=fields.pop("body", b"{}"),
         route=route,
@@ -83,6 +84,10 @@
     return PromptQuarantine(clock, MemoryEventLog())
 
 
+def make_request_quarantine(clock):
+    return RequestQuarantine(clock, MemoryEventLog())
+
+
 class FakeSource:
     """Endpoint source whose list a test sets."""
 
@@ -137,6 +142,7 @@
         self.loads = LoadView(name, 1, self.clock, self.prefix_cache)
         self.health = EndpointHealth(self.clock, self.events)
         self.quarantine = PromptQuarantine(self.clock, self.events)
+        self.request_quarantine = RequestQuarantine(self.clock, self.events)
         self.shares = TeamShares(self.clock)
         self.placer = Placer(
             self.loads,
@@ -158,6 +164,7 @@
     def make_crash_reports(self, coordinators, send, connect_ms=300.0):
         return CrashReports(
             self.quarantine,
+            self.request_quarantine,
             self.health,
             coordinators,
             self.clock,
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -199,6 +199,20 @@
     assert [record["request_id"] for record in refusals] == ["r1"]
 
 
+async def test_coordinator_refuses_a_request_that_crashes_endpoints():
+    # Guards against a gateway that has just started and knows of no crash yet.
+    pair = Pair()
+    requests = pair.coordinator.components.request_quarantine
+    identity = make_call().identity
+    for number in (1, 2):
+        crashed_ms = pair.clock.now_ms() - 2_000.0 * number
+        requests.record_crash(f"x{number}", crashed_ms, [(identity, f"s{number}")])
+    with pytest.raises(RequestError) as raised:
+        await pair.place()
+    assert (raised.value.status, raised.value.code) == (503, "request-quarantined")
+    assert raised.value.retry_after_ms > 50_000
+
+
 async def test_waiting_request_is_placed_when_capacity_is_free():
     pair = Pair()
     pair.occupy("e1", "e2")
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -1,5 +1,7 @@
 """Tests of crash detection and of the notes between gateways."""
 
+import asyncio
+
 from gateway_builders import (
     GatewayComponents,
     ScriptedEndpoint,
@@ -9,6 +11,7 @@
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.gateway.coordinators import Coordinators
+from bulrushbend.gateway.crash_reports import _Candidate
 
 PROMPT = (("aa", 100), ("bad", 50), ("own", 30))
 
@@ -57,7 +60,7 @@
 
 
 def make_prompt_call(request_id="r1"):
-    return make_call(prefix=PROMPT, request_id=request_id)
+    return make_call(prefix=PROMPT, request_id=request_id, body=request_id.encode())
 
 
 async def test_suspects_of_a_crash_are_known_to_all_gateways():
@@ -138,9 +141,9 @@
     for number in range(16):
         name = f"{number:036}"
         prefix = tuple((f"{name}-{part:027}", 100) for part in range(12))
-        reports._candidates.setdefault("e1", []).append(
-            make_call(prefix=prefix, request_id=name)
-        )
+        call = make_call(prefix=prefix, request_id=name)
+        candidate = _Candidate(call, has_begun=False, started_ms=0.0)
+        reports._candidates.setdefault("e1", []).append(candidate)
     reports._report("e1", fleet.components["g1"].clock.now_ms())
     assert sizes
     assert max(sizes) < 8_192
@@ -156,3 +159,87 @@
     other = make_call(prefix=(("cc", 100), ("own", 30)), request_id="r2")
     await reports.examine(crashed_endpoint("e2"), other, False)
     assert reports._reported == {"cc"}
+
+
+def record_sound_parts(fleet):
+    for components in fleet.components.values():
+        components.quarantine.record_sound(["aa", "bad"])
+
+
+async def end_probes(reports):
+    await asyncio.gather(*reports._probes.values())
+
+
+def make_copy(request_id):
+    return make_call(prefix=PROMPT, request_id=request_id, body=b"crashes")
+
+
+async def test_request_whose_parts_are_sound_is_quarantined_at_all_gateways():
+    # Guards against a request that crashes endpoints and shares its parts with others.
+    fleet = Fleet("g1", "g2", "g3")
+    record_sound_parts(fleet)
+    reports = fleet.reports
+    assert not await reports["g1"].examine(crashed_endpoint(), make_copy("r1"), False)
+    await end_probes(reports["g1"])
+    for components in fleet.components.values():
+        for crash in components.request_quarantine.crashes:
+            crash.crashed_ms -= 1_000.0
+    endpoint = crashed_endpoint("e2")
+    assert await reports["g2"].examine(endpoint, make_copy("r2"), False)
+    neighbour = make_call(prefix=PROMPT, request_id="r3", body=b"sound")
+    for components in fleet.components.values():
+        requests = components.request_quarantine
+        assert requests.remaining_ms(make_copy("r4").identity) > 0.0
+        assert requests.remaining_ms(neighbour.identity) == 0.0
+        assert components.quarantine.remaining_ms(neighbour.shared_digests) == 0.0
+
+
+async def test_copies_of_one_request_do_not_quarantine_its_parts():
+    # Guards against sound requests that are refused for a part of a crashing one.
+    fleet = Fleet("g1")
+    quarantine = fleet.components["g1"].quarantine
+    for number in range(3):
+        call = make_copy(f"r{number}")
+        await fleet.reports["g1"].examine(crashed_endpoint(f"e{number}"), call, False)
+        for crash in quarantine.crashes:
+            crash.crashed_ms -= 1_000.0
+    assert quarantine.remaining_ms(call.shared_digests) == 0.0
+
+
+async def test_request_that_responded_for_some_time_is_no_candidate():
+    fleet = Fleet("g1", "g2")
+    call = make_copy("r1")
+    reports = fleet.reports["g1"]
+    endpoint = crashed_endpoint()
+    assert not await reports.examine(endpoint, call, True, may_be_cause=False)
+    await end_probes(reports)
+    assert not fleet.components["g1"].request_quarantine.is_candidate(call.identity)
+
+
+async def test_latest_requests_of_a_crash_are_its_candidates():
+    # Guards against a crashing request that is left out beside many that wait longer.
+    fleet = Fleet("g1", "g2")
+    reports = fleet.reports["g1"]
+    record_sound_parts(fleet)
+    for number in range(30):
+        call = make_call(prefix=PROMPT, request_id=f"r{number}", body=b"%d" % number)
+        await reports.examine(crashed_endpoint(), call, False, started_ms=number)
+    await end_probes(reports)
+    requests = fleet.components["g2"].request_quarantine
+    (crash,) = requests.crashes
+    assert {r for copies in crash.candidates.values() for r in copies} == {
+        f"r{number}" for number in range(14, 30)
+    }
+
+
+async def test_complete_response_releases_a_request_at_all_gateways():
+    # Guards against a popular request that is refused where nobody saw its response.
+    fleet = Fleet("g1", "g2", "g3")
+    record_sound_parts(fleet)
+    call = make_copy("r1")
+    await fleet.reports["g1"].examine(crashed_endpoint(), call, False)
+    await end_probes(fleet.reports["g1"])
+    fleet.reports["g2"].record_complete(make_copy("r2"))
+    await asyncio.sleep(0.2)
+    for components in fleet.components.values():
+        assert not components.request_quarantine.is_candidate(call.identity)
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -54,6 +54,7 @@
             lambda service: self.components.queue,
             budgets,
             self.components.quarantine,
+            self.components.request_quarantine,
             clock,
             self.components.events,
         )
@@ -811,3 +812,64 @@
         assert (error.status, error.code) == (503, "prompt-quarantined")
         assert runs(fixture) == 0
         assert fixture.is_idle
+
+
+CRASH = [[stream_head(), 0.02, "stop", "reset"]]
+
+
+@pytest.mark.parametrize("prefix", [PROMPT, ()])
+async def test_request_that_crashed_two_endpoints_reaches_no_third(prefix):
+    # Guards against a request with sound parts, or none, that crashes all endpoints.
+    async with running_dispatcher(CRASH, CRASH, CRASH) as fixture:
+        fixture.components.quarantine.record_sound(["aa", "bb"])
+        error = await fixture.serve_error(route=RESUMABLE, prefix=prefix)
+        assert error.status == 502
+        assert runs(fixture) == 2
+        error = await fixture.serve_error(
+            route=RESUMABLE, prefix=prefix, request_id="r2"
+        )
+        assert (error.status, error.code) == (503, "request-quarantined")
+        assert error.retry_after_ms > 50_000
+        assert runs(fixture) == 2
+        assert fixture.is_idle
+
+
+async def test_request_like_a_quarantined_one_is_served():
+    # Guards against a quarantine of the team, the path or the parts of a request.
+    async with running_dispatcher([RESPONSE]) as fixture:
+        call = make_call(prefix=PROMPT)
+        for number in (1, 2):
+            crashed_ms = fixture.clock.now_ms() - 2_000.0 * number
+            fixture.components.request_quarantine.record_crash(
+                f"x{number}", crashed_ms, [(call.identity, f"s{number}")]
+            )
+        error = await fixture.serve_error(prefix=PROMPT)
+        assert error.code == "request-quarantined"
+        result = await fixture.serve(prefix=PROMPT, body=b"{ }")
+        assert result.verdict is Verdict.ANSWERED
+
+
+async def test_crash_after_the_first_events_makes_the_request_a_candidate():
+    # Guards against a request that counts as sound since its first events arrived.
+    events = stream_head() + chunk(event(1)), chunk(event(2))
+    async with running_dispatcher([[*events, "stop", "reset"]]) as fixture:
+        fixture.components.quarantine.record_sound(["aa", "bb"])
+        await fixture.serve(route=ONCE, prefix=PROMPT)
+        await asyncio.sleep(0.05)
+        call = make_call(prefix=PROMPT)
+        assert fixture.components.request_quarantine.is_candidate(call.identity)
+
+
+@pytest.mark.parametrize(
+    ("status", "is_candidate"), [("200 OK", False), ("500 Internal Server Error", True)]
+)
+async def test_complete_response_clears_a_candidate_and_an_error_does_not(
+    status, is_candidate
+):
+    # Guards against a crashing request that is released by an error of an endpoint.
+    async with running_dispatcher([[plain_response(status=status)]]) as fixture:
+        requests = fixture.components.request_quarantine
+        identity = make_call().identity
+        requests.record_crash("x1", fixture.clock.now_ms(), [(identity, "s1")])
+        await fixture.serve(route=ONCE)
+        assert requests.is_candidate(identity) is is_candidate
--- a/tests/adapter/prompt_load.py
+++ b/tests/adapter/prompt_load.py
@@ -25,14 +25,18 @@
     key : str
         Key of the caller's team.
     parts : tuple of str
-        Ids of the shared parts; each request adds one of its own.
+        Ids of the shared parts; each request adds one of its own. A request without
+        them has no prompt.
     route : str, default="gen"
         Name of the route.
+    body : bytes, default=b""
+        Body of the request; if empty, each one has a body of its own.
     """
 
     key: str
     parts: tuple[str, ...]
     route: str = "gen"
+    body: bytes = b""
 
 
 @dataclass
@@ -81,11 +85,14 @@
         Seed of the prompts and of the choice of gateways.
     attempts : list of Attempt
         All requests sent so far.
+    prefix : str, default=""
+        Beginning of the ids of the requests.
     """
 
     machines: Machines
     seed: int
     attempts: list[Attempt] = field(default_factory=list)
+    prefix: str = ""
 
     def __post_init__(self):
         self.random = random.Random(self.seed)
@@ -103,15 +110,16 @@
 
     async def send(self, prompt: Prompt) -> None:
         """Send a request and repeat it once if it failed without a refusal."""
-        attempt = await self._send_once(prompt, is_repeat=False)
+        body = prompt.body or f"body {len(self.attempts)}".encode()
+        attempt = await self._send_once(prompt, body, is_repeat=False)
         if attempt.status in (0, 502, 504) and not attempt.has_begun:
             await asyncio.sleep(_REPEAT_S)
-            await self._send_once(prompt, is_repeat=True)
+            await self._send_once(prompt, body, is_repeat=True)
 
-    async def _send_once(self, prompt: Prompt, is_repeat: bool) -> Attempt:
+    async def _send_once(self, prompt: Prompt, body: bytes, is_repeat: bool) -> Attempt:
         loop = asyncio.get_running_loop()
         host = self.random.choice(sorted(self.ready))
-        request_id = f"{len(self.attempts):08x}"
+        request_id = f"{self.prefix}{len(self.attempts):08x}"
         attempt = Attempt(prompt, host, request_id, loop.time(), is_repeat)
         self.attempts.append(attempt)
         sizes = [self.random.randrange(50, 200) for _ in range(len(prompt.parts) + 1)]
@@ -122,12 +130,15 @@
             "Host": "a.example",
             "Attempt-Id": request_id,
             "Deadline-Ms": f"{DEADLINE_MS:.0f}",
-            "Model": "m",
-            "Token-Usage": f"{sum(sizes)},10",
-            "Prefix-Hash": ",".join(f"{name}:{size}" for name, size in entries),
         }
+        if prompt.parts:
+            headers |= {
+                "Model": "m",
+                "Token-Usage": f"{sum(sizes)},10",
+                "Prefix-Hash": ",".join(f"{name}:{size}" for name, size in entries),
+            }
         path = f"/{prompt.route}/x"
-        request = ExchangeRequest("POST", path, HTTPHeaders(headers), b"{}")
+        request = ExchangeRequest("POST", path, HTTPHeaders(headers), body)
         try:
             exchange = await Exchange.open(f"{host}:8783", request, _TIMEOUTS)
             attempt.status = exchange.status
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -38,11 +38,14 @@
         Id of the request.
     parts : tuple of str
         Ids of the shared parts of its prompt.
+    body : bytes
+        Body of the request.
     """
 
     at_s: float
     request_id: str
     parts: tuple[str, ...]
+    body: bytes
 
 
 class _Server(HTTPServer):
@@ -80,11 +83,13 @@
     runs : list of tuple
         Request id, tenant and path of each run.
     arrivals : list of Arrival
-        All requests with a prompt that were read, also those that were rejected.
+        All requests that were read, also those that were rejected.
     crashes : list of float
         Times of the event loop at which the engine crashed.
     deadly_parts : set of str
         Parts that crash the engine when it begins to write an answer on them.
+    deadly_bodies : set of bytes
+        Bodies that crash the engine when it begins to write an answer on them.
     reset_share : float
         Share of the answers whose connection is reset before their first event.
     first_event_s : float
@@ -116,6 +121,7 @@
         self.events = 5
         self.pause_s = 0.01
         self.deadly_parts = set()
+        self.deadly_bodies = set()
         self.reset_share = 0.0
         self.first_event_s = 0.0
         self.waiting = 0
@@ -185,10 +191,9 @@
         engine = self._engine
         headers = self.request.headers
         parts = parse_parts(headers.get("Prefix-Hash", ""))
-        if "Prefix-Hash" in headers:
-            now_s = asyncio.get_running_loop().time()
-            arrival = Arrival(now_s, headers.get("Attempt-Id", ""), tuple(parts))
-            engine.arrivals.append(arrival)
+        now_s = asyncio.get_running_loop().time()
+        request_id, body = headers.get("Attempt-Id", ""), self.request.body
+        engine.arrivals.append(Arrival(now_s, request_id, tuple(parts), body))
         if headers.get("Expect-Instance") != engine.instance:
             self.set_status(421)
             return
@@ -204,6 +209,9 @@
         if "Authorization" in headers:
             self.set_header("Leaked-Key", "1")
         if "Model" not in headers:
+            if self.request.body in engine.deadly_bodies:
+                engine.crash()
+                return
             self.write(self.request.body + b" at " + engine.name.encode())
             return
         await self._stream_events(parts)
@@ -220,7 +228,10 @@
         if self._is_abandoned:
             return
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
-        if engine.deadly_parts.intersection(parts):
+        if (
+            engine.deadly_parts.intersection(parts)
+            or self.request.body in engine.deadly_bodies
+        ):
             await self._write_partially(b"id: %d\ndata: t\n\n" % first)
             if engine.instance == instance:
                 engine.crash()
--- a/tests/adapter/test_deadly_prompts.py
+++ b/tests/adapter/test_deadly_prompts.py
@@ -1,12 +1,11 @@
 """Prompts with a part that crashes each engine that begins to answer them."""
 
 import asyncio
-import contextlib
 from dataclasses import dataclass
 
 import pytest
-from machines import Machines, is_loopback_range_usable
-from platform_builders import encode, make_config, make_route
+from deadly_deployment import SEED, deployment, model_engines, restart
+from machines import is_loopback_range_usable
 from prompt_load import Attempt, Prompt, PromptLoad
 
 pytestmark = pytest.mark.skipif(
@@ -24,16 +23,10 @@
 
 # Requests that wait at an engine when it crashes for another reason.
 MIN_WAITING = 2
-SEED = 26
 DEADLY = "dead0"
 # The part with which most prompts of the team begin.
 FIRST = "5c1e0"
 SHARED = [f"ab{number:02x}" for number in range(12)]
-ROUTES = [
-    make_route("gen", max_attempts=2, resumable=True),
-    make_route("once", max_attempts=1, resumable=False),
-]
-TEAMS = [{"name": f"crew-{key}", "api_keys": [key], "priority": 1} for key in "abc"]
 CALM_S = 4.0
 DEADLY_S = 15.0
 # Times of the restarts after the first request with the deadly part.
@@ -100,38 +93,6 @@
         return f"{len(crashes)} crashes at {crashes} s; restarts at {restarts} s"
 
 
-@contextlib.asynccontextmanager
-async def deployment(folder, model_engines):
-    """Start three gateways before engines that list their starts with a lag."""
-    machines = Machines(folder, model_engines=model_engines, seed=SEED)
-    try:
-        await machines.start_all()
-        services = [
-            {
-                "name": "llm",
-                "max_conns": 370,
-                "backend": {"slots": 8, "kv_capacity": 500_000},
-            }
-        ]
-        content = encode(make_config(routes=ROUTES, services=services, tenants=TEAMS))
-
-        async def published():
-            return await machines.publish(machines.hosts[0], content) == 200
-
-        await machines.wait_until(published, "the configuration is accepted")
-        for host in machines.hosts:
-            await machines.wait_until(
-                lambda host=host: machines.is_ready(host), f"{host} is ready"
-            )
-        yield machines
-    finally:
-        await machines.stop()
-
-
-def model_engines(machines):
-    return [engine for engine in machines.engines if engine.service == "llm"]
-
-
 def make_sound_prompt(load):
     key = load.random.choices("abc", (3, 1, 1))[0]
     first = load.random.choice((FIRST, FIRST, *SHARED))
@@ -147,17 +108,6 @@
     return Prompt(prompt.key, tuple(parts), prompt.route)
 
 
-async def restart(load, host, restarts):
-    """Kill a gateway and start it again; callers return to it once it is ready."""
-    machines = load.machines
-    load.ready.discard(host)
-    await machines.kill(host, "gateway")
-    restarts[host] = asyncio.get_running_loop().time()
-    await machines.start(host, "gateway")
-    await machines.wait_until(lambda: machines.is_ready(host), f"{host} is ready")
-    load.ready.add(host)
-
-
 async def play(folder) -> Session:
     """Send sound and deadly requests while two gateways are restarted in turn."""
     loop = asyncio.get_running_loop()
