Let a gateway ask for known crashes when it starts or was frozen

What callers saw: a gateway that had just been started sent a request that the others had quarantined; it crashed two more endpoints, with the streams of all their callers.

Cause: known crashes are repeated once a second to three gateways each, so a gateway that has just become ready knows none. A coordinator refuses for it, but requests without a prompt are placed locally, and it may be the coordinator itself. The same holds for one whose process did not read its socket for some seconds.

Change: a gateway asks up to three others as soon as it knows them, and again when its tasks did not run for a second longer than planned. They answer with the crashes that they repeat. Crashes that led to a quarantine are among these, also when many others followed.

--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -34,6 +34,10 @@
 # lost or a gateway has restarted.
 _REPEAT_INTERVAL_MS = 1_000.0
 _REPEAT_RECIPIENTS = 3
+# Interval at which a gateway that has just started looks for others to ask.
+_START_INTERVAL_MS = 50.0
+# A gateway whose tasks did not run for so long may have lost notes, and asks again.
+_STALL_MS = 1_000.0
 # Time after which a replaced endpoint is reported again, and the number remembered.
 _REPLACED_INTERVAL_MS = 1_000.0
 _MAX_REPLACED = 256
@@ -190,6 +194,10 @@
             Address of the other gateway.
         """
         now_ms = self._clock.now_ms()
+        if note.is_request:
+            described = self._describe_known()
+            for known in _build_notes(described) if described else ():
+                self._send_to([sender], known)
         released = self._quarantine.record_sound(note.sound)
         self._broadcast_released(self._reported.intersection(released))
         for endpoint in note.replaced:
@@ -219,9 +227,15 @@
             self._send(sender, GatewayDatagram(crash_note=correction))
 
     async def run(self) -> None:
-        """Repeat known crashes to some gateways until cancelled."""
+        """Exchange known crashes with some gateways until cancelled."""
+        while not self._choose_peers():
+            await self._clock.sleep_ms(_START_INTERVAL_MS)
+        self._ask()
         while True:
+            due_ms = self._clock.now_ms() + _REPEAT_INTERVAL_MS
             await self._clock.sleep_ms(_REPEAT_INTERVAL_MS)
+            if self._clock.now_ms() > due_ms + _STALL_MS:
+                self._ask()
             metrics.QUARANTINED.set(self._quarantine.active)
             metrics.QUARANTINED_REQUESTS.set(self._request_quarantine.active)
             described = self._describe_known()
@@ -235,6 +249,10 @@
         count = min(_REPEAT_RECIPIENTS, len(addresses))
         return self._random.sample(addresses, count)
 
+    def _ask(self) -> None:
+        """Ask some gateways for the crashes that they know."""
+        self._send_to(self._choose_peers(), CrashNote(is_request=True))
+
     async def _probe(self, endpoint: DiscoveredEndpoint) -> bool:
         """Return whether an endpoint crashed, and report it with its suspects.
 
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -1,6 +1,7 @@
 """Tests of crash detection and of the notes between gateways."""
 
 import asyncio
+import time
 
 from gateway_builders import (
     GatewayComponents,
@@ -10,6 +11,7 @@
 )
 
 from bulrushbend.core.clock import Clock
+from bulrushbend.gateway import crash_reports
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import _Candidate
 
@@ -243,3 +245,37 @@
     await asyncio.sleep(0.2)
     for components in fleet.components.values():
         assert not components.request_quarantine.is_candidate(call.identity)
+
+
+def record_two_crashes(components, identity):
+    now_ms = components.clock.now_ms()
+    for number in range(2):
+        components.request_quarantine.record_crash(
+            f"e{number}", now_ms - 1_000.0 * number, [(identity, f"r{number}")]
+        )
+
+
+async def test_gateway_that_starts_learns_of_known_crashes_at_once():
+    # Guards against a request that a new gateway sends before crashes are repeated.
+    fleet = Fleet("g1", "g2")
+    identity = make_copy("r1").identity
+    record_two_crashes(fleet.components["g1"], identity)
+    task = asyncio.create_task(fleet.reports["g2"].run())
+    await asyncio.sleep(0.1)
+    assert fleet.components["g2"].request_quarantine.remaining_ms(identity) > 0.0
+    task.cancel()
+
+
+async def test_gateway_that_was_frozen_asks_for_the_crashes_meanwhile(monkeypatch):
+    # Guards against notes that were lost while the process did not read its socket.
+    monkeypatch.setattr(crash_reports, "_REPEAT_INTERVAL_MS", 100.0)
+    monkeypatch.setattr(crash_reports, "_STALL_MS", 50.0)
+    fleet = Fleet("g1", "g2")
+    identity = make_copy("r1").identity
+    task = asyncio.create_task(fleet.reports["g2"].run())
+    await asyncio.sleep(0.01)
+    record_two_crashes(fleet.components["g1"], identity)
+    time.sleep(0.3)
+    await asyncio.sleep(0.01)
+    assert fleet.components["g2"].request_quarantine.remaining_ms(identity) > 0.0
+    task.cancel()
