Refuse waiting requests that may outlast a planned stop

Seen by operators of a similar system: in a planned stop in calm, requests were passed on late in the grace and cut at its end without an answer of the endpoint, among them requests that may run once only.

Cause: a gateway that drains refuses new requests which may end after the drain, but not those that already wait for an endpoint or come back from an endpoint that refused them. They were sent whenever an endpoint had room, also in the last moment, and ended with 502 at the end of the drain.

Change: `Dispatcher.begin_drain` refuses such requests with 503 at once, and none is sent after that. The repetition of a request that was sent is still made, with the rest of the drain as its deadline. A request that an endpoint refused and that waits again is answered 503 at the end of a drain, since it did not run; it was 502 before.

Ruled out: requests that arrive during the drain; they are accepted only if their time limit ends before it does.

--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -9,6 +9,8 @@
 
 # Code of the error for a request whose prompt crashes endpoints.
 QUARANTINED = "prompt-quarantined"
+# Short, because other gateways can serve at once.
+_DRAINING_RETRY_AFTER_MS = 100.0
 
 
 @dataclass(frozen=True)
@@ -170,6 +172,13 @@
     return not_run_error(503, QUARANTINED, message, remaining_ms)
 
 
+def draining_error(
+    message: str = "the gateway stops before the request has to end",
+) -> RequestError:
+    """Return the error for a request that is not sent because the gateway stops."""
+    return not_run_error(503, "draining", message, _DRAINING_RETRY_AFTER_MS)
+
+
 def outcome_unknown_error(code: str, message: str) -> RequestError:
     """Return the error for a request that may have run."""
     return RequestError(502, code, message)
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -22,7 +22,12 @@
 from bulrushbend.gateway.admission import AdmissionQueue, ServiceQueues
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.budgets import RetryBudgets
-from bulrushbend.gateway.call import Call, RequestError, not_run_error
+from bulrushbend.gateway.call import (
+    Call,
+    RequestError,
+    draining_error,
+    not_run_error,
+)
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
@@ -69,7 +74,6 @@
 
 ROLE = "gateway"
 _STARTING_RETRY_AFTER_MS = 1_000.0
-_DRAINING_RETRY_AFTER_MS = 100.0
 # Short, because callers retry through another gateway, which may be idle.
 _OVERLOADED_RETRY_AFTER_MS = 100.0
 # Time in which requests on the connections accepted last can arrive and be refused.
@@ -358,14 +362,15 @@
     async def drain(self, stop_listening: Callable[[], None]) -> None:
         """Report unready, stop accepting requests and wait for those that run.
 
-        Requests are still accepted for `drain_notice_ms`, the time in which callers
-        detect that the gateway is not ready. Those that still run after `drain_ms` are
-        ended with an error.
+        Requests that end within `drain_ms` are still accepted for `drain_notice_ms`, in
+        which callers detect that the gateway is not ready. Those that still run after
+        `drain_ms` are ended with an error.
         """
         self._is_draining = True
         self._events.write(EventKind.PROCESS_DRAINING, running=self._running)
         self._watch.set_leaving()
         self._drain_deadline_ms = self._clock.now_ms() + self._settings.drain_ms
+        self._dispatcher.begin_drain(self._drain_deadline_ms)
         await self._clock.sleep_ms(self._settings.drain_notice_ms)
         self._rejects_requests = True
         stop_listening()
@@ -391,8 +396,7 @@
     ) -> Call:
         """Return the call for a request; raises `RequestError` if it is rejected."""
         if self._rejects_requests:
-            message = "the gateway is about to stop"
-            raise not_run_error(503, "draining", message, _DRAINING_RETRY_AFTER_MS)
+            raise draining_error("the gateway is about to stop")
         manifest = self._in_force.current
         if manifest is None:
             message = "the gateway has no manifest yet"
@@ -408,8 +412,7 @@
         if details.deadline_ms is not None:
             limit_ms = min(limit_ms, details.deadline_ms)
         if received_ms + limit_ms > self._drain_deadline_ms:
-            message = "the gateway stops before the request has to end"
-            raise not_run_error(503, "draining", message, _DRAINING_RETRY_AFTER_MS)
+            raise draining_error()
         team = ""
         if not route.public and manifest.teams:
             if not self._lease.is_valid:
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -15,6 +15,7 @@
     Call,
     Placement,
     RequestError,
+    draining_error,
     not_run_error,
     outcome_unknown_error,
     quarantine_error,
@@ -80,8 +81,8 @@
         self._quarantine = quarantine
         self._clock = clock
         self._events = events
-        self._time_limits: set[asyncio.Timeout] = set()
-        self._is_ending = False
+        self._running: set[_RunningCall] = set()
+        self._drain_deadline_ms = float("inf")
 
     async def serve(self, call: Call, sink: ResponseSink) -> AttemptResult:
         """Run `call` and pass its response to `sink`.
@@ -95,44 +96,62 @@
         self._budgets.for_service(call.service).record_request()
         framer = EventFramer() if call.route.resumable else None
         time_limit = asyncio.timeout(call.remaining_ms(self._clock.now_ms()) / 1000)
-        self._time_limits.add(time_limit)
+        running = _RunningCall(call, time_limit)
+        self._running.add(running)
         try:
             async with time_limit:
-                return await self._run_attempts(call, sink, framer)
+                return await self._run_attempts(running, sink, framer)
         except TimeoutError:
-            reason = "draining" if self._is_ending else "time limit"
+            reason = "draining" if running.is_ended else "time limit"
             if sink.started:
                 return AttemptResult(Verdict.BROKEN_OFF, reason)
-            if not self._is_ending:
+            if not running.is_ended:
                 message = "no answer within the time limit"
                 raise RequestError(504, "time-limit", message) from None
+            if not running.may_have_run:
+                raise draining_error() from None
             message = "the gateway stops before the endpoint has answered"
-            if call.endpoint:
-                raise outcome_unknown_error(reason, message) from None
-            raise not_run_error(503, reason, message, _REFUSED_RETRY_AFTER_MS) from None
+            raise outcome_unknown_error(reason, message) from None
         finally:
-            self._time_limits.discard(time_limit)
+            self._running.discard(running)
+
+    def begin_drain(self, deadline_ms: float) -> None:
+        """Refuse the requests that wait for an endpoint and may outlast the drain.
+
+        Such a request is not sent to an endpoint any more, and the repetition of one
+        that was sent gets the time until the deadline only.
+
+        Parameters
+        ----------
+        deadline_ms : float
+            Time at which `end_requests` is going to be called.
+        """
+        self._drain_deadline_ms = deadline_ms
+        for running in self._running:
+            if running.call.limit_ms > deadline_ms and not running.may_have_run:
+                running.end()
 
     def end_requests(self) -> None:
         """End all requests in progress because the process is about to stop.
 
         A request whose response has not started gets an error response.
         """
-        self._is_ending = True
-        now_s = asyncio.get_running_loop().time()
-        for time_limit in self._time_limits:
-            if not time_limit.expired():
-                time_limit.reschedule(now_s)
+        for running in self._running:
+            running.end()
 
     async def _run_attempts(
-        self, call: Call, sink: ResponseSink, framer: EventFramer | None
+        self, running: "_RunningCall", sink: ResponseSink, framer: EventFramer | None
     ) -> AttemptResult:
+        call = running.call
         refusals = 0
         placement: Placement | None = None
         while True:
             if placement is None:
+                self._check_drain(call)
                 placement = await self._place(call)
+            running.is_sent = True
             result = await self._attempt(call, placement, sink, framer)
+            running.is_sent = False
             self._log_failure(call, placement, result)
             if result.verdict is Verdict.ANSWERED:
                 return result
@@ -184,6 +203,7 @@
         endpoint = self._directory.get(placement.endpoint)
         try:
             self._check_quarantine(call)
+            self._check_drain(call)
         except RequestError:
             self._context.loads.release(placement)
             raise
@@ -217,8 +237,17 @@
             raise outcome_unknown_error(error.code, error.message)
         raise error
 
+    def _check_drain(self, call: Call) -> None:
+        """Raise `RequestError` if a request that did not run may outlast the drain."""
+        if call.limit_ms <= self._drain_deadline_ms:
+            return
+        if not call.uncertain_attempts:
+            raise draining_error()
+        call.limit_ms = self._drain_deadline_ms
+
     def _may_retry(self, call: Call, result: AttemptResult, refusals: int) -> bool:
-        if call.remaining_ms(self._clock.now_ms()) < _MIN_TIME_FOR_RETRY_MS:
+        limit_ms = min(call.limit_ms, self._drain_deadline_ms)
+        if limit_ms - self._clock.now_ms() < _MIN_TIME_FOR_RETRY_MS:
             return False
         if result.verdict is Verdict.NOT_RUN:
             if refusals > _MAX_REFUSALS:
@@ -264,6 +293,35 @@
         )
 
 
+@dataclasses.dataclass(eq=False)
+class _RunningCall:
+    """A request in progress.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether an attempt is in progress.
+    is_ended : bool
+        Whether the request was ended before its time limit.
+    """
+
+    call: Call
+    time_limit: asyncio.Timeout
+    is_sent: bool = False
+    is_ended: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run the request, or may still do so."""
+        return self.is_sent or self.call.uncertain_attempts > 0
+
+    def end(self) -> None:
+        """End the request, unless its time limit has been reached."""
+        if not self.time_limit.expired():
+            self.is_ended = True
+            self.time_limit.reschedule(asyncio.get_running_loop().time())
+
+
 class _Successors:
     """Reserves an endpoint and a retry for a request whose endpoint is silent."""
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -811,3 +811,32 @@
         assert (error.status, error.code) == (503, "prompt-quarantined")
         assert runs(fixture) == 0
         assert fixture.is_idle
+
+
+async def test_refused_request_is_not_sent_again_during_a_drain():
+    # Guards against a request that is sent so late that the drain cuts it off.
+    refusal = [0.1, plain_response(b"", "503 Full", Not_Run="1")]
+    async with running_dispatcher([refusal], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        refused = asyncio.create_task(fixture.serve_error(route=ONCE))
+        await asyncio.sleep(0.05)
+        fixture.dispatcher.begin_drain(fixture.clock.now_ms() + 5_000.0)
+        error = await refused
+        assert (error.status, error.code, runs(fixture)) == (503, "draining", 1)
+        assert fixture.is_idle
+
+
+async def test_repetition_during_a_drain_gets_the_time_that_is_left_of_it():
+    # Guards against an endpoint that works on after the gateway has stopped.
+    async with running_dispatcher([[0.1, "reset"]], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        repeated = asyncio.create_task(fixture.serve(route=IDEMPOTENT))
+        await asyncio.sleep(0.05)
+        fixture.dispatcher.begin_drain(fixture.clock.now_ms() + 5_000.0)
+        assert (await repeated).verdict is Verdict.ANSWERED
+        deadlines = [
+            int(endpoint.requests[0].partition(b"Deadline: ")[2].split()[0])
+            for endpoint in fixture.endpoints
+        ]
+        assert deadlines[0] > 14_000
+        assert deadlines[1] <= 5_000
--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -39,6 +39,8 @@
         Seed of the engines' faults.
     grace_s : float, default=8
         Time between SIGTERM and SIGKILL that the settings state.
+    app_slots : int, default=8
+        Concurrent requests of the engine that answers with bodies.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         model_engines: int = 2,
         seed: int = 0,
         grace_s: float = 8,
+        app_slots: int = 8,
     ):
         self.folder = folder
         self._grace_s = grace_s
@@ -63,7 +66,9 @@
             )
             for number in range(model_engines)
         ]
-        self.engines.append(Engine("i-app", "app", f"{_ADDRESS_PREFIX}.110", 8080))
+        self.engines.append(
+            Engine("i-app", "app", f"{_ADDRESS_PREFIX}.110", 8080, slots=app_slots)
+        )
         self.links = Network(lambda client_port, server_port: "") if has_links else None
         if self.links is not None:
             for number, engine in enumerate(self.engines):
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -18,7 +18,9 @@
 
 ROUTES = [
     make_route("gen", service="llm", type="streaming"),
-    make_route("book", service="app", type="non_idempotent", resumable=False),
+    make_route(
+        "book", service="app", type="non_idempotent", resumable=False, slo_ms=3000
+    ),
 ]
 BASE_HEADERS = {"Authorization": "Token k1", "Host": "a.example", "Deadline-Ms": "5000"}
 
@@ -198,6 +200,23 @@
         assert '"kind":"request-unknown","request_id":"b1"' in log
 
 
+async def test_request_that_waits_at_a_stop_is_not_sent_late(tmp_path):
+    # Guards against a booking that is sent late in the grace and cut off at its end.
+    async with deployment(tmp_path, grace_s=4, app_slots=1) as machines:
+        host, engine = machines.hosts[0], machines.engines[2]
+        engine.silent_s = 1.5
+        running = asyncio.create_task(send_booking(machines, host, "b1"))
+        await asyncio.sleep(0.3)
+        engine.silent_s = 20.0
+        waiting = asyncio.create_task(send_booking(machines, host, "b2"))
+        await asyncio.sleep(0.2)
+        machines.send(signal.SIGTERM, host, "gateway")
+        status, headers, _ = await waiting
+        assert (status, headers["Retry-After"]) == (503, "0.100")
+        assert (await running)[0] == 200
+        assert [run[0] for run in engine.runs] == ["b1"]
+
+
 async def test_sighup_does_not_end_a_running_process(tmp_path):
     # Guards against the default action of SIGHUP, which ends the process.
     async with deployment(tmp_path) as machines:
