Bound the notice of a stopping gateway by its drain

With a short grace, requests in progress at a planned stop were killed without an answer.

Cause: a stopping gateway accepts requests for `drain_notice_ms` (2.5 s) whatever the grace is. With a grace of 2 s the platform kills the process before it has ended its requests; with 3 s the notice outlasts the drain.

Change: the notice is at most a third of `drain_ms`. With a grace of 8 s, as on all sites at hand, it stays 2.5 s.

On the code before, `test_request_is_answered_before_the_end_of_a_short_grace` (real processes, 2 s) failed: no answer within 2 s.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -76,6 +76,9 @@
 _STARTING_RETRY_AFTER_MS = 1_000.0
 # Short, because callers retry through another gateway, which may be idle.
 _OVERLOADED_RETRY_AFTER_MS = 100.0
+# Largest fraction of the drain for which requests are accepted; the rest is for those
+# that run.
+_MAX_NOTICE_SHARE = 1 / 3
 # Time in which requests on the connections accepted last can arrive and be refused.
 _LATE_REQUESTS_GRACE_MS = 300.0
 # Time in which the errors of requests that are ended by a drain can be sent.
@@ -369,9 +372,11 @@
         self._is_draining = True
         self._events.write(EventKind.PROCESS_DRAINING, running=self._running)
         self._watch.set_leaving()
-        self._drain_deadline_ms = self._clock.now_ms() + self._settings.drain_ms
+        drain_ms = self._settings.drain_ms
+        notice_ms = min(self._settings.drain_notice_ms, _MAX_NOTICE_SHARE * drain_ms)
+        self._drain_deadline_ms = self._clock.now_ms() + drain_ms
         self._dispatcher.begin_drain(self._drain_deadline_ms)
-        await self._clock.sleep_ms(self._settings.drain_notice_ms)
+        await self._clock.sleep_ms(notice_ms)
         self._rejects_requests = True
         stop_listening()
         await self._clock.sleep_ms(_LATE_REQUESTS_GRACE_MS)
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -217,6 +217,19 @@
         assert [run[0] for run in engine.runs] == ["b1"]
 
 
+async def test_request_is_answered_before_the_end_of_a_short_grace(tmp_path):
+    # Guards against a notice that outlasts the grace, so that requests are killed.
+    async with deployment(tmp_path, grace_s=2) as machines:
+        host = machines.hosts[0]
+        machines.engines[2].silent_s = 20.0
+        running = asyncio.create_task(send_booking(machines, host, "b1"))
+        await asyncio.sleep(0.3)
+        machines.send(signal.SIGTERM, host, "gateway")
+        async with asyncio.timeout(2.0):
+            assert (await running)[0] == 502
+            assert await machines.processes[host, "gateway"].wait() == 0
+
+
 async def test_sighup_does_not_end_a_running_process(tmp_path):
     # Guards against the default action of SIGHUP, which ends the process.
     async with deployment(tmp_path) as machines:
