Let a repeated SIGTERM leave the drain of a process alone

A second SIGTERM in the grace cut off all requests in progress without an answer.

Cause: any second signal cancelled the drain, and the process closed its connections at once. Supervisors send SIGTERM more than once: by two of their own reasons, or to a group and to its members.

Change: only a SIGINT after the first signal cancels the drain. A gateway whose drain is cancelled, or fails, answers its requests before it ends.

On the code before, `test_repeated_sigterm_does_not_cut_off_requests` and `test_interrupted_stop_answers_requests` (real processes) failed with "connection ended before the headers". SIGHUP during a drain did no harm before either; it is part of the first test.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -367,7 +367,7 @@
 
         Requests that end within `drain_ms` are still accepted for `drain_notice_ms`, in
         which callers detect that the gateway is not ready. Those that still run after
-        `drain_ms` are ended with an error.
+        `drain_ms`, or when the drain is cancelled, are ended with an error.
         """
         self._is_draining = True
         self._events.write(EventKind.PROCESS_DRAINING, running=self._running)
@@ -376,14 +376,17 @@
         notice_ms = min(self._settings.drain_notice_ms, _MAX_NOTICE_SHARE * drain_ms)
         self._drain_deadline_ms = self._clock.now_ms() + drain_ms
         self._dispatcher.begin_drain(self._drain_deadline_ms)
-        await self._clock.sleep_ms(notice_ms)
-        self._rejects_requests = True
-        stop_listening()
-        await self._clock.sleep_ms(_LATE_REQUESTS_GRACE_MS)
-        await self._wait_until_idle(self._drain_deadline_ms)
-        self._dispatcher.end_requests()
-        self._server.close_idle_connections()
-        await self._wait_until_idle(self._clock.now_ms() + _ERRORS_SENT_MS)
+        try:
+            await self._clock.sleep_ms(notice_ms)
+            self._rejects_requests = True
+            stop_listening()
+            await self._clock.sleep_ms(_LATE_REQUESTS_GRACE_MS)
+            await self._wait_until_idle(self._drain_deadline_ms)
+        finally:
+            self._rejects_requests = True
+            self._dispatcher.end_requests()
+            self._server.close_idle_connections()
+            await self._wait_until_idle(self._clock.now_ms() + _ERRORS_SENT_MS)
 
     async def _wait_until_idle(self, deadline_ms: float) -> None:
         """Wait until no request runs and no response is being sent."""
--- a/libs/process/src/bulrushbend/process/daemon.py
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -184,7 +184,10 @@
     drain: Callable[[], Awaitable[None]],
     reload: Callable[[], None] | None = None,
 ) -> None:
-    """Wait for SIGTERM or SIGINT, then drain; a second signal aborts the drain.
+    """Wait for SIGTERM or SIGINT, then drain; a later SIGINT cancels the drain.
+
+    A repeated SIGTERM has no effect: supervisors may send one for each of their own
+    reasons, and the process is already stopping.
 
     Parameters
     ----------
@@ -202,14 +205,19 @@
     await signals.get()
     reloading.cancel()
     draining = asyncio.ensure_future(drain())
-    second_signal = asyncio.ensure_future(signals.get())
-    await asyncio.wait({draining, second_signal}, return_when=asyncio.FIRST_COMPLETED)
-    second_signal.cancel()
+    interrupted = asyncio.ensure_future(_wait_for_interrupt(signals))
+    await asyncio.wait({draining, interrupted}, return_when=asyncio.FIRST_COMPLETED)
+    interrupted.cancel()
     draining.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await draining
 
 
+async def _wait_for_interrupt(signals: "asyncio.Queue[int]") -> None:
+    while await signals.get() != signal.SIGINT:
+        _log.info("SIGTERM received again; the drain goes on")
+
+
 async def run_until_stopped(
     run: Coroutine[Any, Any, None],
     drain: Callable[[], Awaitable[None]],
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -230,6 +230,35 @@
             assert await machines.processes[host, "gateway"].wait() == 0
 
 
+async def test_repeated_sigterm_does_not_cut_off_requests(tmp_path):
+    # Guards against a second SIGTERM that ends a process with requests in progress.
+    async with deployment(tmp_path) as machines:
+        host = machines.hosts[0]
+        machines.engines[2].silent_s = 1.0
+        running = asyncio.create_task(send_booking(machines, host, "b1"))
+        await asyncio.sleep(0.3)
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            machines.send(number, host, "gateway")
+            await asyncio.sleep(0.1)
+        assert (await running)[0] == 200
+        assert await machines.processes[host, "gateway"].wait() == 0
+
+
+async def test_interrupted_stop_answers_requests(tmp_path):
+    # Guards against requests that an operator's second interrupt ends without a trace.
+    async with deployment(tmp_path) as machines:
+        host = machines.hosts[0]
+        machines.engines[2].silent_s = 20.0
+        running = asyncio.create_task(send_booking(machines, host, "b1"))
+        await asyncio.sleep(0.3)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            machines.send(number, host, "gateway")
+            await asyncio.sleep(0.1)
+        async with asyncio.timeout(1.0):
+            assert (await running)[0] == 502
+            assert await machines.processes[host, "gateway"].wait() == 0
+
+
 async def test_sighup_does_not_end_a_running_process(tmp_path):
     # Guards against the default action of SIGHUP, which ends the process.
     async with deployment(tmp_path) as machines:
