Answer pipelined requests before a connection is closed

A caller that sends a second request on a connection before the first response has ended lost it, without an answer, when that response closed the connection: in a planned stop, and behind any refusal with Retry-After.

Cause: whether to close was decided when a request began, or when it was refused, without looking at requests that were read behind it.

Change: the connection decides when the headers of a response are sent, and closes only if no request is waiting there and no error response is due. A response whose headers are sent after SIGTERM now announces the end of its connection even if the request began before, so fewer requests cross the close at the end of the drain.

--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -399,15 +399,12 @@
             self._server.set_idle(self, True)
 
     async def _handle(self, request: _Request) -> None:
-        is_last = self._is_discarding and not self._pipelined
-        close_connection = (
-            self._handler.is_draining or is_last or not request.keep_alive
-        )
         sink = ConnectionSink(
             self._transport,
             request.start_line.method,
             request.supports_chunked,
-            close_connection,
+            not request.keep_alive,
+            self._should_close,
         )
         self._sink = sink
         try:
@@ -426,6 +423,11 @@
         self._sink = None
         self._handle_next()
 
+    def _should_close(self, is_requested: bool) -> bool:
+        """Return whether to close the connection after the response that starts now."""
+        is_last = is_requested or self._is_discarding or self._handler.is_draining
+        return is_last and not self._pipelined and self._pending_error is None
+
     def _reject(self, error: RequestError) -> None:
         """Reject the request being read, after the responses to earlier requests."""
         if self._pending_error is None:
--- a/libs/gateway/src/bulrushbend/gateway/sink.py
+++ b/libs/gateway/src/bulrushbend/gateway/sink.py
@@ -66,6 +66,9 @@
         Whether the caller supports chunked encoding, as HTTP/1.1 requires.
     close_connection : bool
         Whether to announce the end of the connection and close it after the response.
+    should_close : callable, optional
+        Returns whether to do so for other reasons, given whether
+        `close_after_response` was called. It is called when the headers are sent.
     """
 
     def __init__(
@@ -74,11 +77,14 @@
         method: str = "GET",
         supports_chunked: bool = True,
         close_connection: bool = False,
+        should_close: Callable[[bool], bool] = bool,
     ):
         self._transport = transport
         self._is_head_request = method == "HEAD"
         self._supports_chunked = supports_chunked
         self._close_connection = close_connection
+        self._should_close = should_close
+        self._is_close_requested = False
         self._status_and_headers: tuple[int, HTTPHeaders] | None = None
         self._is_chunked = False
         self._has_body = True
@@ -93,8 +99,11 @@
         return self._started
 
     def close_after_response(self) -> None:
-        """Close the connection after this response, which must not have started."""
-        self._close_connection = True
+        """Close the connection unless a request follows the response.
+
+        The response must not have started.
+        """
+        self._is_close_requested = True
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Set status and headers, which are sent with the first chunk."""
@@ -164,6 +173,8 @@
                 headers["Transfer-Encoding"] = "chunked"
             else:
                 self._close_connection = True
+        if self._should_close(self._is_close_requested):
+            self._close_connection = True
         if self._close_connection:
             headers["Connection"] = "close"
         lines = [f"HTTP/1.1 {status} {_reason_phrase(status)}"]
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -364,6 +364,49 @@
     assert b"Connection: close" in response
 
 
+async def test_pipelined_requests_are_answered_before_a_draining_server_closes():
+    # Guards against a request that was read and ends with its connection.
+    handler = EchoHandler()
+    handler.is_draining = True
+    async with serving(handler) as (_, port):
+        response = await send_request(port, get("/1") + get("/2"))
+    first, _, second = response.rpartition(b"HTTP/1.1 200 OK")
+    assert b"GET /1" in first
+    assert b"Connection: close" not in first
+    assert b"GET /2" in second
+    assert b"Connection: close" in second
+
+
+async def test_request_after_a_refused_one_is_answered():
+    # Guards against a refusal that closes the connection of a request behind it.
+    handler = EchoHandler()
+
+    async def refuse_first(start_line, headers, body, sink):
+        if start_line.path == "/1":
+            await asyncio.sleep(0.05)
+            sink.close_after_response()
+        await handler.echo(start_line, headers, body, sink)
+
+    handler.respond = refuse_first
+    async with serving(handler) as (_, port):
+        response = await send_request(port, get("/1"), get("/2"))
+    assert b"GET /2" in response
+
+
+async def test_response_announces_a_drain_that_began_meanwhile():
+    # Guards against callers that send a request when a stopping gateway closes.
+    handler = EchoHandler()
+
+    async def begin_drain(start_line, headers, body, sink):
+        handler.is_draining = True
+        await handler.echo(start_line, headers, body, sink)
+
+    handler.respond = begin_drain
+    async with serving(handler) as (_, port):
+        response = await send_request(port, get("/1"))
+    assert b"Connection: close" in response
+
+
 async def test_connection_in_the_listen_backlog_is_answered_after_the_stop():
     # Guards against a planned stop that resets requests which were just sent.
     loop = asyncio.get_running_loop()
