Confirm Expect: 100-continue behind another request

A pipelined request with "Expect: 100-continue" hung until its caller or the time-out of bodies gave up.

Cause: the confirmation was left out while an earlier request ran, so that it did not appear inside that response, and was never sent afterwards.

Change: it is sent when the request is next.

On the code before, `test_pipelined_request_gets_100_continue_in_its_turn` failed: nothing followed the first response.

--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -209,6 +209,7 @@
     headers: HTTPHeaders
     keep_alive: bool
     supports_chunked: bool
+    expects_continue: bool
     body: bytes = b""
 
 
@@ -333,6 +334,7 @@
             headers,
             keep_alive=version == "1.1" and self._parser.should_keep_alive(),
             supports_chunked=version == "1.1",
+            expects_continue=headers.get("Expect", "").lower() == "100-continue",
         )
         size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
         length = headers.get("Content-Length", "")
@@ -345,8 +347,8 @@
             self._reject(_BODY_TOO_LARGE)
         elif coding is not None and coding.lower() != "chunked":
             self._reject(_BAD_CODING)
-        elif headers.get("Expect", "").lower() == "100-continue" and not self._task:
-            self._transport.write(_CONTINUE)
+        elif self._task is None:
+            self._confirm_continue()
 
     def on_body(self, chunk: bytes) -> None:
         if self._pending_error is not None:
@@ -394,10 +396,19 @@
             self._task = self._loop.create_task(self._handle(request))
         elif self._pending_error is not None:
             self._send_pending_error()
+        elif self._request is not None:
+            self._confirm_continue()
         elif not self._is_reading:
             self._last_activity_s = self._loop.time()
             self._server.set_idle(self, True)
 
+    def _confirm_continue(self) -> None:
+        """Ask for the body if the caller waits for that before it sends any."""
+        if self._request.expects_continue:
+            self._request.expects_continue = False
+            self._last_activity_s = self._loop.time()
+            self._transport.write(_CONTINUE)
+
     async def _handle(self, request: _Request) -> None:
         sink = ConnectionSink(
             self._transport,
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -407,6 +407,23 @@
     assert b"Connection: close" in response
 
 
+async def test_pipelined_request_gets_100_continue_in_its_turn():
+    # Guards against a caller that waits for the confirmation behind another request.
+    handler = EchoHandler()
+
+    async def slow_first(start_line, headers, body, sink):
+        await asyncio.sleep(0.05 if start_line.path == "/1" else 0)
+        await handler.echo(start_line, headers, body, sink)
+
+    handler.respond = slow_first
+    head = b"POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+    async with serving(handler) as (_, port):
+        response = await send_request(
+            port, get("/1"), head + b"Expect: 100-continue\r\n\r\n"
+        )
+    assert response.endswith(b"GET /1 HTTP/1.1 100 Continue\r\n\r\n")
+
+
 async def test_connection_in_the_listen_backlog_is_answered_after_the_stop():
     # Guards against a planned stop that resets requests which were just sent.
     loop = asyncio.get_running_loop()
