Answer a request that an unexpected error has ended

A request whose handling failed with an unexpected error got neither an answer nor a refusal: its connection was reset.

Cause: the server could not tell whether the response had begun, so it reset the connection in any case.

Change: if nothing of a response was sent, the caller gets 502 `internal-error`, which does not say whether the request ran; the log line `request-failed` with reason `fault` has that status. A response that has begun is still reset, so that it does not look complete.

On the code before, `test_unexpected_error_is_answered` got no byte.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -39,9 +39,9 @@
 from bulrushbend.gateway.loop_monitor import EventLoopMonitor
 from bulrushbend.gateway.outcomes import (
     CALLER_LEFT,
-    INTERNAL_ERROR,
     RequestOutcome,
     outcome_of_error,
+    outcome_of_fault,
     outcome_of_result,
 )
 from bulrushbend.gateway.peer_protocol import PeerProtocol
@@ -51,7 +51,7 @@
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
 from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.gateway.routes import RouteTable, choose_service
-from bulrushbend.gateway.server import CallerServer
+from bulrushbend.gateway.server import INTERNAL_ERROR, CallerServer
 from bulrushbend.gateway.shares import TeamShares
 from bulrushbend.gateway.sink import ConnectionSink
 from bulrushbend.gateway.usage import UsageMeter
@@ -294,7 +294,7 @@
         """Handle a request and write exactly one response to `sink`."""
         received_ms = self._clock.now_ms()
         call: Call | None = None
-        outcome = INTERNAL_ERROR
+        outcome = outcome_of_fault(0)
         self._running += 1
         try:
             call = self._create_call(start_line, headers, body, received_ms)
@@ -310,6 +310,11 @@
         except asyncio.CancelledError:
             outcome = CALLER_LEFT
             raise
+        except Exception:
+            # The server sends the error.
+            if not sink.started:
+                outcome = outcome_of_fault(INTERNAL_ERROR.status)
+            raise
         finally:
             self._running -= 1
             self._record_outcome(headers, call, outcome, received_ms)
--- a/libs/gateway/src/bulrushbend/gateway/outcomes.py
+++ b/libs/gateway/src/bulrushbend/gateway/outcomes.py
@@ -30,7 +30,6 @@
 
 
 CALLER_LEFT = RequestOutcome(EventKind.REQUEST_ABANDONED, reason="caller-left")
-INTERNAL_ERROR = RequestOutcome(EventKind.REQUEST_FAILED, reason="fault")
 
 
 def outcome_of_result(result: AttemptResult) -> RequestOutcome:
@@ -40,6 +39,11 @@
     return RequestOutcome(EventKind.REQUEST_FAILED, result.status, result.reason)
 
 
+def outcome_of_fault(status: int) -> RequestOutcome:
+    """Return the outcome of a request that an unexpected error of the gateway ended."""
+    return RequestOutcome(EventKind.REQUEST_FAILED, status, "fault")
+
+
 def outcome_of_error(error: RequestError) -> RequestOutcome:
     """Return the outcome of a request for which the gateway sent an error."""
     if error.status in NOT_RUN_STATUSES:
--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -26,6 +26,8 @@
 _HEADERS_TOO_LARGE = RequestError(431, "headers-too-large", "the headers are too large")
 _BAD_REQUEST = RequestError(400, "bad-request", "the request is not HTTP/1.1")
 _BAD_CODING = RequestError(400, "bad-coding", "the transfer coding is not known")
+# The request may have run.
+INTERNAL_ERROR = RequestError(502, "internal-error", "an error of the gateway")
 _VERSIONS = ("1.0", "1.1")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Time allowed for the headers of a request, in addition to the idle time.
@@ -426,14 +428,27 @@
             raise
         except Exception as error:
             _log.error(
-                "%s request failed with unexpected error: %r; resetting connection",
+                "%s request failed with unexpected error: %r; answering with status %d",
                 request.start_line.method,
                 error,
+                INTERNAL_ERROR.status,
             )
-            sink.abort_response()
+            self._end_failed_response(request, sink)
         self._sink = None
         self._handle_next()
 
+    def _end_failed_response(self, request: _Request, sink: ConnectionSink) -> None:
+        """Send an error, or end the response as incomplete if it has begun."""
+        if sink.started:
+            sink.abort_response()
+            return
+        status, headers, body = self._handler.error_response(
+            request.headers, INTERNAL_ERROR
+        )
+        sink.start(status, headers)
+        sink.write(body)
+        sink.finish()
+
     def _should_close(self, is_requested: bool) -> bool:
         """Return whether to close the connection after the response that starts now."""
         is_last = is_requested or self._is_discarding or self._handler.is_draining
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -424,6 +424,20 @@
     assert response.endswith(b"GET /1 HTTP/1.1 100 Continue\r\n\r\n")
 
 
+async def test_unexpected_error_is_answered():
+    # Guards against a request without an answer after an error of the program.
+    handler = EchoHandler()
+
+    async def fail(start_line, headers, body, sink):
+        raise ValueError("an error of the test")
+
+    handler.respond = fail
+    async with serving(handler) as (_, port):
+        response = await send_request(port, get("/1"))
+    assert response.startswith(b"HTTP/1.1 502 ")
+    assert response.endswith(b"internal-error")
+
+
 async def test_connection_in_the_listen_backlog_is_answered_after_the_stop():
     # Guards against a planned stop that resets requests which were just sent.
     loop = asyncio.get_running_loop()
