Finish the operators' calls before a control replica stops

An order of the operator that was in progress when its control replica got SIGTERM ended with a closed connection, although it might still be accepted.

Cause: control had no drain. SIGTERM closed all connections at once, and with a majority slow for a moment an order can take up to 2.5 s.

Change: the replica accepts the connections in its listen backlog, closes its listening socket and waits until no call is in progress; each ends by its own time limit, so the drain takes 3 s at most and 20 ms without calls.

On the code before, `test_order_in_progress_is_answered_before_control_stops` (real processes, the two other replicas paused for 0.6 s) failed with "connection ended before the headers".

--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -15,7 +15,11 @@
 from bulrushbend.control.command_events import CommandEventWriter
 from bulrushbend.control.join_requester import JoinRequester
 from bulrushbend.control.membership import Membership
-from bulrushbend.control.publishing import HighestVersionPublisher, Publisher
+from bulrushbend.control.publishing import (
+    PUBLISH_TIMEOUT_MS,
+    HighestVersionPublisher,
+    Publisher,
+)
 from bulrushbend.control.service import FleetService
 from bulrushbend.control.watcher import WatchOptions
 from bulrushbend.core.clock import Clock
@@ -35,6 +39,7 @@
     operational_routes,
     run_until_signal,
 )
+from bulrushbend.process.listening import stop_http
 from bulrushbend.store.configuration import Configuration, Node
 from bulrushbend.store.files import FileSystem
 from bulrushbend.store.options import ReplicaOptions
@@ -52,6 +57,9 @@
 # Interval of checks for a store failure, and delay before the store is reopened.
 STORE_CHECK_INTERVAL_S = 0.1
 STORE_RETRY_DELAY_S = 0.5
+# Time in which the operators' calls in progress end by their own time limits.
+_DRAIN_MS = PUBLISH_TIMEOUT_MS + 500
+_DRAIN_POLL_MS = 20
 
 
 class ControlDaemon:
@@ -98,6 +106,8 @@
         self._files = files
         self._events = events
         self._transport = transport or GrpcTransport()
+        self._publisher: HighestVersionPublisher | None = None
+        self._stop_listening: Callable[[], None] | None = None
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -136,6 +146,18 @@
             await self._stack.aclose()
             raise
 
+    async def drain(self) -> None:
+        """Accept no more connections of operators and finish their calls."""
+        if self._publisher is None:
+            return
+        self._events.write(EventKind.PROCESS_DRAINING)
+        self._stop_listening()
+        deadline_ms = self._clock.now_ms() + _DRAIN_MS
+        # The handlers of the connections accepted last start after this task.
+        await self._clock.sleep_ms(_DRAIN_POLL_MS)
+        while self._publisher.in_progress and self._clock.now_ms() < deadline_ms:
+            await self._clock.sleep_ms(_DRAIN_POLL_MS)
+
     async def stop(self) -> None:
         """Stop the servers and the replica, then close the stores."""
         await self._stack.aclose()
@@ -202,10 +224,11 @@
     def _start_http(self) -> None:
         routes = operational_routes(lambda: self.is_ready)
         if self._operator_routes is not None:
-            publisher = HighestVersionPublisher(self._replica, self._clock)
-            routes += self._operator_routes(publisher)
+            self._publisher = HighestVersionPublisher(self._replica, self._clock)
+            routes += self._operator_routes(self._publisher)
         server = HTTPServer(Application(routes))
-        listen_http(server, self._settings.http_bind)
+        listeners = listen_http(server, self._settings.http_bind)
+        self._stop_listening = lambda: stop_http(server, listeners)
         self._stack.push_async_callback(server.close_all_connections)
         self._stack.callback(server.stop)
 
@@ -308,7 +331,13 @@
         if reload is not None:
             known_replicas.replicas = reload().control
 
-    stopping = asyncio.create_task(run_until_signal(_nothing_to_drain, reload_settings))
+    started: list[ControlDaemon] = []
+
+    async def drain() -> None:
+        for daemon in list(started):
+            await daemon.drain()
+
+    stopping = asyncio.create_task(run_until_signal(drain, reload_settings))
     while not stopping.done():
         daemon = ControlDaemon(
             settings,
@@ -328,9 +357,11 @@
             )
             await _wait_before_retry(stopping)
             continue
+        started.append(daemon)
         try:
             await _wait_for_stop_or_failure(daemon, stopping)
         finally:
+            started.remove(daemon)
             await daemon.stop()
         if not stopping.done():
             await _wait_before_retry(stopping)
@@ -378,4 +409,4 @@
 
 
 async def _nothing_to_drain() -> None:
-    """Do nothing: a control replica has no caller requests in progress."""
+    """Do nothing: a process without a replica has no calls in progress."""
--- a/libs/control/src/bulrushbend/control/publishing.py
+++ b/libs/control/src/bulrushbend/control/publishing.py
@@ -1,5 +1,7 @@
 """Publication of manifests; the highest version wins."""
 
+import contextlib
+from collections.abc import Iterator
 from typing import Protocol
 
 from bulrushbend.core.clock import Clock
@@ -72,20 +74,36 @@
     def __init__(self, replica: BaseReplica, clock: Clock):
         self._replica = replica
         self._clock = clock
+        self._in_progress = 0
+
+    @property
+    def in_progress(self) -> int:
+        """Number of calls without a result."""
+        return self._in_progress
 
     async def publish(self, manifest: Manifest) -> int:
         """Publish a manifest; see `Publisher.publish`."""
-        reply = await propose_manifest(
-            self._replica, self._clock, pack_manifest(manifest), PUBLISH_TIMEOUT_MS
-        )
+        with self._track():
+            reply = await propose_manifest(
+                self._replica, self._clock, pack_manifest(manifest), PUBLISH_TIMEOUT_MS
+            )
         if reply.result == PublishReply.INVALID:
             raise ManifestError(reply.message, step="publish")
         return reply.version
 
     async def read(self) -> Manifest:
         """Return the newest accepted manifest; see `Publisher.read`."""
-        await self._replica.read_index(READ_TIMEOUT_MS)
+        with self._track():
+            await self._replica.read_index(READ_TIMEOUT_MS)
         document = self._replica.state.manifest
         if document is None:
             raise NoQuorumError("no manifest has been accepted yet", step="read")
         return unpack_manifest(document, "state")
+
+    @contextlib.contextmanager
+    def _track(self) -> Iterator[None]:
+        self._in_progress += 1
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -259,6 +259,22 @@
             assert await machines.processes[host, "gateway"].wait() == 0
 
 
+async def test_order_in_progress_is_answered_before_control_stops(tmp_path):
+    # Guards against an operator's order that ends with its replica, without an answer.
+    async with deployment(tmp_path) as machines:
+        host, *others = machines.hosts
+        for other in others:
+            machines.send(signal.SIGSTOP, other, "control")
+        order = asyncio.create_task(machines.publish(host, config(9)))
+        await asyncio.sleep(0.3)
+        machines.send(signal.SIGTERM, host, "control")
+        await asyncio.sleep(0.3)
+        for other in others:
+            machines.send(signal.SIGCONT, other, "control")
+        assert await order in (200, 503)
+        assert await machines.processes[host, "control"].wait() == 0
+
+
 async def test_sighup_does_not_end_a_running_process(tmp_path):
     # Guards against the default action of SIGHUP, which ends the process.
     async with deployment(tmp_path) as machines:
