Stop gateways in calm in the soak test, on kept connections

The soak test stopped processes only beside other faults, where an answer may be missing, and each of its callers used a new connection. It could not see a request that a planned stop cuts off.

After the faults, two gateways now get SIGTERM twice and SIGHUP within some seconds, while 16 callers send requests of up to 2 s on kept connections, half of them with a deadline beyond the grace. A request that gets no complete answer is a violation if it ran, or if it failed later than 0.2 s after it was sent.

--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -19,7 +19,7 @@
 # Addresses depend on the process id, so that two runs on one machine do not conflict.
 _ADDRESS_PREFIX = f"127.{100 + _PROCESS_ID // 250 % 100}.{_PROCESS_ID % 250}"
 _TIMEOUTS = ExchangeTimeouts(1000.0, 8000.0, 8000.0)
-_PORTS = {"front": 8783, "ready": 8780, "control": 8785}
+PORTS = {"front": 8783, "ready": 8780, "control": 8785}
 
 
 class Machines:
@@ -137,7 +137,7 @@
         request = ExchangeRequest(
             method, path, headers=_make_headers(headers), body=body
         )
-        exchange = await Exchange.open(f"{host}:{_PORTS[port]}", request, _TIMEOUTS)
+        exchange = await Exchange.open(f"{host}:{PORTS[port]}", request, _TIMEOUTS)
         try:
             return exchange.status, exchange.headers, await exchange.body()
         finally:
@@ -188,10 +188,10 @@
             "zone": "papantla",
             "region": "totonacapan",
             "port_range": [7400, 7415],
-            "seeds": [f"{seed}:{_PORTS['control']}" for seed in self.hosts],
+            "seeds": [f"{seed}:{PORTS['control']}" for seed in self.hosts],
             "bootstrap": bootstrap,
             "data_dir": str(self.folder / f"data-{host}"),
-            "listen": {name: f"{host}:{port}" for name, port in _PORTS.items()},
+            "listen": {name: f"{host}:{port}" for name, port in PORTS.items()},
             "bounds": {"grace_s": self._grace_s, "revoke_ms": 5000},
             "cloud": {"addr": self.cloud.address, "rate_per_s": 1000.0},
         }
--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import contextlib
+import http.client
 import itertools
 import logging
 import random
@@ -19,6 +20,7 @@
 import signal
 import sys
 import tempfile
+import time
 import traceback
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -27,7 +29,7 @@
 from pathlib import Path
 
 import fire
-from machines import Machines
+from machines import PORTS, Machines
 from platform_builders import encode, make_config, make_route
 from standin_platform import Engine
 
@@ -59,6 +61,10 @@
 RECOVERY_TIMEOUT_S = 25.0
 # A sound engine may pause within a stream for a second or so.
 SILENCE_S = (1.0, 1.6)
+# A request that crosses the close of its connection fails within this time.
+LOSS_SLACK_S = 0.2
+# Longest time to a response while gateways are stopped, below their grace of 8 s.
+MAX_SLOW_ANSWER_S = 2.0
 # The platform allows three requests with a part that crashes engines to reach engines
 # later than 3 s after the fifth crash.
 CONTACT_S = 3.0
@@ -116,6 +122,7 @@
         self._random = random.Random(self.seed)
         # Separate, so that the other faults of a seed stay as they were.
         self._engine_random = random.Random(f"engines {self.seed}")
+        self._stop_random = random.Random(f"stops {self.seed}")
         for engine in self._model_engines:
             engine.deadly_parts = {DEADLY_PART}
         self._running = True
@@ -139,6 +146,7 @@
         self._running = False
         await asyncio.gather(*tasks)
         violations = [
+            *await self._check_planned_stops(),
             *await self._check_silent_streams(),
             *await self._check_deadly_part(),
         ]
@@ -158,7 +166,8 @@
             await self._call(kind, self._random.choice(self.machines.hosts))
             await asyncio.sleep(self._random.uniform(0.0, 0.05))
 
-    async def _call(self, kind: str, host: str) -> SentRequest:
+    def _make_request(self, kind: str) -> tuple[SentRequest, str, dict[str, str]]:
+        """Return a new request with its path and headers."""
         request = SentRequest(f"{len(self.sent):08x}", kind)
         self.sent.append(request)
         headers = {
@@ -175,6 +184,10 @@
                 "Token-Usage": "100,10",
                 "Prefix-Hash": PREFIXES[kind],
             }
+        return request, path, headers
+
+    async def _call(self, kind: str, host: str) -> SentRequest:
+        request, path, headers = self._make_request(kind)
         try:
             status, _, body = await self.machines.call(
                 host, "front", "POST", path, headers, request.request_id.encode()
@@ -314,6 +327,62 @@
                 serves, f"{description}: {host}", RECOVERY_TIMEOUT_S
             )
 
+    async def _check_planned_stops(self) -> list[str]:
+        """Stop gateways in calm and return the requests that got no answer."""
+        for engine in self.machines.engines:
+            engine.slow_s = MAX_SLOW_ANSWER_S
+        stopping = self._stop_random.sample(self.machines.hosts, 2)
+        ended = asyncio.Event()
+        tasks = [
+            asyncio.create_task(self._send_on_kept_connections(host, ended))
+            for host in stopping * CALLER_COUNT
+        ]
+        await asyncio.sleep(1.0)
+        await asyncio.gather(*(self._stop_repeatedly(host) for host in stopping))
+        ended.set()
+        lost = [name for names in await asyncio.gather(*tasks) for name in names]
+        for engine in self.machines.engines:
+            engine.slow_s = 0.0
+        await self._wait_until_all_serve("all gateways serve after planned stops")
+        return lost
+
+    async def _stop_repeatedly(self, host: str) -> None:
+        """Send a gateway SIGTERM and further signals, and start it again."""
+        await asyncio.sleep(self._stop_random.uniform(0.0, 1.0))
+        process = self.machines.processes[host, "gateway"]
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            self.machines.send(number, host, "gateway")
+            await asyncio.sleep(self._stop_random.uniform(0.0, 1.0))
+        await process.wait()
+        await self.machines.start(host, "gateway")
+
+    async def _send_on_kept_connections(
+        self, host: str, ended: asyncio.Event
+    ) -> list[str]:
+        """Send requests until the gateway has stopped, and return the lost ones."""
+        lost = []
+        connection = http.client.HTTPConnection(host, PORTS["front"], timeout=10.0)
+        while not ended.is_set():
+            kind = self._stop_random.choice(("book", "gen", "once"))
+            request, path, headers = self._make_request(kind)
+            headers["Deadline-Ms"] = self._stop_random.choice(("3000", "15000"))
+            body = request.request_id.encode()
+            answer = await asyncio.to_thread(_exchange, connection, path, headers, body)
+            if isinstance(answer, LostAnswer):
+                if answer.after_s > LOSS_SLACK_S or self._has_run(request):
+                    lost.append(f"{kind} {request.request_id} at {host}: {answer}")
+            elif answer is None:
+                await asyncio.sleep(0.05)
+            else:
+                request.status, request.body = answer
+            await asyncio.sleep(self._stop_random.uniform(0.0, 0.1))
+        connection.close()
+        return lost
+
+    def _has_run(self, request: SentRequest) -> bool:
+        runs = (run for engine in self.machines.engines for run in engine.runs)
+        return any(run[0] == request.request_id for run in runs)
+
     async def _check_silent_streams(self) -> list[str]:
         """Return the streams that did not end well because their engine paused."""
         for engine in self._model_engines:
@@ -398,6 +467,34 @@
         return []
 
 
+@dataclass(frozen=True)
+class LostAnswer:
+    """End of a connection without a complete answer, by the time since the request."""
+
+    after_s: float
+    error: str
+
+
+def _exchange(
+    connection: http.client.HTTPConnection,
+    path: str,
+    headers: dict[str, str],
+    body: bytes,
+) -> tuple[int, bytes] | LostAnswer | None:
+    """Send a request on a kept connection; return None if there is no connection."""
+    sent_s = time.monotonic()
+    try:
+        connection.request("POST", path, body, headers)
+        sent_s = time.monotonic()
+        response = connection.getresponse()
+        return response.status, response.read()
+    except ConnectionRefusedError:
+        return None
+    except (OSError, http.client.HTTPException) as error:
+        connection.close()
+        return LostAnswer(time.monotonic() - sent_s, repr(error))
+
+
 def _is_complete(request: SentRequest) -> bool:
     if request.kind == "book":
         return request.body == f"{request.request_id} at i-app".encode()
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -97,6 +97,8 @@
         Pauses that are made, one in each of the next streams, before their third event.
     silent_s : float
         Time from the start of a run until the first byte of the response.
+    slow_s : float
+        Longest additional time, which is drawn for each run.
     on_listening : callable
         Called with False before a crash, and with True after the next start.
     """
@@ -128,6 +130,7 @@
         self._timers = []
         self._host, self._port = host, port
         self.silent_s = 0.0
+        self.slow_s = 0.0
         self._listen()
 
     def list_entry(self):
@@ -141,6 +144,12 @@
             "cold_left_ms": 0,
         }
 
+    def response_delay_s(self) -> float:
+        """Return the time from the start of a run until the first byte."""
+        if not self.slow_s:
+            return self.silent_s
+        return self.silent_s + self.random.uniform(0.0, self.slow_s)
+
     def crash(self) -> None:
         """Reset all connections, refuse new ones and start again after `down_s`."""
         loop = asyncio.get_running_loop()
@@ -198,7 +207,7 @@
             return
         run = (headers["Attempt-Id"], headers.get("Tenant"), self.request.uri)
         engine.runs.append(run)
-        await asyncio.sleep(engine.silent_s)
+        await asyncio.sleep(engine.response_delay_s())
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Instance-Seal", f"{engine.instance}.seal")
         if "Authorization" in headers:
