--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -15,6 +15,8 @@
 REQUEST_QUARANTINED = "request-quarantined"
 
 _IDENTITY_BYTES = 8
+# Short, because other gateways can serve at once.
+_DRAINING_RETRY_AFTER_MS = 100.0
 
 
 @dataclass(frozen=True)
@@ -189,6 +191,13 @@
     return not_run_error(503, code, message, remaining_ms)
 
 
+def draining_error(
+    message: str = "the gateway stops before the request has to end",
+) -> RequestError:
+    """Return the error for a request that is not sent because the gateway stops."""
+    return not_run_error(503, "draining", message, _DRAINING_RETRY_AFTER_MS)
+
+
 def outcome_unknown_error(code: str, message: str) -> RequestError:
     """Return the error for a request that may have run."""
     return RequestError(502, code, message)
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -22,7 +22,12 @@
 from bulrushbend.gateway.admission import AdmissionQueue, ServiceQueues
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.budgets import RetryBudgets
-from bulrushbend.gateway.call import Call, RequestError, not_run_error
+from bulrushbend.gateway.call import (
+    Call,
+    RequestError,
+    draining_error,
+    not_run_error,
+)
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
@@ -34,9 +39,9 @@
 from bulrushbend.gateway.loop_monitor import EventLoopMonitor
 from bulrushbend.gateway.outcomes import (
     CALLER_LEFT,
-    INTERNAL_ERROR,
     RequestOutcome,
     outcome_of_error,
+    outcome_of_fault,
     outcome_of_result,
 )
 from bulrushbend.gateway.peer_protocol import PeerProtocol
@@ -47,7 +52,7 @@
 from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.gateway.routes import RouteTable, choose_service
-from bulrushbend.gateway.server import CallerServer
+from bulrushbend.gateway.server import INTERNAL_ERROR, CallerServer
 from bulrushbend.gateway.shares import TeamShares
 from bulrushbend.gateway.sink import ConnectionSink
 from bulrushbend.gateway.usage import UsageMeter
@@ -70,9 +75,11 @@
 
 ROLE = "gateway"
 _STARTING_RETRY_AFTER_MS = 1_000.0
-_DRAINING_RETRY_AFTER_MS = 100.0
 # Short, because callers retry through another gateway, which may be idle.
 _OVERLOADED_RETRY_AFTER_MS = 100.0
+# Largest fraction of the drain for which requests are accepted; the rest is for those
+# that run.
+_MAX_NOTICE_SHARE = 1 / 3
 # Time in which requests on the connections accepted last can arrive and be refused.
 _LATE_REQUESTS_GRACE_MS = 300.0
 # Time in which the errors of requests that are ended by a drain can be sent.
@@ -292,7 +299,7 @@
         """Handle a request and write exactly one response to `sink`."""
         received_ms = self._clock.now_ms()
         call: Call | None = None
-        outcome = INTERNAL_ERROR
+        outcome = outcome_of_fault(0)
         self._running += 1
         try:
             call = self._create_call(start_line, headers, body, received_ms)
@@ -308,6 +315,11 @@
         except asyncio.CancelledError:
             outcome = CALLER_LEFT
             raise
+        except Exception:
+            # The server sends the error.
+            if not sink.started:
+                outcome = outcome_of_fault(INTERNAL_ERROR.status)
+            raise
         finally:
             self._running -= 1
             self._record_outcome(headers, call, outcome, received_ms)
@@ -363,22 +375,28 @@
     async def drain(self, stop_listening: Callable[[], None]) -> None:
         """Report unready, stop accepting requests and wait for those that run.
 
-        Requests are still accepted for `drain_notice_ms`, the time in which callers
-        detect that the gateway is not ready. Those that still run after `drain_ms` are
-        ended with an error.
+        Requests that end within `drain_ms` are still accepted for `drain_notice_ms`, in
+        which callers detect that the gateway is not ready. Those that still run after
+        `drain_ms`, or when the drain is cancelled, are ended with an error.
         """
         self._is_draining = True
         self._events.write(EventKind.PROCESS_DRAINING, running=self._running)
         self._watch.set_leaving()
-        self._drain_deadline_ms = self._clock.now_ms() + self._settings.drain_ms
-        await self._clock.sleep_ms(self._settings.drain_notice_ms)
-        self._rejects_requests = True
-        stop_listening()
-        await self._clock.sleep_ms(_LATE_REQUESTS_GRACE_MS)
-        await self._wait_until_idle(self._drain_deadline_ms)
-        self._dispatcher.end_requests()
-        self._server.close_idle_connections()
-        await self._wait_until_idle(self._clock.now_ms() + _ERRORS_SENT_MS)
+        drain_ms = self._settings.drain_ms
+        notice_ms = min(self._settings.drain_notice_ms, _MAX_NOTICE_SHARE * drain_ms)
+        self._drain_deadline_ms = self._clock.now_ms() + drain_ms
+        self._dispatcher.begin_drain(self._drain_deadline_ms)
+        try:
+            await self._clock.sleep_ms(notice_ms)
+            self._rejects_requests = True
+            stop_listening()
+            await self._clock.sleep_ms(_LATE_REQUESTS_GRACE_MS)
+            await self._wait_until_idle(self._drain_deadline_ms)
+        finally:
+            self._rejects_requests = True
+            self._dispatcher.end_requests()
+            self._server.close_idle_connections()
+            await self._wait_until_idle(self._clock.now_ms() + _ERRORS_SENT_MS)
 
     async def _wait_until_idle(self, deadline_ms: float) -> None:
         """Wait until no request runs and no response is being sent."""
@@ -396,8 +414,7 @@
     ) -> Call:
         """Return the call for a request; raises `RequestError` if it is rejected."""
         if self._rejects_requests:
-            message = "the gateway is about to stop"
-            raise not_run_error(503, "draining", message, _DRAINING_RETRY_AFTER_MS)
+            raise draining_error("the gateway is about to stop")
         manifest = self._in_force.current
         if manifest is None:
             message = "the gateway has no manifest yet"
@@ -413,8 +430,7 @@
         if details.deadline_ms is not None:
             limit_ms = min(limit_ms, details.deadline_ms)
         if received_ms + limit_ms > self._drain_deadline_ms:
-            message = "the gateway stops before the request has to end"
-            raise not_run_error(503, "draining", message, _DRAINING_RETRY_AFTER_MS)
+            raise draining_error()
         team = ""
         if not route.public and manifest.teams:
             if not self._lease.is_valid:
--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -26,6 +26,8 @@
 _HEADERS_TOO_LARGE = RequestError(431, "headers-too-large", "the headers are too large")
 _BAD_REQUEST = RequestError(400, "bad-request", "the request is not HTTP/1.1")
 _BAD_CODING = RequestError(400, "bad-coding", "the transfer coding is not known")
+# The request may have run.
+INTERNAL_ERROR = RequestError(502, "internal-error", "an error of the gateway")
 _VERSIONS = ("1.0", "1.1")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Time allowed for the headers of a request, in addition to the idle time.
@@ -209,6 +211,7 @@
     headers: HTTPHeaders
     keep_alive: bool
     supports_chunked: bool
+    expects_continue: bool
     body: bytes = b""
 
 
@@ -333,6 +336,7 @@
             headers,
             keep_alive=version == "1.1" and self._parser.should_keep_alive(),
             supports_chunked=version == "1.1",
+            expects_continue=headers.get("Expect", "").lower() == "100-continue",
         )
         size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
         length = headers.get("Content-Length", "")
@@ -345,8 +349,8 @@
             self._reject(_BODY_TOO_LARGE)
         elif coding is not None and coding.lower() != "chunked":
             self._reject(_BAD_CODING)
-        elif headers.get("Expect", "").lower() == "100-continue" and not self._task:
-            self._transport.write(_CONTINUE)
+        elif self._task is None:
+            self._confirm_continue()
 
     def on_body(self, chunk: bytes) -> None:
         if self._pending_error is not None:
@@ -394,20 +398,26 @@
             self._task = self._loop.create_task(self._handle(request))
         elif self._pending_error is not None:
             self._send_pending_error()
+        elif self._request is not None:
+            self._confirm_continue()
         elif not self._is_reading:
             self._last_activity_s = self._loop.time()
             self._server.set_idle(self, True)
 
+    def _confirm_continue(self) -> None:
+        """Ask for the body if the caller waits for that before it sends any."""
+        if self._request.expects_continue:
+            self._request.expects_continue = False
+            self._last_activity_s = self._loop.time()
+            self._transport.write(_CONTINUE)
+
     async def _handle(self, request: _Request) -> None:
-        is_last = self._is_discarding and not self._pipelined
-        close_connection = (
-            self._handler.is_draining or is_last or not request.keep_alive
-        )
         sink = ConnectionSink(
             self._transport,
             request.start_line.method,
             request.supports_chunked,
-            close_connection,
+            not request.keep_alive,
+            self._should_close,
         )
         self._sink = sink
         try:
@@ -418,14 +428,32 @@
             raise
         except Exception as error:
             _log.error(
-                "%s request failed with unexpected error: %r; resetting connection",
+                "%s request failed with unexpected error: %r; answering with status %d",
                 request.start_line.method,
                 error,
+                INTERNAL_ERROR.status,
             )
-            sink.abort_response()
+            self._end_failed_response(request, sink)
         self._sink = None
         self._handle_next()
 
+    def _end_failed_response(self, request: _Request, sink: ConnectionSink) -> None:
+        """Send an error, or end the response as incomplete if it has begun."""
+        if sink.started:
+            sink.abort_response()
+            return
+        status, headers, body = self._handler.error_response(
+            request.headers, INTERNAL_ERROR
+        )
+        sink.start(status, headers)
+        sink.write(body)
+        sink.finish()
+
+    def _should_close(self, is_requested: bool) -> bool:
+        """Return whether to close the connection after the response that starts now."""
+        is_last = is_requested or self._is_discarding or self._handler.is_draining
+        return is_last and not self._pipelined and self._pending_error is None
+
     def _reject(self, error: RequestError) -> None:
         """Reject the request being read, after the responses to earlier requests."""
         if self._pending_error is None:
--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -19,7 +19,7 @@
 # Addresses depend on the process id, so that two runs on one machine do not conflict.
 _ADDRESS_PREFIX = f"127.{100 + _PROCESS_ID // 250 % 100}.{_PROCESS_ID % 250}"
 _TIMEOUTS = ExchangeTimeouts(1000.0, 8000.0, 8000.0)
-_PORTS = {"front": 8783, "ready": 8780, "control": 8785}
+PORTS = {"front": 8783, "ready": 8780, "control": 8785}
 
 
 class Machines:
@@ -39,6 +39,8 @@
         Seed of the engines' faults.
     grace_s : float, default=8
         Time between SIGTERM and SIGKILL that the settings state.
+    app_slots : int, default=8
+        Concurrent requests of the engine that answers with bodies.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         model_engines: int = 2,
         seed: int = 0,
         grace_s: float = 8,
+        app_slots: int = 8,
     ):
         self.folder = folder
         self._grace_s = grace_s
@@ -63,7 +66,9 @@
             )
             for number in range(model_engines)
         ]
-        self.engines.append(Engine("i-app", "app", f"{_ADDRESS_PREFIX}.110", 8080))
+        self.engines.append(
+            Engine("i-app", "app", f"{_ADDRESS_PREFIX}.110", 8080, slots=app_slots)
+        )
         self.links = Network(lambda client_port, server_port: "") if has_links else None
         if self.links is not None:
             for number, engine in enumerate(self.engines):
@@ -132,7 +137,7 @@
         request = ExchangeRequest(
             method, path, headers=_make_headers(headers), body=body
         )
-        exchange = await Exchange.open(f"{host}:{_PORTS[port]}", request, _TIMEOUTS)
+        exchange = await Exchange.open(f"{host}:{PORTS[port]}", request, _TIMEOUTS)
         try:
             return exchange.status, exchange.headers, await exchange.body()
         finally:
@@ -183,10 +188,10 @@
             "zone": "papantla",
             "region": "totonacapan",
             "port_range": [7400, 7415],
-            "seeds": [f"{seed}:{_PORTS['control']}" for seed in self.hosts],
+            "seeds": [f"{seed}:{PORTS['control']}" for seed in self.hosts],
             "bootstrap": bootstrap,
             "data_dir": str(self.folder / f"data-{host}"),
-            "listen": {name: f"{host}:{port}" for name, port in _PORTS.items()},
+            "listen": {name: f"{host}:{port}" for name, port in PORTS.items()},
             "bounds": {"grace_s": self._grace_s, "revoke_ms": 5000},
             "cloud": {"addr": self.cloud.address, "rate_per_s": 1000.0},
         }
