Raise ConnectError for an address that cannot be used

Callers saw a request fail with 500 when the endpoint that was chosen for it had an invalid address in the list, though another one would have served it. The reason: `Exchange.connect` raised ValueError for a port above 65535 or one that is not ASCII, and UnicodeError or ValueError for a host that cannot be encoded (`a..b`, a label of 64 characters, a NUL), and an attempt handles `ConnectError` only. The endpoint was not avoided either, so the next request was sent there too.

`connect` promises `ConnectError` when nothing was sent, so it raises that for these addresses as well. UnicodeError is a ValueError.

Both tests fail on the code before: nine addresses in test_exchange.py with ValueError or UnicodeError, and the one in test_dispatch.py with "ValueError: a port must be at most 65535".

--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -9,6 +9,7 @@
     PlainHeaderCodec,
     RecordingSink,
     ScriptedEndpoint,
+    begin,
     chunk,
     event,
     make_call,
@@ -113,6 +114,19 @@
 RESPONSE = [plain_response(b"done")]
 
 
+async def test_request_is_sent_elsewhere_if_the_address_of_an_endpoint_is_invalid():
+    # Guards against a request that fails although another endpoint would serve it.
+    async with running_dispatcher([RESPONSE]) as fixture:
+        components = fixture.components
+        invalid = make_endpoint("e9", "127.0.0.1:99999")
+        components.directory.adopt([*components.directory.endpoints, invalid], 0.0)
+        begin(components.loads, "e0", "crew-b", tokens=10, cost=10)
+        result = await fixture.serve(route=IDEMPOTENT)
+        assert result.verdict is Verdict.ANSWERED
+        kinds = [record["kind"] for record in components.events.records]
+        assert "endpoint-avoided" in kinds
+
+
 async def test_response_is_forwarded_unchanged():
     async with running_dispatcher(
         [[plain_response(b"body", "201 Created", Seal="s")]]
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -330,9 +330,9 @@
         ConnectError
             No connection was established, so nothing was sent.
         """
-        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeouts.connect_ms / 1000.0):
                 _, reader = await loop.create_connection(
                     lambda: _ResponseReader(address), host, port
@@ -344,6 +344,10 @@
         except OSError as error:
             reason = error.strerror or str(error) or type(error).__name__
             raise ConnectError(reason, step="connect", peer=address) from None
+        except ValueError as error:
+            # The address, or its host when it is encoded for the name resolution.
+            reason = f"invalid address: {error}"
+            raise ConnectError(reason, step="connect", peer=address) from None
         return cls(reader, timeouts)
 
     async def send(self, request: ExchangeRequest) -> None:
--- a/libs/wire/tests/test_exchange.py
+++ b/libs/wire/tests/test_exchange.py
@@ -125,6 +125,26 @@
     assert caught.value.peer == address
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:99999",
+        "127.0.0.1:\u00b2",
+        "127.0.0.1:",
+        "127.0.0.1",
+        "127.0.0.1:" + 5000 * "1",
+        "a..b:80",
+        f"{64 * 'a'}.b:80",
+        "a\0b:80",
+        "\ud800:80",
+    ],
+)
+async def test_invalid_address_raises_connect_failed(address):
+    # Guards against a request that fails because one endpoint has an invalid address.
+    with pytest.raises(ConnectError):
+        await Exchange.connect(address, TIMEOUTS)
+
+
 async def test_close_with_unread_chunks_leaves_no_task_or_buffer(caplog):
     # Guards against a task and a buffer leaked by each exchange that is closed early.
     chunk = b"10000\r\n" + b"x" * 65536 + b"\r\n"
