Follow the list of endpoints after an unexpected error

A gateway could stop following the list: `EndpointDirectory.run` handled `PeerError` only, so any other error of the source or of a listener ended the task. It was started again after 500 ms, whatever the interval that the gateway's rank allows, and failed again with the same list, so all gateways called the source twice a second. The listeners after the failed one never learned of a change, since the list counted as updated: ended endpoints kept their load and their cached prompts.

An unexpected error of the source now counts as a failed read, and an error of a listener is logged and affects neither the other listeners nor the list.

Both tests fail on the code before: the task is done after the first listener raised, and the list is read once instead of twice in 6.6 s, since the task of the second test has ended.

--- a/libs/gateway/src/bulrushbend/gateway/endpoints.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoints.py
@@ -1,9 +1,10 @@
 """Endpoints discovered through a source other than the manifest."""
 
 import random
+import traceback
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import PeerError
@@ -20,6 +21,8 @@
 # Shorter sleeps may end before the list has reached the age that is waited for.
 _MIN_SLEEP_MS = 1.0
 
+_Change = TypeVar("_Change")
+
 
 @dataclass(frozen=True)
 class DiscoveredEndpoint:
@@ -189,11 +192,18 @@
             started_ms = self._clock.boot_ms()
             try:
                 found, calls = await self._source.fetch()
-                self._update_list(found, started_ms)
-                for listener in self._read_listeners:
-                    listener(found)
             except PeerError as error:
-                self._record_failure(error)
+                self._record_failure(str(error))
+            except Exception as error:
+                _log.error(
+                    "the list of endpoints cannot be read: unexpected error: %r\n%s",
+                    error,
+                    traceback.format_exc(),
+                )
+                self._record_failure(repr(error))
+            else:
+                self._update_list(found, started_ms)
+                _notify(self._read_listeners, found)
             delay_ms = self._poll_delay_ms(calls) * (1 + self._rank)
             await self._clock.sleep_ms(delay_ms)
             while (left_ms := self._max_age_ms(calls) - self.age_ms) > 0:
@@ -212,17 +222,17 @@
         rate = max(1.0, self._source.rate_per_s * _RATE_SHARE)
         return max(self._poll_ms, 1000.0 * self._reader_count() * calls / rate)
 
-    def _record_failure(self, error: PeerError) -> None:
+    def _record_failure(self, reason: str) -> None:
         if not self._has_failed:
             self._has_failed = True
             _log.warning(
                 "the list of endpoints cannot be read: %s; keeping the previous one",
-                error,
+                reason,
             )
             self._events.write(
                 EventKind.LINK_DOWN,
                 peer="endpoint-source",
-                reason=str(error),
+                reason=reason,
                 age_ms=round(self.age_ms) if self.has_list else None,
             )
 
@@ -245,8 +255,7 @@
         for endpoint in found:
             if not endpoint.is_leaving:
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
-        for listener in self._listeners:
-            listener(ended)
+        _notify(self._listeners, ended)
 
     def _write_changes(self, by_id: dict[str, DiscoveredEndpoint]) -> None:
         for name in by_id.keys() - self._by_id.keys():
@@ -263,3 +272,17 @@
             known = self._by_id.get(name)
             if endpoint.is_leaving and not (known and known.is_leaving):
                 self._events.write(EventKind.ENDPOINT_LEAVING, endpoint=name)
+
+
+def _notify(listeners: Sequence[Callable[[_Change], None]], change: _Change) -> None:
+    """Call all listeners; an error in one affects neither the others nor the list."""
+    for listener in listeners:
+        try:
+            listener(change)
+        except Exception as error:
+            _log.error(
+                "a listener of the list of endpoints failed with unexpected error: "
+                "%r\n%s",
+                error,
+                traceback.format_exc(),
+            )
--- a/libs/gateway/tests/test_endpoints.py
+++ b/libs/gateway/tests/test_endpoints.py
@@ -46,3 +46,40 @@
     components.source.rate_per_s = 10.0
     components.directory._reader_count = lambda: 20
     assert components.directory._poll_delay_ms(calls=2) >= 0.9 * 8000
+
+
+async def test_error_of_a_listener_affects_neither_the_list_nor_other_listeners():
+    # Guards against a gateway that stops following the list after an unexpected error.
+    components = GatewayComponents(make_endpoint("e1"))
+    directory, changes, reads = components.directory, [], []
+    directory.add_listener(lambda ended: 1 / 0)
+    directory.add_listener(changes.append)
+    directory.add_read_listener(lambda found: 1 / 0)
+    directory.add_read_listener(reads.append)
+    task = asyncio.create_task(directory.run())
+    for name in ("e2", "e3"):
+        components.source.endpoints = [make_endpoint(name)]
+        await components.clock.advance(1100)
+        await asyncio.sleep(0)
+    assert not task.done()
+    assert [e.id for e in directory.of_service(SERVICE)] == ["e3"]
+    assert changes == [{"e1"}, {"e2"}]
+    assert reads[-1] == components.source.endpoints
+    task.cancel()
+
+
+async def test_unexpected_error_of_the_source_does_not_hasten_the_next_read():
+    # Guards against reads above the rate limit of the source by gateways that fail.
+    components = GatewayComponents(make_endpoint("e1"))
+    calls = []
+
+    async def fetch():
+        calls.append(components.clock.now_ms())
+        raise ValueError("unexpected")
+
+    components.source.fetch = fetch
+    components.directory.set_rank(2)
+    await poll(components, times=6)
+    assert 2 <= len(calls) <= 4
+    assert [e.id for e in components.directory.of_service(SERVICE)] == ["e1"]
+    assert [r["kind"] for r in components.events.records].count("link-down") == 1
