Check endpoints once, wherever they are read from

One entry of another writer in the list of endpoints could keep all gateways of a data centre from following it. The decoder took `slots` of 10^40, `born` of 10^20 and an id with a lone surrogate; the exchange of the list with the other gateways then raised ValueError or UnicodeEncodeError in a listener at every read, and no other gateway got the list from this one. It also took ports of 0, 99999 and `²`, hosts such as `a..b` and one with a NUL, at which every request fails. The entries of another gateway's list had a check of their own, which took the same addresses.

`endpoint_validation` is now the one check for both: names of printable ASCII up to 255 characters, an IP address or a host name with a port from 1 to 65535, slots up to the limit of the manifest, a start within the int64 of the wire. `born` of another type makes the entry invalid, as the users' page says; it was ignored. A state that is a list or an object raised no error before, nor does it now.

Invalid entries are logged once as long as the list contains them, up to 20 lines for each list; before, there was a line for each entry and read.

--- a/libs/core/src/bulrushbend/core/manifest.py
+++ b/libs/core/src/bulrushbend/core/manifest.py
@@ -14,6 +14,9 @@
 from bulrushbend.core.errors import ManifestError
 from bulrushbend.core.validation import format_validation_error
 
+# Maximum number of concurrent requests of one endpoint.
+MAX_SLOTS = 10_000
+
 Name = Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
 
 
@@ -43,7 +46,7 @@
     kind: Literal["model", "application"]
     idempotent_posts: bool | None = None
     resume: Literal["last-event-id", "none"] = "none"
-    slots: int | None = Field(None, ge=1, le=10_000)
+    slots: int | None = Field(None, ge=1, le=MAX_SLOTS)
     max_connections: int | None = Field(None, ge=1)
     # Number of tokens that fit in the memory of one model endpoint.
     memory_tokens: int | None = Field(None, ge=1)
@@ -129,7 +132,7 @@
     service: str = Name
     vm: str = Name
     data_centre: str = Name
-    slots: int = Field(8, ge=1, le=10_000)
+    slots: int = Field(8, ge=1, le=MAX_SLOTS)
     state: Literal["live", "leaving"] = "live"
 
 
--- a/libs/gateway/src/bulrushbend/gateway/endpoint_sharing.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoint_sharing.py
@@ -9,10 +9,14 @@
 have this version asks for them.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
-from bulrushbend.core.logs import get_logger
 from bulrushbend.core.rendezvous import rendezvous_rank
+from bulrushbend.gateway.endpoint_validation import (
+    InvalidEndpointError,
+    InvalidEntryLog,
+    validate_endpoint,
+)
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
 from bulrushbend.gateway.placement_client import DatagramSender
 from bulrushbend.wire.fleet_pb2 import (
@@ -23,8 +27,6 @@
     GatewayDatagram,
 )
 
-_log = get_logger("gateway.endpoint_sharing")
-
 # Entries of a page; a datagram of this size stays under 8 KB.
 _PAGE_ENTRIES = 50
 # Limits on the pages of an incomplete list, since a datagram may be malformed.
@@ -85,6 +87,7 @@
         self._applied: Version | None = None
         self._incomplete: Version | None = None
         self._pages: dict[int, EndpointListPage] = {}
+        self._invalid_entries = InvalidEntryLog()
         directory.add_read_listener(self._publish)
 
     def set_addresses(self, addresses: Sequence[str]) -> None:
@@ -120,16 +123,27 @@
         if len(self._pages) < page.pages:
             return
         pages, self._pages, self._incomplete = self._pages, {}, None
-        found = [
-            _decode_entry(entry)
-            for number in sorted(pages)
-            for entry in pages[number].entries
-            if _is_valid(entry)
-        ]
+        found = self._decode_entries(
+            entry for number in sorted(pages) for entry in pages[number].entries
+        )
         age_ms = max(page.age_ms for page in pages.values())
         if self._directory.adopt(found, age_ms):
             self._applied = version
 
+    def _decode_entries(
+        self, entries: Iterable[EndpointEntry]
+    ) -> list[DiscoveredEndpoint]:
+        """Return the endpoints of a list; invalid entries are logged and skipped."""
+        found: list[DiscoveredEndpoint] = []
+        invalid: dict[str, str] = {}
+        for entry in entries:
+            try:
+                found.append(_decode_entry(entry))
+            except InvalidEndpointError as error:
+                invalid[f"{entry.id!r:.80} at {entry.address!r:.80}"] = error.message
+        self._invalid_entries.update(invalid)
+        return found
+
     def _publish(self, found: Sequence[DiscoveredEndpoint]) -> None:
         """Send the list that this gateway has read, or a note that it is unchanged."""
         self._applied = None
@@ -176,22 +190,22 @@
     )
 
 
-def _is_valid(entry: EndpointEntry) -> bool:
-    """Return whether an entry describes an endpoint; another is logged and skipped."""
-    host, _, port = entry.address.rpartition(":")
-    if entry.id and entry.service and host and port.isdigit() and entry.slots:
-        return True
-    _log.warning("skipped an invalid entry of a shared list of endpoints: %s", entry)
-    return False
-
-
 def _decode_entry(entry: EndpointEntry) -> DiscoveredEndpoint:
-    return DiscoveredEndpoint(
-        id=entry.id,
-        service=entry.service,
-        address=entry.address,
-        data_centre=entry.data_centre,
-        slots=entry.slots,
-        is_leaving=entry.is_leaving,
-        started_ms=entry.started_ms if entry.HasField("started_ms") else None,
-    )
+    """Return the endpoint that an entry describes.
+
+    Raises
+    ------
+    InvalidEndpointError
+        A field has an invalid value.
+    """
+    fields = {
+        "id": entry.id,
+        "service": entry.service,
+        "address": entry.address,
+        "data_centre": entry.data_centre,
+        "slots": entry.slots,
+        "is_leaving": entry.is_leaving,
+    }
+    if entry.HasField("started_ms"):
+        fields["started_ms"] = entry.started_ms
+    return validate_endpoint(fields)
--- a/libs/gateway/tests/test_datagram_fuzzing.py
+++ b/libs/gateway/tests/test_datagram_fuzzing.py
@@ -8,6 +8,8 @@
 from hypothesis import strategies as st
 
 from bulrushbend.core.clock import ManualClock
+from bulrushbend.core.manifest import MAX_SLOTS
+from bulrushbend.core.settings import split_address
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange
 from bulrushbend.gateway.peer_protocol import PeerProtocol
 from bulrushbend.wire.fleet_pb2 import (
@@ -32,6 +34,9 @@
 
 ADDRESS = ("127.0.0.1", 1)
 texts = st.sampled_from(["", "e1", "e2", "g0", "g1", "10.0.0.1:80", "x:y", SERVICE])
+addresses = texts | st.sampled_from(
+    ["10.0.0.1:0", "10.0.0.1:99999", "a..b:80", "a\0b:80", "10.0.0.1:\u00b2"]
+)
 counts = st.sampled_from([0, 1, 2, 50, 2**31, 2**32 - 1])
 large_counts = counts | st.just(2**64 - 1)
 
@@ -159,9 +164,10 @@
                     EndpointEntry,
                     id=texts,
                     service=texts,
-                    address=texts,
+                    address=addresses,
                     data_centre=texts,
                     slots=counts,
+                    started_ms=st.sampled_from([-1, 0, 2**63 - 1]),
                 ),
                 max_size=3,
             ),
@@ -211,7 +217,10 @@
         for datagram in sent:
             receiver.protocol._handle_datagram(datagram, "127.0.0.1:1")
         await asyncio.sleep(0)
-        assert all(e.id and e.slots for e in receiver.directory.endpoints)
+        for endpoint in receiver.directory.endpoints:
+            assert endpoint.id and 0 < endpoint.slots <= MAX_SLOTS
+            host, port = split_address(endpoint.address)
+            assert host.encode("idna") and port
         receiver.gateway.loads.totals()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         for task in tasks:
--- a/libs/gateway/tests/test_endpoint_sharing.py
+++ b/libs/gateway/tests/test_endpoint_sharing.py
@@ -8,6 +8,7 @@
 from bulrushbend.core.events import MemoryEventLog
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange, reader_rank
 from bulrushbend.gateway.endpoints import EndpointDirectory
+from bulrushbend.wire.fleet_pb2 import EndpointListPage
 
 POLL_MS = 1_000.0
 
@@ -167,3 +168,40 @@
         await data_centre.run(10_000)
         assert data_centre.source.calls <= 14 * 10 / 2
         assert data_centre.gateways["g0"].known == ["e0", "e1", "e2", "e3"]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"id": ""},
+        {"id": "e 9"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:\u00b2"},
+        {"address": "a..b:80"},
+        {"address": "a\0b:80"},
+        {"slots": 0},
+        {"slots": 2**32 - 1},
+        {"started_ms": -1},
+    ],
+    ids=str,
+)
+async def test_invalid_entry_of_another_gateway_is_skipped(fields, caplog):
+    # Guards against an endpoint that every request fails at, or that hides the others.
+    async with DataCentre(1) as data_centre:
+        gateway = data_centre.gateways["g0"]
+        await data_centre.clock.advance(POLL_MS / 2)
+        valid = {
+            "id": "e9",
+            "service": SERVICE,
+            "address": "10.0.0.1:80",
+            "data_centre": "papantla",
+            "slots": 1,
+        }
+        for version in (1, 2):
+            page = EndpointListPage(gateway="g1", version=version, pages=1)
+            page.entries.add(**(valid | {"id": "e8"}))
+            page.entries.add(**(valid | fields))
+            gateway.exchange.handle_page(page)
+        assert gateway.known == ["e8"]
+        assert caplog.text.count("skipped the entry") == 1
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -18,20 +18,46 @@
     make_instance(addr="nowhere"),
     make_instance(id=""),
     {"id": "i-1"},
+    make_instance(id="i 1"),
+    make_instance(id="\u00e9"),
+    make_instance(id="\ud800"),
+    make_instance(id="i" * 256),
+    make_instance(id={"x": []}),
+    make_instance(addr="10.128.0.9:0"),
+    make_instance(addr="10.128.0.9:99999"),
+    make_instance(addr="10.128.0.9:\u00b2"),
+    make_instance(addr="10.128.0.9:" + 5000 * "1"),
+    make_instance(addr="10.128.0.999:8080"),
+    make_instance(addr="a..b:8080"),
+    make_instance(addr="a\0b:8080"),
+    make_instance(addr=["10.128.0.9", 8080]),
+    make_instance(zone=None),
+    make_instance(state=["ready"]),
+    make_instance(state={}),
+    make_instance(slots=0),
+    make_instance(slots=64.0),
+    make_instance(slots=10**40),
+    make_instance(born="1700000000000"),
+    make_instance(born=1.7e12),
+    make_instance(born=10**20),
+    make_instance(born=-1),
+    make_instance(born=None),
 ]
 
 
-@pytest.mark.parametrize("entry", INVALID_ENTRIES)
+@pytest.mark.parametrize("entry", INVALID_ENTRIES, ids=range(len(INVALID_ENTRIES)))
 def test_invalid_entry_is_skipped(entry):
     # Guards against one invalid entry that hides the other endpoints of the page.
     page = {"instances": [entry, make_instance("i-2")]}
-    assert [endpoint.id for endpoint in decode_page(page)] == ["i-2"]
+    found, invalid = decode_page(page)
+    assert [endpoint.id for endpoint in found] == ["i-2"]
+    assert len(invalid) == 1
 
 
 def test_entry_is_decoded():
     # Guards against wrong values of decoded fields.
     page = {"instances": [make_instance(state="draining", born=1700000000000)]}
-    endpoint = decode_page(page)[0]
+    endpoint = decode_page(page)[0][0]
     assert endpoint.is_leaving
     assert endpoint.started_ms == 1700000000000
     assert endpoint.data_centre == "papantla"
@@ -47,6 +73,9 @@
         self.write(body)
 
 
+PAGES = {}
+
+
 async def fetch(pages):
     server = HTTPServer(Application([("/instances", Pages, {"pages": pages})]))
     listener, port = bind_unused_port()
@@ -77,3 +106,17 @@
     # Guards against a partial list that makes the missing endpoints look removed.
     with pytest.raises(PeerError):
         await fetch({"": page("i-1", following="x"), "x": answer})
+
+
+async def test_invalid_entry_is_logged_once_while_it_stays(caplog):
+    # Guards against a log that one invalid entry fills, with a line for each read.
+    server = HTTPServer(Application([("/instances", Pages, {"pages": PAGES})]))
+    listener, port = bind_unused_port()
+    server.add_sockets([listener])
+    source = InstanceList(f"127.0.0.1:{port}", 40.0)
+    for slots in (0, 0, 5, 0):
+        entries = [make_instance("i-1"), make_instance("i-9", slots=slots)]
+        PAGES[""] = 200, json.dumps({"instances": entries})
+        await source.fetch()
+    server.stop()
+    assert caplog.text.count("skipped the entry id='i-9'") == 2
