Decode a damaged page of the endpoint list entry by entry

One entry that could not be decoded kept every gateway from following the list, for as long as it stayed there: engines that had gone still got requests, and new ones got none. A page was decoded as a whole, so an entry nested 5,000 deep (RecursionError), a number of 5,000 digits, bytes that are not UTF-8, a control character or a word that is no JSON value failed all entries of the page, and with them the list. An entry with a key twice was taken with the last value, and NaN as a number.

A key that appears twice in an object makes the entry invalid, since its value is not known.

Ruled out: a decoder in Python with a limit of depth, which would be used for sound pages too.

--- a/libs/gateway/src/bulrushbend/gateway/endpoint_validation.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoint_validation.py
@@ -95,7 +95,15 @@
         )
         reason = "; ".join(f"{detail['loc'][0]}: {detail['msg']}" for detail in details)
         raise InvalidEndpointError(reason, step="entry") from None
-    return DiscoveredEndpoint(**dict(entry))
+    return DiscoveredEndpoint(
+        id=entry.id,
+        service=entry.service,
+        address=entry.address,
+        data_centre=entry.data_centre,
+        slots=entry.slots,
+        is_leaving=entry.is_leaving,
+        started_ms=entry.started_ms,
+    )
 
 
 class InvalidEntryLog:
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -1,7 +1,7 @@
 import json
 
 import pytest
-from platform_builders import make_instance
+from platform_builders import encode, make_instance
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
@@ -48,16 +48,58 @@
 @pytest.mark.parametrize("entry", INVALID_ENTRIES, ids=range(len(INVALID_ENTRIES)))
 def test_invalid_entry_is_skipped(entry):
     # Guards against one invalid entry that hides the other endpoints of the page.
-    page = {"instances": [entry, make_instance("i-2")]}
-    found, invalid = decode_page(page)
-    assert [endpoint.id for endpoint in found] == ["i-2"]
-    assert len(invalid) == 1
+    page = decode_page(encode({"instances": [entry, make_instance("i-2")]}))
+    assert [endpoint.id for endpoint in page.endpoints] == ["i-2"]
+    assert len(page.invalid) == 1
+
+
+def nested(depth):
+    return b"[" * depth + b"]" * depth
+
+
+def nested_objects(depth):
+    return b'{"x":' * depth + b"1" + b"}" * depth
+
+
+def with_field(name, value):
+    """Return a valid entry with one more field, which is already encoded."""
+    return encode(make_instance("i-1"))[:-1] + b',"%s":%s}' % (name.encode(), value)
+
+
+UNREADABLE_ENTRIES = {
+    "nested": nested(5_000),
+    "nested objects": nested_objects(100_000),
+    "nested field of another name": with_field("x", nested(5_000)),
+    "nested objects in a field": with_field("x", nested_objects(5_000)),
+    "number with too many digits": with_field("born", b"1" * 5_000),
+    "not UTF-8": with_field("x", b'"\xff"'),
+    "not UTF-8 and no JSON": b"\x00\xff\xfe",
+    "control character": with_field("x", b'"\x01"'),
+    "key twice": with_field("id", b'"i-9"'),
+    "not a number": with_field("x", b"NaN"),
+    "not JSON": with_field("x", b"nothing"),
+    "brackets in a string": with_field("x", b'"\xff]}]}\\"[{,\\\\"'),
+    "missing": b"",
+}
+
+
+@pytest.mark.parametrize(
+    "unreadable", UNREADABLE_ENTRIES.values(), ids=UNREADABLE_ENTRIES.keys()
+)
+@pytest.mark.parametrize("position", [0, 1, 2])
+async def test_unreadable_entry_is_skipped(unreadable, position):
+    # Guards against one entry that keeps the gateways from reading the whole list.
+    entries = [encode(make_instance(f"i-{number}")) for number in (2, 3)]
+    entries.insert(position, unreadable)
+    content = b'{ "x": [], "next": null, "instances" : [%s] }' % b" , ".join(entries)
+    found, _ = await fetch({"": (200, content)})
+    assert [endpoint.id for endpoint in found] == ["i-2", "i-3"]
 
 
 def test_entry_is_decoded():
     # Guards against wrong values of decoded fields.
     page = {"instances": [make_instance(state="draining", born=1700000000000)]}
-    endpoint = decode_page(page)[0][0]
+    endpoint = decode_page(encode(page)).endpoints[0]
     assert endpoint.is_leaving
     assert endpoint.started_ms == 1700000000000
     assert endpoint.data_centre == "papantla"
@@ -100,7 +142,18 @@
 
 
 @pytest.mark.parametrize(
-    "answer", [(429, ""), (200, "{"), (200, "[]"), (200, '{"instances": 3}')]
+    "answer",
+    [
+        (429, ""),
+        (200, "{"),
+        (200, "[]"),
+        (200, '{"instances": 3}'),
+        (200, b'{"instances": [\xff'),
+        (200, b'{"instances": [\xff], "next": null} {'),
+        (200, b'{"instances": [\xff], "instances": []}'),
+        (200, b'{"instances": [\xff], "next": [}'),
+        (200, b'{"instances": [\xff, "]}'),
+    ],
 )
 async def test_incomplete_list_is_an_error(answer):
     # Guards against a partial list that makes the missing endpoints look removed.
