Use one of several endpoints with the same id

When the list had two entries with one id, both were among the endpoints of their service, but only the later one was known by its id, and nothing was logged. A request that was placed at the first was sent to the address of the second, or to an endpoint that is about to leave, and two slots counts stood for one endpoint.

The entry with the later start is used, of two with the same start the one that is ready, else the first. The ids are logged when they appear. An entry that is invalid was removed before, so a valid one always goes before it.

All eight cases of the test fail on the code before.

--- a/libs/gateway/src/bulrushbend/gateway/endpoints.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoints.py
@@ -21,6 +21,9 @@
 # Shorter sleeps may end before the list has reached the age that is waited for.
 _MIN_SLEEP_MS = 1.0
 
+# Ids named in one line of the log.
+_MAX_LOGGED_IDS = 20
+
 _Change = TypeVar("_Change")
 
 
@@ -113,6 +116,8 @@
         # was read before is old afterwards.
         self._read_ms: float | None = None
         self._has_failed = False
+        # Ids with more than one entry in the current list.
+        self._repeated: set[str] = set()
 
     @property
     def has_list(self) -> bool:
@@ -241,7 +246,7 @@
             self._has_failed = False
             self._events.write(EventKind.LINK_UP, peer="endpoint-source")
         self._read_ms = read_ms
-        by_id = {endpoint.id: endpoint for endpoint in found}
+        by_id = self._index(found)
         if by_id == self._by_id:
             return
         ended = {
@@ -252,11 +257,33 @@
         self._write_changes(by_id)
         self._by_id = by_id
         self._by_service = {}
-        for endpoint in found:
+        for endpoint in by_id.values():
             if not endpoint.is_leaving:
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
         _notify(self._listeners, ended)
 
+    def _index(
+        self, found: Sequence[DiscoveredEndpoint]
+    ) -> dict[str, DiscoveredEndpoint]:
+        """Return the endpoints by id; of several with one id, the newest is used."""
+        by_id: dict[str, DiscoveredEndpoint] = {}
+        repeated = set()
+        for endpoint in found:
+            known = by_id.setdefault(endpoint.id, endpoint)
+            if endpoint != known:
+                repeated.add(endpoint.id)
+                by_id[endpoint.id] = max(known, endpoint, key=_recency)
+        new = sorted(repeated - self._repeated)
+        if new:
+            _log.warning(
+                "%d ids are new in the list of endpoints with more than one entry: "
+                "%s; using the entry of the last start, or the first that is ready",
+                len(new),
+                new[:_MAX_LOGGED_IDS],
+            )
+        self._repeated = repeated
+        return by_id
+
     def _write_changes(self, by_id: dict[str, DiscoveredEndpoint]) -> None:
         for name in by_id.keys() - self._by_id.keys():
             endpoint = by_id[name]
@@ -274,6 +301,11 @@
                 self._events.write(EventKind.ENDPOINT_LEAVING, endpoint=name)
 
 
+def _recency(endpoint: DiscoveredEndpoint) -> tuple[int, bool]:
+    started_ms = -1 if endpoint.started_ms is None else endpoint.started_ms
+    return started_ms, not endpoint.is_leaving
+
+
 def _notify(listeners: Sequence[Callable[[_Change], None]], change: _Change) -> None:
     """Call all listeners; an error in one affects neither the others nor the list."""
     for listener in listeners:
--- a/libs/gateway/tests/test_endpoints.py
+++ b/libs/gateway/tests/test_endpoints.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import pytest
 from gateway_builders import SERVICE, GatewayComponents, make_endpoint
 
 
@@ -41,6 +42,34 @@
     assert ended == [{"e1"}]
 
 
+@pytest.mark.parametrize(
+    ("other", "used"),
+    [
+        (make_endpoint("e1", "10.0.0.9:1", started_ms=1), "10.0.0.1:1"),
+        (make_endpoint("e1", "10.0.0.9:1", started_ms=3), "10.0.0.9:1"),
+        (make_endpoint("e1", "10.0.0.9:1"), "10.0.0.1:1"),
+        (
+            make_endpoint("e1", "10.0.0.9:1", started_ms=2, is_leaving=True),
+            "10.0.0.1:1",
+        ),
+    ],
+)
+@pytest.mark.parametrize("is_first", [True, False])
+async def test_one_of_several_endpoints_with_one_id_is_used(
+    other, used, is_first, caplog
+):
+    # Guards against requests to an endpoint that another entry with its id replaces.
+    endpoint = make_endpoint("e1", "10.0.0.1:1", started_ms=2)
+    components = GatewayComponents(make_endpoint("e2"))
+    found = [other, endpoint] if is_first else [endpoint, other]
+    components.source.endpoints = [*found, make_endpoint("e2")]
+    await poll(components, times=3)
+    listed = components.directory.of_service(SERVICE)
+    assert [e.address for e in listed if e.id == "e1"] == [used]
+    assert components.directory.get("e1").address == used
+    assert caplog.text.count("more than one entry") == 1
+
+
 async def test_gateways_share_the_rate_limit_of_the_source():
     components = GatewayComponents(make_endpoint("e1"))
     components.source.rate_per_s = 10.0
