Refuse pages of the endpoint list without a usable end

A `next` of another type counted as the end of the list, so the endpoints of the pages after it counted as gone: their requests had ended endpoints, their load and cached prompts were dropped. One with a lone surrogate raised UnicodeEncodeError in the task. A token that came twice was fetched 200 times, which the platform charges for and which uses up the calls of the other gateways. The size of a page was not bounded, so a page of any size was kept in memory and decoded while all requests waited.

A token has to be a printable text of up to 1,024 characters that the list has not had before, a page at most 2 MiB and a list 16 MiB long, which is ten times a page with all 750 endpoints of the size to design for. Anything else is an error like an answer that is no list: the list stays as it was.

The tests of these six answers and of the list of 20 MiB fail on the code before.

--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -447,9 +447,31 @@
             raise self._failure
         reader.body_done.result()
 
-    async def body(self) -> bytes:
-        """Return the complete body; raises the same errors as `chunks`."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def body(self, max_bytes: int | None = None) -> bytes:
+        """Return the complete body.
+
+        Parameters
+        ----------
+        max_bytes : int, optional
+            Maximum size, for a peer whose body may never end.
+
+        Raises
+        ------
+        PeerProtocolError
+            The body is longer than `max_bytes`, or the rest of the response is not
+            valid HTTP. The other errors are those of `chunks`.
+        """
+        content = bytearray()
+        async for chunk in self.chunks():
+            content += chunk
+            if max_bytes is not None and len(content) > max_bytes:
+                self.close()
+                raise PeerProtocolError(
+                    f"the body is longer than {max_bytes} bytes",
+                    step="body",
+                    peer=self.peer,
+                )
+        return bytes(content)
 
     def close(self) -> None:
         """Close the connection, also if the response is not complete."""
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -1,3 +1,4 @@
+import contextlib
 import json
 
 import pytest
@@ -106,28 +107,35 @@
 
 
 class Pages(RequestHandler):
-    def initialize(self, pages):
+    def initialize(self, pages, calls):
         self.pages = pages
+        self.calls = calls
 
     def get(self):
-        status, body = self.pages[self.get_argument("page_token", "")]
+        token = self.get_argument("page_token", "")
+        self.calls.append(token)
+        status, body = self.pages[token]
         self.set_status(status)
         self.write(body)
 
 
-PAGES = {}
-
-
-async def fetch(pages):
-    server = HTTPServer(Application([("/instances", Pages, {"pages": pages})]))
+@contextlib.contextmanager
+def serving(pages, calls):
+    arguments = {"pages": pages, "calls": calls}
+    server = HTTPServer(Application([("/instances", Pages, arguments)]))
     listener, port = bind_unused_port()
     server.add_sockets([listener])
     try:
-        return await InstanceList(f"127.0.0.1:{port}", 40.0).fetch()
+        yield InstanceList(f"127.0.0.1:{port}", 40.0)
     finally:
         server.stop()
 
 
+async def fetch(pages, calls=None):
+    with serving(pages, [] if calls is None else calls) as source:
+        return await source.fetch()
+
+
 def page(*names, following=None):
     instances = [make_instance(name) for name in names]
     return 200, json.dumps({"instances": instances, "next": following})
@@ -153,23 +161,40 @@
         (200, b'{"instances": [\xff], "instances": []}'),
         (200, b'{"instances": [\xff], "next": [}'),
         (200, b'{"instances": [\xff, "]}'),
+        (200, '{"instances": [], "next": 3}'),
+        (200, '{"instances": [], "next": {"x": 1}}'),
+        (200, r'{"instances": [], "next": "\ud800"}'),
+        (200, '{"instances": [], "next": "%s"}' % (2000 * "x")),
+        (200, '{"instances": [], "next": "x"}'),
+        (200, '{"instances": ["%s"]}' % ((1 << 21) * "x")),
     ],
+    ids=range(15),
 )
 async def test_incomplete_list_is_an_error(answer):
     # Guards against a partial list that makes the missing endpoints look removed.
+    calls = []
     with pytest.raises(PeerError):
-        await fetch({"": page("i-1", following="x"), "x": answer})
+        await fetch({"": page("i-1", following="x"), "x": answer}, calls)
+    assert calls == ["", "x"]
+
+
+async def test_pages_that_are_too_large_together_are_an_error():
+    # Guards against a gateway that uses up its memory for a list that goes on.
+    pages = {"": page(following="0")}
+    for number in range(20):
+        entries, following = [(1 << 20) * "x"], str(number + 1)
+        pages[str(number)] = 200, json.dumps({"instances": entries, "next": following})
+    with pytest.raises(PeerError):
+        await fetch(pages, calls := [])
+    assert len(calls) < 20
 
 
 async def test_invalid_entry_is_logged_once_while_it_stays(caplog):
     # Guards against a log that one invalid entry fills, with a line for each read.
-    server = HTTPServer(Application([("/instances", Pages, {"pages": PAGES})]))
-    listener, port = bind_unused_port()
-    server.add_sockets([listener])
-    source = InstanceList(f"127.0.0.1:{port}", 40.0)
-    for slots in (0, 0, 5, 0):
-        entries = [make_instance("i-1"), make_instance("i-9", slots=slots)]
-        PAGES[""] = 200, json.dumps({"instances": entries})
-        await source.fetch()
-    server.stop()
+    pages = {}
+    with serving(pages, []) as source:
+        for slots in (0, 0, 5, 0):
+            entries = [make_instance("i-1"), make_instance("i-9", slots=slots)]
+            pages[""] = 200, json.dumps({"instances": entries})
+            await source.fetch()
     assert caplog.text.count("skipped the entry id='i-9'") == 2
