--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 import json
 
@@ -7,7 +8,8 @@
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
-from bulrushbend.core.errors import PeerError
+from bulrushbend.core.errors import PeerError, PeerTimeoutError
+from bulrushbend.platform import instances
 from bulrushbend.platform.instances import InstanceList, decode_page
 
 INVALID_ENTRIES = [
@@ -120,9 +122,11 @@
 
 
 @contextlib.contextmanager
-def serving(pages, calls):
-    arguments = {"pages": pages, "calls": calls}
-    server = HTTPServer(Application([("/instances", Pages, arguments)]))
+def serving(pages, calls, handler=None):
+    route = ("/instances", Pages, {"pages": pages, "calls": calls})
+    if handler is not None:
+        route = ("/instances", handler)
+    server = HTTPServer(Application([route]))
     listener, port = bind_unused_port()
     server.add_sockets([listener])
     try:
@@ -178,6 +182,23 @@
     assert calls == ["", "x"]
 
 
+class SlowPages(RequestHandler):
+    async def get(self):
+        for _ in range(200):
+            self.write(" ")
+            await self.flush()
+            await asyncio.sleep(0.05)
+
+
+async def test_page_that_arrives_byte_by_byte_is_an_error(monkeypatch):
+    # Guards against a read of the list that takes hours, while the list gets old.
+    monkeypatch.setattr(instances, "_PAGE_TIMEOUT_MS", 300.0)
+    with serving({}, [], SlowPages) as source:
+        async with asyncio.timeout(3):
+            with pytest.raises(PeerTimeoutError):
+                await source.fetch()
+
+
 async def test_pages_that_are_too_large_together_are_an_error():
     # Guards against a gateway that uses up its memory for a list that goes on.
     pages = {"": page(following="0")}
