Test real gateways beside invalid entries of the instance list

The test puts one invalid entry of each of 13 kinds into the list, one after the other, beside the engines of three gateways. Meanwhile an engine leaves and returns; each gateway has to follow, all requests have to be served, no process may end, and an entry is logged once.

With a single kind: for a port of 99999 and for an id with a lone surrogate the connection of a caller is closed without an answer, since the request was placed at the entry; for `slots` of 10^40 the list's task fails at each read and is started again, and each gateway reads the list itself.

--- a/tests/adapter/platform_builders.py
+++ b/tests/adapter/platform_builders.py
@@ -88,3 +88,29 @@
         "state": "ready",
     }
     return instance | fields
+
+
+def make_unreadable_entries():
+    """Return encoded entries of the instance list that are not valid, by their kind."""
+
+    def entry(name="i-9", **fields):
+        return encode(make_instance(name, **({"addr": "127.0.0.1:9"} | fields)))
+
+    def with_field(value, name="x"):
+        return b'%s,"%s":%s}' % (entry()[:-1], name.encode(), value)
+
+    return {
+        "nested": b"[" * 5_000 + b"]" * 5_000,
+        "nested field": with_field(b'{"x":' * 5_000 + b"1" + b"}" * 5_000),
+        "digits": with_field(b"1" * 5_000, "born"),
+        "bytes": with_field(b'"\xff"'),
+        "slots": entry(slots=10**40),
+        "start": entry(born=10**20),
+        "surrogate": entry("\ud800"),
+        "port": entry(addr="127.0.0.1:99999"),
+        "port digit": entry(addr="127.0.0.1:\u00b2"),
+        "port 0": entry(addr="127.0.0.1:0"),
+        "host": entry(addr="a..b:8080"),
+        "nul": entry(addr="a\0b:8080"),
+        "type": entry(state=["ready"], service={}),
+    }
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -251,11 +251,20 @@
 
 
 class Cloud:
-    """Server of the platform's instance list."""
+    """Server of the platform's instance list.
+
+    Attributes
+    ----------
+    engines : list of Engine
+        Engines whose entries are in the list.
+    other_entries : list of bytes
+        Encoded entries before those of the engines.
+    """
 
     def __init__(self, host, port, engines):
         self.address = f"{host}:{port}"
         self.engines = engines
+        self.other_entries = []
         self._server = HTTPServer(
             Application([(r"/instances", _ListHandler, {"cloud": self})])
         )
@@ -270,5 +279,8 @@
         self._cloud = cloud
 
     def get(self):
-        entries = [engine.list_entry() for engine in self._cloud.engines]
-        self.write(json.dumps({"instances": entries, "next": None}))
+        entries = [
+            *self._cloud.other_entries,
+            *(json.dumps(e.list_entry()).encode() for e in self._cloud.engines),
+        ]
+        self.write(b'{"instances":[%s],"next":null}' % b",".join(entries))
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -8,7 +8,12 @@
 
 import pytest
 from machines import Machines, is_loopback_range_usable
-from platform_builders import encode, make_config, make_route
+from platform_builders import (
+    encode,
+    make_config,
+    make_route,
+    make_unreadable_entries,
+)
 
 from bulrushbend.core.errors import BulrushbendError
 
@@ -238,6 +243,35 @@
         await machines.stop()
 
 
+async def test_invalid_entry_of_the_instance_list_affects_no_engine(tmp_path):
+    # Guards against gateways that end or stop following the list after one odd entry.
+    async with deployment(tmp_path) as machines:
+        logs = [tmp_path / f"{host}-gateway.log" for host in machines.hosts]
+        engine, *others = machines.engines
+        entries = make_unreadable_entries()
+        for number, (kind, entry) in enumerate(entries.items()):
+            machines.cloud.other_entries = [entry]
+            is_gone = number % 2 == 0
+            machines.cloud.engines = others if is_gone else machines.engines
+            event = "endpoint-gone" if is_gone else "endpoint-found"
+            text = f'"kind":"{event}","endpoint":"{engine.name}"'
+            count = 1 + (number + 1) // 2
+
+            async def is_followed(text=text, count=count):
+                return all(log.read_text().count(text) >= count for log in logs)
+
+            await machines.wait_until(is_followed, f"{event} beside {kind}")
+            for host in machines.hosts:
+                for send in (send_booking, send_generation):
+                    status, _, _ = await send(machines, host, f"{kind}-{host}")
+                    assert status == 200, kind
+        lines = "".join(log.read_text() for log in logs)
+        assert 1 <= lines.count("skipped the entry") <= len(entries)
+        assert "unexpected error" not in lines
+        for process in machines.processes.values():
+            assert process.returncode is None
+
+
 async def test_disconnected_caller_ends_the_request(tmp_path):
     # Guards against requests that keep running after their caller has disconnected.
     async with deployment(tmp_path) as machines:
