Refuse sizes of prompts that messages between gateways cannot hold

One request could end the load reports of a gateway for good. A request with `Token-Usage: -5,-5` was served, and its cost of -15 tokens charged to its team; the use of a team is an unsigned number in a report, so every report raised ValueError from then on, and the task was started again and failed each second. The other gateways placed requests without the load of this one. A size of 64 bits or more, and a part of a prompt of 32 bits or a negative one, raised ValueError or OverflowError while the request was placed, and its connection was closed without an answer.

The sizes were read with `int`, which takes any sign, any length and underscores. A size is now a decimal number up to 2^31 - 1, else the request gets 400. The sums that reports and placement messages contain fit in their fields then.

Values of Deadline-Ms such as nan, inf and 10^400 did no harm.

--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -9,6 +9,9 @@
 
 # Code of the error for a request whose prompt crashes endpoints.
 QUARANTINED = "prompt-quarantined"
+# Maximum size of a prompt, of one of its parts and of a response. The sums of two that
+# gateways send one another are within a uint32.
+MAX_TOKENS = (1 << 31) - 1
 
 
 @dataclass(frozen=True)
--- a/tests/adapter/platform_builders.py
+++ b/tests/adapter/platform_builders.py
@@ -114,3 +114,15 @@
         "nul": entry(addr="a\0b:8080"),
         "type": entry(state=["ready"], service={}),
     }
+
+
+def make_invalid_sizes():
+    """Return headers with a number of tokens that is invalid or too large."""
+    sizes = ["-5", "1e400", "nan", "1_0", "\u00b2", "", str(1 << 31), "1" + 400 * "0"]
+    return [
+        *({"Token-Usage": f"{size},1"} for size in sizes),
+        *({"Token-Usage": f"1,{size}"} for size in sizes if size),
+        *({"Prefix-Hash": f"a:{size},b:1"} for size in sizes),
+        {"Token-Usage": 5000 * "9"},
+        {"Prefix-Hash": "a:1,b"},
+    ]
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -1,4 +1,5 @@
 import pytest
+from platform_builders import make_invalid_sizes
 from tornado.httputil import HTTPHeaders
 
 from bulrushbend.core.manifest import Route, Split
@@ -53,6 +54,14 @@
     assert ended.value.status == 400
 
 
+@pytest.mark.parametrize("headers", make_invalid_sizes(), ids=str)
+def test_invalid_size_is_refused(headers):
+    # Guards against a size that load reports and placement messages cannot hold.
+    with pytest.raises(RequestError) as ended:
+        make_call(**headers)
+    assert ended.value.status == 400
+
+
 def test_credentials_and_forged_headers_are_not_forwarded():
     # Guards against leaked keys, and gateway headers that callers could forge.
     call = make_call(
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -11,6 +11,7 @@
 from platform_builders import (
     encode,
     make_config,
+    make_invalid_sizes,
     make_route,
     make_unreadable_entries,
 )
@@ -56,7 +57,7 @@
     return await machines.call(host, "front", "POST", "/book/x", given, b"row 7")
 
 
-async def send_generation(machines, host, request_id, deadline="5000"):
+async def send_generation(machines, host, request_id, deadline="5000", **headers):
     given = BASE_HEADERS | {
         "Attempt-Id": request_id,
         "Deadline-Ms": deadline,
@@ -64,6 +65,7 @@
         "Token-Usage": "100,10",
         "Prefix-Hash": "5c:50,e4:50",
     }
+    given |= headers
     return await machines.call(host, "front", "POST", "/gen/x", given, b"{}")
 
 
@@ -272,6 +274,22 @@
             assert process.returncode is None
 
 
+async def test_request_with_an_invalid_size_affects_no_gateway(tmp_path):
+    # Guards against load reports that end for good after one request.
+    async with deployment(tmp_path) as machines:
+        for host in machines.hosts:
+            for number, headers in enumerate(make_invalid_sizes()):
+                status, _, _ = await send_generation(
+                    machines, host, f"{number}{host}", **headers
+                )
+                assert status == 400, headers
+        await asyncio.sleep(1.5)
+        for path in tmp_path.glob("*-gateway.log"):
+            text = path.read_text()
+            assert "task-restarted" not in text
+            assert "unexpected error" not in text
+
+
 async def test_disconnected_caller_ends_the_request(tmp_path):
     # Guards against requests that keep running after their caller has disconnected.
     async with deployment(tmp_path) as machines:
