Limit the sizes in placement requests of other gateways

A placement request holds sizes of up to 64 bits, and a gateway of an older version passes on those that its callers state. The coordinator counted them as they came: two requests of one team with a cost of 2^64 - 1 made each of its later load reports raise ValueError, since the use of the team no longer fits in its field. With shared parts, the request raised in a placement pass, which ended the pass for the other requests in the queue too, for as long as it waited.

The coordinator counts at most the sizes that it accepts from its own callers.

The fuzz test of datagrams now writes both kinds of load report after the datagrams; on the code before, its first example fails with "Value out of range:".

--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -12,6 +12,7 @@
 # Maximum size of a prompt, of one of its parts and of a response. The sums of two that
 # gateways send one another are within a uint32.
 MAX_TOKENS = (1 << 31) - 1
+MAX_COST = 3 * MAX_TOKENS
 
 
 @dataclass(frozen=True)
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -8,7 +8,13 @@
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.admission import QueueFactory
-from bulrushbend.gateway.call import QUARANTINED, PromptPart, RequestError
+from bulrushbend.gateway.call import (
+    MAX_COST,
+    MAX_TOKENS,
+    QUARANTINED,
+    PromptPart,
+    RequestError,
+)
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.placement_client import DatagramSender
 from bulrushbend.gateway.quarantine import PromptQuarantine
@@ -205,8 +211,8 @@
     sizes = zip(request.digests, request.part_tokens, strict=False)
     return Demand(
         team=request.team,
-        tokens=request.tokens,
-        cost=request.cost,
+        tokens=min(request.tokens, MAX_TOKENS),
+        cost=min(request.cost, MAX_COST),
         shared=tuple(PromptPart(digest, tokens) for digest, tokens in sizes),
         avoided=frozenset(request.avoided),
         wait_start_ms=now_ms,
--- a/libs/gateway/tests/test_datagram_fuzzing.py
+++ b/libs/gateway/tests/test_datagram_fuzzing.py
@@ -176,6 +176,19 @@
 )
 
 
+def place_request(number=1, **fields):
+    values = {"tokens": 10, "cost": 20, "digests": ["a"], "part_tokens": [5]}
+    request = PlaceRequest(
+        gateway="g1",
+        number=number,
+        service=SERVICE,
+        team="crew-a",
+        wait_ms=50,
+        **(values | fields),
+    )
+    return GatewayDatagram(request=request)
+
+
 class Receiver:
     """Gateway that receives datagrams from anywhere."""
 
@@ -209,6 +222,9 @@
 
 @settings(max_examples=150, deadline=None, suppress_health_check=[HealthCheck.too_slow])
 @given(st.lists(datagrams, min_size=1, max_size=6))
+@example([place_request(n, digests=[], cost=2**64 - 1) for n in (1, 2)])
+@example([place_request(n, digests=[], tokens=2**64 - 1) for n in (1, 2)])
+@example([place_request(part_tokens=[2**32 - 1])])
 def test_message_with_any_fields_is_handled(sent):
     """A datagram with unexpected fields raises an error in the receiving gateway."""
 
@@ -216,12 +232,15 @@
         receiver = Receiver()
         for datagram in sent:
             receiver.protocol._handle_datagram(datagram, "127.0.0.1:1")
-        await asyncio.sleep(0)
+        for _ in range(3):
+            await asyncio.sleep(0)
         for endpoint in receiver.directory.endpoints:
             assert endpoint.id and 0 < endpoint.slots <= MAX_SLOTS
             host, port = split_address(endpoint.address)
             assert host.encode("idna") and port
         receiver.gateway.loads.totals()
+        for is_brief in (True, False):
+            receiver.gateway.loads.report(is_brief=is_brief).SerializeToString()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         for task in tasks:
             task.cancel()
