Check the fields of a coordinator's reply

A malformed reply of a coordinator reached callers and endpoints: a time of nan, infinity or less than 0 was sent in Retry-After, an address to fetch cached parts from that is none was sent to the endpoint, and one with a line break raised ValueError after the endpoint had been connected, so the caller's connection was closed without an answer. Unread tokens of 64 bits, added to those of another request, made the load reports raise.

An invalid address is left out, unread tokens are limited, and an invalid time is replaced by 1 s with a line in the log. The grant or refusal itself holds.

--- a/libs/gateway/src/bulrushbend/gateway/endpoint_validation.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoint_validation.py
@@ -38,7 +38,15 @@
 
 
 @functools.lru_cache(_MAX_HOST_CACHE)
-def _check_address(address: str) -> str:
+def check_address(address: str) -> str:
+    """Return a valid ``"host:port"``.
+
+    Raises
+    ------
+    ValueError
+        The host is neither an IP address nor a name, or the port is not from 1 to
+        65535.
+    """
     host, port = split_address(address)
     if port == 0:
         raise ValueError("a port must be at least 1")
@@ -56,7 +64,7 @@
 
     id: _Text
     service: _Text
-    address: Annotated[_Text, AfterValidator(_check_address)]
+    address: Annotated[_Text, AfterValidator(check_address)]
     data_centre: _Text
     slots: int = Field(ge=1, le=MAX_SLOTS)
     is_leaving: bool
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 
 from bulrushbend.core.clock import Clock
+from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.admission import AdmissionQueue
 from bulrushbend.gateway.call import (
+    MAX_TOKENS,
     QUARANTINED,
     Placement,
     not_run_error,
@@ -14,6 +16,7 @@
 )
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_validation import check_address
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.wire.fleet_pb2 import (
     GatewayDatagram,
@@ -22,6 +25,8 @@
     PlaceRequest,
 )
 
+_log = get_logger("gateway.placement")
+
 # Time after which a reply counts as missing. A round trip takes 2 to 4 ms within a
 # region, and a busy gateway reads its socket within about 10 ms.
 REPLY_TIMEOUT_MS = 40.0
@@ -33,6 +38,9 @@
 _MAX_COORDINATORS = 2
 # Bits of a request number that count the requests of one incarnation.
 _NUMBER_BITS = 24
+# Range of the times in refusals, and the time used instead of one outside of it.
+_MAX_RETRY_AFTER_MS = 3_600_000.0
+_DEFAULT_RETRY_AFTER_MS = 1_000.0
 
 DatagramSender = Callable[[str, GatewayDatagram], None]
 
@@ -138,10 +146,11 @@
         if reply.result == PlaceReply.GRANTED:
             return _placement_from_reply(reply)
         if reply.result == PlaceReply.REFUSED:
+            retry_after_ms = _retry_after_from_reply(reply)
             if reply.code == QUARANTINED:
-                raise quarantine_error(reply.retry_after_ms)
+                raise quarantine_error(retry_after_ms)
             message = "no endpoint can take the request in time"
-            raise not_run_error(503, reply.code, message, reply.retry_after_ms)
+            raise not_run_error(503, reply.code, message, retry_after_ms)
         self._coordinators.suspect(coordinator, reply.code or "declined")
         return None
 
@@ -228,13 +237,33 @@
 def _placement_from_reply(reply: PlaceReply) -> Placement:
     return Placement(
         reply.endpoint,
-        reply.unread_tokens,
-        reply.fetch_from,
+        min(reply.unread_tokens, MAX_TOKENS),
+        _fetch_address_from_reply(reply),
         reply.serial,
         reply.coordinator,
     )
 
 
+def _fetch_address_from_reply(reply: PlaceReply) -> str:
+    """Return the address to fetch cached parts from, empty if it is invalid."""
+    try:
+        return check_address(reply.fetch_from) if reply.fetch_from else ""
+    except ValueError:
+        return ""
+
+
+def _retry_after_from_reply(reply: PlaceReply) -> float:
+    if 0.0 <= reply.retry_after_ms <= _MAX_RETRY_AFTER_MS:
+        return reply.retry_after_ms
+    _log.warning(
+        "coordinator %s refused a request with an invalid time of %r ms; using %r ms",
+        reply.coordinator,
+        reply.retry_after_ms,
+        _DEFAULT_RETRY_AFTER_MS,
+    )
+    return _DEFAULT_RETRY_AFTER_MS
+
+
 class CoordinatedPlacement:
     """Placement for one service, by its coordinator or else by the local queue.
 
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -1,4 +1,5 @@
 import asyncio
+import math
 
 import pytest
 from fleet_model import ModelGateway
@@ -6,12 +7,12 @@
 
 from bulrushbend.core.clock import ManualClock
 from bulrushbend.core.events import EventKind, MemoryEventLog
-from bulrushbend.gateway.call import RequestError
+from bulrushbend.gateway.call import Placement, RequestError
 from bulrushbend.gateway.coordinators import PROBE_DELAY_MS, Coordinators
 from bulrushbend.gateway.demand import demand_of
 from bulrushbend.gateway.loads import GRANT_TTL_MS, Load
 from bulrushbend.gateway.placement_client import PlacementClient
-from bulrushbend.wire.fleet_pb2 import PlaceCancel, PlaceRequest
+from bulrushbend.wire.fleet_pb2 import PlaceCancel, PlaceReply, PlaceRequest
 
 
 class Pair:
@@ -40,6 +41,15 @@
         for endpoint in endpoints:
             begin(self.coordinator.loads, endpoint, "other", 9_000, 0)
 
+    def change_replies(self, **fields):
+        send = self.coordinator.server._send
+
+        def send_changed(address, datagram):
+            datagram.reply.MergeFrom(PlaceReply(**fields))
+            send(address, datagram)
+
+        self.coordinator.server._send = send_changed
+
     def total(self, endpoint):
         return self.coordinator.loads.total(endpoint)
 
@@ -47,6 +57,9 @@
         return [record["kind"] for record in self.requester.components.events.records]
 
 
+CALL = make_call()
+
+
 async def settle():
     for _ in range(8):
         await asyncio.sleep(0)
@@ -103,6 +116,31 @@
     assert pair.total(placement.endpoint) == Load()
 
 
+@pytest.mark.parametrize(
+    "address", ["10.0.0.1:99999", "a..b:80", "10.0.0.1:80\r\nX: y", "x"]
+)
+async def test_grant_with_invalid_fields_is_used_without_them(address):
+    # Guards against a request that fails because of a malformed reply.
+    pair = Pair()
+    pair.change_replies(fetch_from=address, unread_tokens=2**64 - 1)
+    placement = await pair.place()
+    assert placement.fetch_from == ""
+    pair.requester.loads.begin(Placement(placement.endpoint, 1), demand_of(CALL, 0.0))
+    pair.requester.loads.report().SerializeToString()
+
+
+@pytest.mark.parametrize("retry_after_ms", [math.nan, math.inf, -1.0, 1e300])
+async def test_refusal_with_an_invalid_time_has_a_valid_one(retry_after_ms):
+    # Guards against callers that are told to come back never, or at once.
+    pair = Pair()
+    pair.change_replies(
+        result=PlaceReply.REFUSED, code="no-capacity", retry_after_ms=retry_after_ms
+    )
+    with pytest.raises(RequestError) as refused:
+        await pair.place()
+    assert 0.0 < refused.value.retry_after_ms <= 3_600_000.0
+
+
 async def test_grant_that_never_arrived_expires():
     # Guards against an endpoint that appears full forever after a lost reply.
     pair = Pair()
