Refuse a nested configuration whose value cannot be shown

An invalid configuration nested almost as deeply as the decoder allows got 500 instead of 400: the message of a validation error shows the value that was found, and `repr` raised RecursionError for it, in an `except` clause whose siblings do not catch it. The operator sends a call that got 5xx to one control replica after another instead of ending it.

Such a value is left out of the message, as long ones are.

Four of the six cases of the test fail on the code before, with RecursionError; a list as `routes` and as `services` passed, since its message is about its first entry.

--- a/libs/core/src/bulrushbend/core/validation.py
+++ b/libs/core/src/bulrushbend/core/validation.py
@@ -19,7 +19,10 @@
     text = f"{key}: {detail['msg']}"
     if detail["type"] == "missing":
         return text
-    value = repr(detail.get("input"))
+    try:
+        value = repr(detail.get("input"))
+    except RecursionError:
+        return text
     if len(value) > 60:
         return text
     return f"{text}, got {value}"
--- a/tests/adapter/test_config.py
+++ b/tests/adapter/test_config.py
@@ -1,3 +1,5 @@
+import sys
+
 import pytest
 from platform_builders import encode, make_config, make_route
 
@@ -71,6 +73,18 @@
         decode_config(content)
 
 
+@pytest.mark.parametrize("key", ["routes", "version", "services"])
+@pytest.mark.parametrize(("start", "end"), [(b"[", b"]"), (b'{"x":', b"}")])
+def test_nested_configuration_is_refused(key, start, end):
+    # Guards against an answer of 500, after which the operator sends it elsewhere.
+    content = encode(make_config(**{key: "nested"}))
+    for depth in range(sys.getrecursionlimit() - 200, sys.getrecursionlimit() + 1):
+        nested = start * depth + b"1" + end * depth
+        for decode in (decode_config, parse_manifest):
+            with pytest.raises(ManifestError):
+                decode(content.replace(b'"nested"', nested))
+
+
 def test_team_without_keys_has_no_token():
     # Guards against a team without keys that can still authenticate.
     content = encode(make_config(tenants=[{"name": "crew-a", "api_keys": []}]))
