Limit numbers of a configuration that no float can hold

A configuration with a number of 400 digits was accepted, and requests failed for as long as it was in force: `timeout_ms` and `slo_ms` raised OverflowError in each request of their route, a weight in each choice of a service, and the caller's connection was closed without an answer. `kv_capacity` raised it where the manifest is applied, which ended the task that follows control.

Ruled out: limits in the manifest itself. A manifest of an earlier version that exceeds them could not be read any more after an upgrade. One that is published through bulrushbend's own interface may still have such numbers.

--- a/tests/adapter/test_config.py
+++ b/tests/adapter/test_config.py
@@ -1,3 +1,4 @@
+import random
 import sys
 
 import pytest
@@ -5,6 +6,7 @@
 
 from bulrushbend.core.errors import ManifestError
 from bulrushbend.core.manifest import RouteKind, hash_token, parse_manifest
+from bulrushbend.gateway.routes import choose_service
 from bulrushbend.platform.config import decode_config, encode_config
 
 
@@ -85,6 +87,36 @@
                 decode(content.replace(b'"nested"', nested))
 
 
+def test_numbers_too_large_for_a_float_are_limited():
+    # Guards against requests that fail because of a number in the configuration.
+    large, service = 10**400, {"backend": {"slots": 64, "kv_capacity": 10**400}}
+    route = make_route(
+        timeout_ms=large,
+        slo_ms=large,
+        split=[*split(3 * large, large, 1, 0), {"service": "app", "weight": large}],
+    )
+    config = make_config(
+        routes=[route], services=[{"name": "llm"} | service, {"name": "app"}]
+    )
+    manifest = decode_config(encode(config))
+    weights = [float(part.weight) for part in manifest.routes[0].split]
+    assert weights[0] / weights[1] == pytest.approx(3.0)
+    assert weights[2:4] == [1.0, 0.0]
+    assert choose_service(manifest.routes[0], random.Random(1)) in ("llm", "app")
+    assert float(manifest.routes[0].time_limit_ms) >= 1e15
+    assert float(manifest.routes[0].objective_ms) >= 1e15
+    assert float(manifest.services_by_name["llm"].memory_tokens) >= 1e15
+    assert encode_config(manifest) == encode(config)
+
+
+@pytest.mark.parametrize("weights", [(1, 2), (0, 5), (2**53 - 1, 0)])
+def test_other_weights_are_unchanged(weights):
+    # Guards against a share of the requests that differs from the configuration.
+    config = make_config(routes=[make_route(split=split(*weights))])
+    route = decode_config(encode(config)).routes[0]
+    assert tuple(part.weight for part in route.split) == weights
+
+
 def test_team_without_keys_has_no_token():
     # Guards against a team without keys that can still authenticate.
     content = encode(make_config(tenants=[{"name": "crew-a", "api_keys": []}]))
