--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -17,6 +17,10 @@
 _IDENTITY_BYTES = 8
 # Short, because other gateways can serve at once.
 _DRAINING_RETRY_AFTER_MS = 100.0
+# Maximum size of a prompt, of one of its parts and of a response. The sums of two that
+# gateways send one another are within a uint32.
+MAX_TOKENS = (1 << 31) - 1
+MAX_COST = 3 * MAX_TOKENS
 
 
 @dataclass(frozen=True)
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -9,6 +9,8 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.admission import QueueFactory
 from bulrushbend.gateway.call import (
+    MAX_COST,
+    MAX_TOKENS,
     QUARANTINED,
     REQUEST_QUARANTINED,
     PromptPart,
@@ -221,8 +223,8 @@
     sizes = zip(request.digests, request.part_tokens, strict=False)
     return Demand(
         team=request.team,
-        tokens=request.tokens,
-        cost=request.cost,
+        tokens=min(request.tokens, MAX_TOKENS),
+        cost=min(request.cost, MAX_COST),
         shared=tuple(PromptPart(digest, tokens) for digest, tokens in sizes),
         avoided=frozenset(request.avoided),
         wait_start_ms=now_ms,
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -330,9 +330,9 @@
         ConnectError
             No connection was established, so nothing was sent.
         """
-        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeouts.connect_ms / 1000.0):
                 _, reader = await loop.create_connection(
                     lambda: _ResponseReader(address), host, port
@@ -344,6 +344,10 @@
         except OSError as error:
             reason = error.strerror or str(error) or type(error).__name__
             raise ConnectError(reason, step="connect", peer=address) from None
+        except ValueError as error:
+            # The address, or its host when it is encoded for the name resolution.
+            reason = f"invalid address: {error}"
+            raise ConnectError(reason, step="connect", peer=address) from None
         return cls(reader, timeouts)
 
     async def send(self, request: ExchangeRequest) -> None:
@@ -443,9 +447,31 @@
             raise self._failure
         reader.body_done.result()
 
-    async def body(self) -> bytes:
-        """Return the complete body; raises the same errors as `chunks`."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def body(self, max_bytes: int | None = None) -> bytes:
+        """Return the complete body.
+
+        Parameters
+        ----------
+        max_bytes : int, optional
+            Maximum size, for a peer whose body may never end.
+
+        Raises
+        ------
+        PeerProtocolError
+            The body is longer than `max_bytes`, or the rest of the response is not
+            valid HTTP. The other errors are those of `chunks`.
+        """
+        content = bytearray()
+        async for chunk in self.chunks():
+            content += chunk
+            if max_bytes is not None and len(content) > max_bytes:
+                self.close()
+                raise PeerProtocolError(
+                    f"the body is longer than {max_bytes} bytes",
+                    step="body",
+                    peer=self.peer,
+                )
+        return bytes(content)
 
     def close(self) -> None:
         """Close the connection, also if the response is not complete."""
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -1,12 +1,15 @@
+import asyncio
+import contextlib
 import json
 
 import pytest
-from platform_builders import make_instance
+from platform_builders import encode, make_instance
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
-from bulrushbend.core.errors import PeerError
+from bulrushbend.core.errors import PeerError, PeerTimeoutError
+from bulrushbend.platform import instances
 from bulrushbend.platform.instances import InstanceList, decode_page
 
 INVALID_ENTRIES = [
@@ -18,45 +21,125 @@
     make_instance(addr="nowhere"),
     make_instance(id=""),
     {"id": "i-1"},
+    make_instance(id="i 1"),
+    make_instance(id="\u00e9"),
+    make_instance(id="\ud800"),
+    make_instance(id="i" * 256),
+    make_instance(id={"x": []}),
+    make_instance(addr="10.128.0.9:0"),
+    make_instance(addr="10.128.0.9:99999"),
+    make_instance(addr="10.128.0.9:\u00b2"),
+    make_instance(addr="10.128.0.9:" + 5000 * "1"),
+    make_instance(addr="10.128.0.999:8080"),
+    make_instance(addr="a..b:8080"),
+    make_instance(addr="a\0b:8080"),
+    make_instance(addr=["10.128.0.9", 8080]),
+    make_instance(zone=None),
+    make_instance(state=["ready"]),
+    make_instance(state={}),
+    make_instance(slots=0),
+    make_instance(slots=64.0),
+    make_instance(slots=10**40),
+    make_instance(born="1700000000000"),
+    make_instance(born=1.7e12),
+    make_instance(born=10**20),
+    make_instance(born=-1),
+    make_instance(born=None),
 ]
 
 
-@pytest.mark.parametrize("entry", INVALID_ENTRIES)
+@pytest.mark.parametrize("entry", INVALID_ENTRIES, ids=range(len(INVALID_ENTRIES)))
 def test_invalid_entry_is_skipped(entry):
     # Guards against one invalid entry that hides the other endpoints of the page.
-    page = {"instances": [entry, make_instance("i-2")]}
-    assert [endpoint.id for endpoint in decode_page(page)] == ["i-2"]
+    page = decode_page(encode({"instances": [entry, make_instance("i-2")]}))
+    assert [endpoint.id for endpoint in page.endpoints] == ["i-2"]
+    assert len(page.invalid) == 1
+
+
+def nested(depth):
+    return b"[" * depth + b"]" * depth
+
+
+def nested_objects(depth):
+    return b'{"x":' * depth + b"1" + b"}" * depth
+
+
+def with_field(name, value):
+    """Return a valid entry with one more field, which is already encoded."""
+    return encode(make_instance("i-1"))[:-1] + b',"%s":%s}' % (name.encode(), value)
+
+
+UNREADABLE_ENTRIES = {
+    "nested": nested(5_000),
+    "nested objects": nested_objects(100_000),
+    "nested field of another name": with_field("x", nested(5_000)),
+    "nested objects in a field": with_field("x", nested_objects(5_000)),
+    "number with too many digits": with_field("born", b"1" * 5_000),
+    "not UTF-8": with_field("x", b'"\xff"'),
+    "not UTF-8 and no JSON": b"\x00\xff\xfe",
+    "control character": with_field("x", b'"\x01"'),
+    "key twice": with_field("id", b'"i-9"'),
+    "not a number": with_field("x", b"NaN"),
+    "not JSON": with_field("x", b"nothing"),
+    "brackets in a string": with_field("x", b'"\xff]}]}\\"[{,\\\\"'),
+    "missing": b"",
+}
+
+
+@pytest.mark.parametrize(
+    "unreadable", UNREADABLE_ENTRIES.values(), ids=UNREADABLE_ENTRIES.keys()
+)
+@pytest.mark.parametrize("position", [0, 1, 2])
+async def test_unreadable_entry_is_skipped(unreadable, position):
+    # Guards against one entry that keeps the gateways from reading the whole list.
+    entries = [encode(make_instance(f"i-{number}")) for number in (2, 3)]
+    entries.insert(position, unreadable)
+    content = b'{ "x": [], "next": null, "instances" : [%s] }' % b" , ".join(entries)
+    found, _ = await fetch({"": (200, content)})
+    assert [endpoint.id for endpoint in found] == ["i-2", "i-3"]
 
 
 def test_entry_is_decoded():
     # Guards against wrong values of decoded fields.
     page = {"instances": [make_instance(state="draining", born=1700000000000)]}
-    endpoint = decode_page(page)[0]
+    endpoint = decode_page(encode(page)).endpoints[0]
     assert endpoint.is_leaving
     assert endpoint.started_ms == 1700000000000
     assert endpoint.data_centre == "papantla"
 
 
 class Pages(RequestHandler):
-    def initialize(self, pages):
+    def initialize(self, pages, calls):
         self.pages = pages
+        self.calls = calls
 
     def get(self):
-        status, body = self.pages[self.get_argument("page_token", "")]
+        token = self.get_argument("page_token", "")
+        self.calls.append(token)
+        status, body = self.pages[token]
         self.set_status(status)
         self.write(body)
 
 
-async def fetch(pages):
-    server = HTTPServer(Application([("/instances", Pages, {"pages": pages})]))
+@contextlib.contextmanager
+def serving(pages, calls, handler=None):
+    route = ("/instances", Pages, {"pages": pages, "calls": calls})
+    if handler is not None:
+        route = ("/instances", handler)
+    server = HTTPServer(Application([route]))
     listener, port = bind_unused_port()
     server.add_sockets([listener])
     try:
-        return await InstanceList(f"127.0.0.1:{port}", 40.0).fetch()
+        yield InstanceList(f"127.0.0.1:{port}", 40.0)
     finally:
         server.stop()
 
 
+async def fetch(pages, calls=None):
+    with serving(pages, [] if calls is None else calls) as source:
+        return await source.fetch()
+
+
 def page(*names, following=None):
     instances = [make_instance(name) for name in names]
     return 200, json.dumps({"instances": instances, "next": following})
@@ -71,9 +154,68 @@
 
 
 @pytest.mark.parametrize(
-    "answer", [(429, ""), (200, "{"), (200, "[]"), (200, '{"instances": 3}')]
+    "answer",
+    [
+        (429, ""),
+        (200, "{"),
+        (200, "[]"),
+        (200, '{"instances": 3}'),
+        (200, b'{"instances": [\xff'),
+        (200, b'{"instances": [\xff], "next": null} {'),
+        (200, b'{"instances": [\xff], "instances": []}'),
+        (200, b'{"instances": [\xff], "next": [}'),
+        (200, b'{"instances": [\xff, "]}'),
+        (200, '{"instances": [], "next": 3}'),
+        (200, '{"instances": [], "next": {"x": 1}}'),
+        (200, r'{"instances": [], "next": "\ud800"}'),
+        (200, '{"instances": [], "next": "%s"}' % (2000 * "x")),
+        (200, '{"instances": [], "next": "x"}'),
+        (200, '{"instances": ["%s"]}' % ((1 << 21) * "x")),
+    ],
+    ids=range(15),
 )
 async def test_incomplete_list_is_an_error(answer):
     # Guards against a partial list that makes the missing endpoints look removed.
+    calls = []
+    with pytest.raises(PeerError):
+        await fetch({"": page("i-1", following="x"), "x": answer}, calls)
+    assert calls == ["", "x"]
+
+
+class SlowPages(RequestHandler):
+    async def get(self):
+        for _ in range(200):
+            self.write(" ")
+            await self.flush()
+            await asyncio.sleep(0.05)
+
+
+async def test_page_that_arrives_byte_by_byte_is_an_error(monkeypatch):
+    # Guards against a read of the list that takes hours, while the list gets old.
+    monkeypatch.setattr(instances, "_PAGE_TIMEOUT_MS", 300.0)
+    with serving({}, [], SlowPages) as source:
+        async with asyncio.timeout(3):
+            with pytest.raises(PeerTimeoutError):
+                await source.fetch()
+
+
+async def test_pages_that_are_too_large_together_are_an_error():
+    # Guards against a gateway that uses up its memory for a list that goes on.
+    pages = {"": page(following="0")}
+    for number in range(20):
+        entries, following = [(1 << 20) * "x"], str(number + 1)
+        pages[str(number)] = 200, json.dumps({"instances": entries, "next": following})
     with pytest.raises(PeerError):
-        await fetch({"": page("i-1", following="x"), "x": answer})
+        await fetch(pages, calls := [])
+    assert len(calls) < 20
+
+
+async def test_invalid_entry_is_logged_once_while_it_stays(caplog):
+    # Guards against a log that one invalid entry fills, with a line for each read.
+    pages = {}
+    with serving(pages, []) as source:
+        for slots in (0, 0, 5, 0):
+            entries = [make_instance("i-1"), make_instance("i-9", slots=slots)]
+            pages[""] = 200, json.dumps({"instances": entries})
+            await source.fetch()
+    assert caplog.text.count("skipped the entry id='i-9'") == 2
