--- a/libs/store/src/bulrushbend/store/core.py
+++ b/libs/store/src/bulrushbend/store/core.py
@@ -307,7 +307,7 @@
         self._waiters = [pair for pair in waiting if not pair[1].done()]
 
     def _snapshot_when_due(self) -> None:
-        """Take a snapshot when enough entries were applied since the last one.
+        """Take a snapshot when enough entries or bytes were applied since the last one.
 
         The commands in the log must also be at least as large as the last snapshot, so
         that the cost of writing a large state is amortised over as many bytes.
@@ -316,13 +316,16 @@
             return
         if self.role is Role.FAILED:
             return
-        latest = self.stores.snapshots.latest
+        latest, log = self.stores.snapshots.latest, self.stores.log
         entries_since_snapshot = (
             self._applied_index - self.stores.snapshot_position.index
         )
-        if entries_since_snapshot < self.options.snapshot_entries:
+        enough_bytes = log.command_bytes >= self.options.snapshot_bytes
+        if entries_since_snapshot < (
+            1 if enough_bytes else self.options.snapshot_entries
+        ):
             return
-        if latest and self.stores.log.command_bytes < len(latest.data):
+        if latest and log.command_bytes < len(latest.data):
             return
         term = self.stores.log.term_at(self._applied_index)
         last = Position(self._applied_index, term)
@@ -343,7 +346,10 @@
     async def _compact(self, index: int) -> None:
         """Remove old applied entries; slow followers catch up from the newer ones."""
         log = self.stores.log
-        base_index = index - self.options.snapshot_entries // 2
+        base_index = max(
+            index - self.options.snapshot_entries // 2,
+            log.index_before_last(index, self.options.snapshot_bytes // 2),
+        )
         if base_index > log.base.index:
             base = Position(base_index, log.term_at(base_index))
             await self.run_store_operation(log.compact, base)
--- a/libs/store/src/bulrushbend/store/log.py
+++ b/libs/store/src/bulrushbend/store/log.py
@@ -65,6 +65,24 @@
             selected.append(entry)
         return selected
 
+    def index_before_last(self, index: int, limit_bytes: int) -> int:
+        """Return the index before the last entries up to `index` within a size limit.
+
+        Parameters
+        ----------
+        index : int
+            Index of the last of these entries.
+        limit_bytes : int
+            Limit for the total length of their commands in bytes.
+        """
+        remaining = limit_bytes
+        while index > self._base.index:
+            remaining -= len(self._entries[index - self._base.index - 1].command)
+            if remaining < 0:
+                break
+            index -= 1
+        return index
+
     def append(self, entries: Sequence[Entry]) -> None:
         """Append entries; they are durable when this returns.
 
--- a/libs/store/src/bulrushbend/store/options.py
+++ b/libs/store/src/bulrushbend/store/options.py
@@ -34,6 +34,9 @@
         Time between heartbeats to a peer that is up to date.
     snapshot_entries : int
         Number of applied entries after which a snapshot is taken.
+    snapshot_bytes : int
+        Size of the commands in the log after which a snapshot is taken earlier. Half of
+        it is kept for slow followers.
     """
 
     name: str
@@ -42,3 +45,4 @@
     election_timeout_ms: float = 1000.0
     append_interval_ms: float = 150.0
     snapshot_entries: int = 1000
+    snapshot_bytes: int = 8 << 20
--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -163,6 +163,25 @@
         assert len(seen) <= 50
 
 
+async def test_log_of_large_commands_does_not_outgrow_the_disk(tmp_path):
+    """Guards against a log that is limited by the number of its entries only."""
+    limit = 4000
+    async with Cluster(tmp_path, snapshot_bytes=limit) as cluster:
+        for version in range(1, 101):
+            await cluster.publish(cluster.leader_name, version)
+        command_bytes = len(put_manifest(100).SerializeToString())
+        assert 100 * command_bytes > 2 * limit
+        longest = limit + 10 * command_bytes
+        for name in cluster.names:
+            path = tmp_path / name / "log"
+            await wait_until(lambda p=path: p.stat().st_size < longest, 2.0)
+        behind = cluster.others(cluster.leader_name)[0]
+        await cluster.stop(behind)
+        cluster.start(behind)
+        state = cluster.replicas[behind].state
+        await wait_until(lambda: state.manifest_version == 100)
+
+
 async def test_store_failure_ends_leadership_and_voting(tmp_path):
     """After a failed sync a replica must neither continue as leader nor vote."""
     async with Cluster(tmp_path) as cluster:
