Make the entries found in a log durable before they count

A process that ended, or whose disk failed, between the write and the sync of an append leaves entries that only the page cache holds. The next start read them and counted them as stored without a sync of its own. So did the store that is reopened after a failed sync: the kernel has marked the pages clean by then, and a later sync does not store them. The leader commits with such a replica in the majority, and an acknowledged configuration or key is lost with the disk of the leader and the power of the others. In the same way a vote whose rename was not followed by a sync of the folder was used as if it were durable, and could be given a second time in its term.

Opening the log writes what was read to a new file, which replaces the old one. A sync alone on opening was ruled out because of the pages that are marked clean. Opening fails while the disk is full, and is repeated as before; a replica that cannot append has no part in the group either way.

test_entries_found_on_open_survive_a_loss_of_power (both cases) and test_vote_found_on_open_survives_a_loss_of_power failed before. The file system of the tests now drops what a failed sync did not store, and restores names when their folder was not synced.

--- a/libs/store/src/bulrushbend/store/disklog.py
+++ b/libs/store/src/bulrushbend/store/disklog.py
@@ -27,7 +27,8 @@
 class DiskLogStore(BaseLogStore):
     """Log in one file; see `records` for its format.
 
-    The entries are also held in memory; snapshots limit their number.
+    The entries are also held in memory; snapshots limit their number. Opening writes
+    the file anew, so it fails while the disk is full.
 
     Parameters
     ----------
@@ -55,7 +56,7 @@
 
     @property
     def repaired_bytes(self) -> int:
-        """Length of the torn end that was truncated when the file was opened."""
+        """Length of the torn end that was dropped when the file was opened."""
         return self._repaired_bytes
 
     @property
@@ -75,16 +76,14 @@
             self._rewrite(Position(), ())
             return
         decoded = decode_log(data, str(self._path))
-        self._salt = decoded.salt
+        self._repaired_bytes = decoded.torn_bytes
         self._base = decoded.base
         self._entries = decoded.entries
         self._command_bytes = sum(len(e.command) for e in decoded.entries)
-        self._offsets = decoded.offsets
-        self._length = decoded.length
-        self._reopen()
-        if decoded.torn_bytes:
-            self._repaired_bytes = decoded.torn_bytes
-            self._run_file_operation(self._truncate_file, decoded.length)
+        # What was read may be in the page cache only, and after a failed sync another
+        # one need not store it, so the entries are written again. The sync of the
+        # folder also covers names that the vote and the snapshot were renamed to.
+        self._rewrite(decoded.base, decoded.entries)
 
     def _reopen(self) -> None:
         self.close()
--- a/libs/store/tests/store_builders.py
+++ b/libs/store/tests/store_builders.py
@@ -27,57 +27,89 @@
 
 
 class FaultyFileSystem(LocalFileSystem):
-    """File system that injects write failures and simulates a loss of power."""
+    """File system that injects write failures and simulates a loss of power.
+
+    After a failed sync a later one does not cover the bytes of the failed one, as on
+    Linux, where the kernel marks the pages clean.
+    """
 
     def __init__(self):
         self.sync_fails = False
         self.free_bytes = None
+        self.refused_operations = frozenset()
         self.has_power = True
         self._synced = {}
+        self._limits = {}
+        self._replaced = {}
+
+    def open(self, path):
+        self._require("open")
+        return super().open(path)
 
     def write(self, file, data):
-        self._require_power()
+        self._require("write")
         if self.free_bytes is not None and len(data) > self.free_bytes:
             super().write(file, data[: self.free_bytes])
             raise OSError(errno.ENOSPC, "No space left on device")
         super().write(file, data)
 
     def create(self, path):
-        self._require_power()
+        self._require("create")
         self._synced[path] = 0
+        self._limits.pop(path, None)
         return super().create(path)
 
     def truncate(self, file, length):
-        self._require_power()
+        self._require("truncate")
         super().truncate(file, length)
 
     def sync(self, file):
-        self._require_power()
+        self._require("sync")
+        path = pathlib.Path(file.name)
         if self.sync_fails:
+            self._limits.setdefault(path, self._synced.get(path, 0))
             raise OSError(errno.EIO, "Input/output error")
         super().sync(file)
-        path = pathlib.Path(file.name)
-        self._synced[path] = path.stat().st_size
+        size = path.stat().st_size
+        self._synced[path] = min(size, self._limits.get(path, size))
 
     def rename(self, source, target):
-        self._require_power()
+        self._require("rename")
+        if target.exists():
+            self._replaced.setdefault(target, target.read_bytes())
         super().rename(source, target)
         self._synced[target] = self._synced.pop(source)
+        self._limits.pop(target, None)
+
+    def sync_folder(self, path):
+        self._require("sync_folder")
+        super().sync_folder(path)
+        self._replaced.clear()
 
     def lose_power(self):
         """Fail every operation until `restore_power`."""
         self.has_power = False
 
     def restore_power(self, torn_bytes):
-        """Work again; of the unsynced end of each file, keep only `torn_bytes`."""
+        """Work again; of the unsynced end of each file, keep only `torn_bytes`.
+
+        Names that were replaced without a sync of the folder get their old content.
+        """
+        for path, content in self._replaced.items():
+            path.write_bytes(content)
+            self._synced[path] = len(content)
+        self._replaced.clear()
+        self._limits.clear()
         for path, length in self._synced.items():
             if path.exists() and path.stat().st_size > length + torn_bytes:
                 os.truncate(path, length + torn_bytes)
         self.has_power = True
 
-    def _require_power(self):
+    def _require(self, operation):
         if not self.has_power:
             raise OSError(errno.EIO, "no power")
+        if operation in self.refused_operations:
+            raise OSError(errno.ENOSPC, "No space left on device")
 
 
 class Network:
--- a/libs/store/tests/test_disklog.py
+++ b/libs/store/tests/test_disklog.py
@@ -126,3 +126,24 @@
     assert error_info.value.__cause__.errno == errno.ENOSPC
     store.close()
     assert reopen(tmp_path / "log").entries(1) == entries(1, 5)
+
+
+@pytest.mark.parametrize("fault", ["process ends", "sync fails"])
+def test_entries_found_on_open_survive_a_loss_of_power(tmp_path, fault):
+    """Guards against acknowledged entries that only the page cache holds."""
+    files = FaultyFileSystem()
+    store = DiskLogStore(tmp_path / "log", files)
+    store.append(entries(1, 1))
+    if fault == "process ends":
+        files.refused_operations = frozenset({"sync"})
+    files.sync_fails = fault == "sync fails"
+    with pytest.raises(StoreFailedError):
+        store.append(entries(2, 2))
+    store.close()
+    files.refused_operations, files.sync_fails = frozenset(), False
+    store = DiskLogStore(tmp_path / "log", files)
+    found = store.last
+    store.close()
+    files.lose_power()
+    files.restore_power(0)
+    assert reopen(tmp_path / "log").last == found
--- a/libs/store/tests/test_stores.py
+++ b/libs/store/tests/test_stores.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from store_builders import FaultyFileSystem
 
 from bulrushbend.core.errors import CorruptLogError, StoreFailedError
 from bulrushbend.store.records import Entry, Position
@@ -75,3 +76,20 @@
     (tmp_path / missing).unlink()
     with contextlib.ExitStack() as stack, pytest.raises(CorruptLogError):
         open_stores(tmp_path, stack)
+
+
+def test_vote_found_on_open_survives_a_loss_of_power(tmp_path):
+    """Guards against a second vote in a term after a rename that was not durable."""
+    files = FaultyFileSystem()
+    with contextlib.ExitStack() as stack:
+        stores = open_stores(tmp_path, stack, files)
+        stores.votes.save(Vote(1, "c1", "founding"))
+        files.refused_operations = frozenset({"sync_folder"})
+        with pytest.raises(StoreFailedError):
+            stores.votes.save(Vote(2, "c2", "founding"))
+    files.refused_operations = frozenset()
+    with contextlib.ExitStack() as stack:
+        found = open_stores(tmp_path, stack, files).votes.vote
+    files.lose_power()
+    files.restore_power(0)
+    assert DiskVoteStore(tmp_path / "vote").vote == found
