Close the connections of a control replica that is stopped

A control replica whose store fails is stopped and started again within its process. The server of grpclib cancels its handlers then, but leaves the connections open and sends no trailers for the ended streams. The watch streams of gateways, routers and agents stayed open without a message until the silence timeout between regions, 6 s, and new calls on these connections reached the services of the stopped replica. With the disks of three replicas full one after another within that time no watch stream is left: manifests reach no member, and leases run out.

The server closes its connections after its handlers have ended, so that answers of calls in progress are still sent. Clients reconnect at once.

--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import Any
 
-from grpclib.server import Server
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
@@ -16,6 +15,7 @@
 from bulrushbend.control.join_requester import JoinRequester
 from bulrushbend.control.membership import Membership
 from bulrushbend.control.publishing import HighestVersionPublisher, Publisher
+from bulrushbend.control.server import ClosingServer
 from bulrushbend.control.service import FleetService
 from bulrushbend.control.watcher import WatchOptions
 from bulrushbend.core.clock import Clock
@@ -186,7 +186,7 @@
         )
 
     async def _start_grpc(self) -> None:
-        server = Server([self._service, ConsensusService(self._replica)])
+        server = ClosingServer([self._service, ConsensusService(self._replica)])
         host, port = split_address(self._settings.link_bind)
         try:
             await server.start(host, port)
--- a/libs/control/tests/test_daemon.py
+++ b/libs/control/tests/test_daemon.py
@@ -201,6 +201,17 @@
         assert in_force.version == 2
 
 
+async def test_stopped_replica_closes_the_connections_of_its_clients(tmp_path):
+    """Guards against clients that wait for a replica that was stopped in its process.
+
+    Between regions a client regards a replica as lost after 6 s of silence.
+    """
+    async with Fleet(tmp_path, ["c1"]) as fleet, fleet.watch("r1") as (watch, _):
+        await wait_until(lambda: watch.connected_count == 1)
+        await fleet.stop("c1")
+        await wait_until(lambda: watch.connected_count == 0, 1.0)
+
+
 async def test_leader_writes_one_event_for_each_command(tmp_path):
     """Guards against commands that occur repeatedly in the merged event logs."""
     async with Fleet(tmp_path) as fleet, fleet.watch("r1") as (watch, _):
