Answer calls in progress when the store of a replica fails

When the disk of a control replica filled, the operator's calls at that replica ended without an answer: the daemon closed their connections within 0.1 s, while the calls went on for up to 2.5 s and then answered 503 to nobody. A replica whose store has failed follows no leader any more, so all of these attempts were in vain.

A call now ends as soon as the store has failed. The daemon accepts no more connections, gives calls that another leader answers 0.5 s, stops the replica, which ends the others, and closes the connections after their answers were written. The same holds for a planned stop. Callers over gRPC get the status UNAVAILABLE instead of a final refusal, with which the client asks another replica at once; without that, test_keys_are_recorded_at_other_replicas_when_the_disk_is_full failed.

test_calls_in_progress_are_answered_when_the_disk_is_full failed before for the leader: the connection ended without a response. The loop that starts a replica again is a function of its own, so that tests use it.

--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -52,6 +52,8 @@
 # Interval of checks for a store failure, and delay before the store is reopened.
 STORE_CHECK_INTERVAL_S = 0.1
 STORE_RETRY_DELAY_S = 0.5
+# Time for the operators' calls in progress when the replica stops.
+CALL_TIMEOUT_MS = 500
 
 
 class ControlDaemon:
@@ -154,7 +156,6 @@
         self._build(stores)
         await self._start_grpc()
         self._replica.start()
-        self._stack.push_async_callback(self._replica.stop)
         self._start_http()
         self._start_task(self._sweep())
         if settings.voters is not None:
@@ -200,13 +201,21 @@
         self._stack.callback(server.close)
 
     def _start_http(self) -> None:
+        """Start the HTTP server, and stop the replica between its stop and its end.
+
+        Calls that the leader answers may end before the replica stops. Its stop ends
+        the others with an error, which is sent before the connections are closed.
+        """
         routes = operational_routes(lambda: self.is_ready)
+        publisher = HighestVersionPublisher(self._replica, self._clock)
         if self._operator_routes is not None:
-            publisher = HighestVersionPublisher(self._replica, self._clock)
             routes += self._operator_routes(publisher)
         server = HTTPServer(Application(routes))
-        listen_http(server, self._settings.http_bind)
         self._stack.push_async_callback(server.close_all_connections)
+        self._stack.push_async_callback(publisher.wait_idle, CALL_TIMEOUT_MS)
+        self._stack.push_async_callback(self._replica.stop)
+        self._stack.push_async_callback(publisher.wait_idle, CALL_TIMEOUT_MS)
+        listen_http(server, self._settings.http_bind)
         self._stack.callback(server.stop)
 
     def _start_voter_repair(self, voters: int) -> None:
@@ -308,21 +317,46 @@
         if reload is not None:
             known_replicas.replicas = reload().control
 
-    stopping = asyncio.create_task(run_until_signal(_nothing_to_drain, reload_settings))
-    while not stopping.done():
-        daemon = ControlDaemon(
+    def build() -> ControlDaemon:
+        return ControlDaemon(
             settings,
             bootstrap=bootstrap,
             operator_routes=operator_routes,
             known_replicas=lambda: known_replicas.replicas,
         )
+
+    stopping = asyncio.create_task(run_until_signal(_nothing_to_drain, reload_settings))
+    await run_replicas(build, stopping)
+
+
+async def run_replicas(
+    build: Callable[[], ControlDaemon], stopping: asyncio.Task[None]
+) -> None:
+    """Run a replica, and another one after each failure of its store.
+
+    The failure may be temporary, such as a full disk.
+
+    Parameters
+    ----------
+    build : callable
+        Returns a replica that was not started.
+    stopping : asyncio.Task
+        The replica is stopped when this task ends.
+
+    Raises
+    ------
+    SettingsError
+        The event log or an address cannot be opened.
+    CorruptLogError
+        The data folder is damaged.
+    """
+    while not stopping.done():
+        daemon = build()
         try:
             await daemon.start()
         except StoreFailedError as error:
-            # The failure may be temporary, such as a full disk.
             _log.error(
-                "cannot open the data folder %s; retrying in %.1f s: %s",
-                settings.data_folder,
+                "cannot open the store; retrying in %.1f s: %s",
                 STORE_RETRY_DELAY_S,
                 error,
             )
--- a/libs/control/src/bulrushbend/control/publishing.py
+++ b/libs/control/src/bulrushbend/control/publishing.py
@@ -1,5 +1,8 @@
 """Publication of manifests; the highest version wins."""
 
+import asyncio
+import contextlib
+from collections.abc import Iterator
 from typing import Protocol
 
 from bulrushbend.core.clock import Clock
@@ -72,20 +75,43 @@
     def __init__(self, replica: BaseReplica, clock: Clock):
         self._replica = replica
         self._clock = clock
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
 
     async def publish(self, manifest: Manifest) -> int:
         """Publish a manifest; see `Publisher.publish`."""
-        reply = await propose_manifest(
-            self._replica, self._clock, pack_manifest(manifest), PUBLISH_TIMEOUT_MS
-        )
+        with self._track():
+            reply = await propose_manifest(
+                self._replica, self._clock, pack_manifest(manifest), PUBLISH_TIMEOUT_MS
+            )
         if reply.result == PublishReply.INVALID:
             raise ManifestError(reply.message, step="publish")
         return reply.version
 
     async def read(self) -> Manifest:
         """Return the newest accepted manifest; see `Publisher.read`."""
-        await self._replica.read_index(READ_TIMEOUT_MS)
+        with self._track():
+            await self._replica.read_index(READ_TIMEOUT_MS)
         document = self._replica.state.manifest
         if document is None:
             raise NoQuorumError("no manifest has been accepted yet", step="read")
         return unpack_manifest(document, "state")
+
+    async def wait_idle(self, timeout_ms: float) -> None:
+        """Wait until no call is in progress, at most for `timeout_ms`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                await self._idle.wait()
+
+    @contextlib.contextmanager
+    def _track(self) -> Iterator[None]:
+        """Count a call in progress."""
+        self._running += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
--- a/libs/control/src/bulrushbend/control/service.py
+++ b/libs/control/src/bulrushbend/control/service.py
@@ -138,6 +138,7 @@
                 self._replica, self._clock, request.manifest, WRITE_TIMEOUT_MS
             )
         except NoQuorumError as error:
+            self._reject_if_unavailable()
             return PublishReply(result=PublishReply.UNAVAILABLE, message=str(error))
 
     async def write_key(
@@ -149,6 +150,7 @@
         try:
             result = await self._replica.propose(command, WRITE_TIMEOUT_MS)
         except NoQuorumError:
+            self._reject_if_unavailable()
             return KeyReply(result=KeyReply.UNAVAILABLE)
         return KeyReply.FromString(result)
 
--- a/libs/control/tests/control_builders.py
+++ b/libs/control/tests/control_builders.py
@@ -1,8 +1,14 @@
 """Builders of settings, members and requests for the tests of control."""
 
+import errno
+
+from tornado.web import RequestHandler
+
 from bulrushbend.bench.addresses import free_address
+from bulrushbend.core.errors import NoQuorumError
 from bulrushbend.core.manifest import parse_manifest
 from bulrushbend.core.settings import ControlSettings, RouterSettings
+from bulrushbend.store.files import LocalFileSystem
 from bulrushbend.wire.documents import pack_manifest
 from bulrushbend.wire.fleet_pb2 import KeyRequest, Member, PublishRequest
 
@@ -39,10 +45,48 @@
     return Member(name=name, role="router", incarnation=incarnation)
 
 
-def publish_request(version, team="crew-a"):
+def manifest_of_version(version, team="crew-a"):
     text = f'version = {version}\n[[teams]]\nname = "{team}"\n'
-    manifest = parse_manifest(text + f'token_sha256 = "{"0" * 64}"')
-    return PublishRequest(manifest=pack_manifest(manifest))
+    return parse_manifest(text + f'token_sha256 = "{"0" * 64}"')
+
+
+def publish_request(version, team="crew-a"):
+    return PublishRequest(manifest=pack_manifest(manifest_of_version(version, team)))
+
+
+class Disk(LocalFileSystem):
+    """File system that refuses all writes while it is full."""
+
+    def __init__(self):
+        self.is_full = False
+
+    def create(self, path):
+        self._require_room()
+        return super().create(path)
+
+    def write(self, file, data):
+        self._require_room()
+        super().write(file, data)
+
+    def _require_room(self):
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+
+class _PublishHandler(RequestHandler):
+    def initialize(self, publisher):
+        self._publisher = publisher
+
+    async def post(self):
+        try:
+            manifest = manifest_of_version(int(self.request.body))
+            self.write(str(await self._publisher.publish(manifest)))
+        except NoQuorumError:
+            self.set_status(503)
+
+
+def operator_routes(publisher):
+    return [("/publish", _PublishHandler, {"publisher": publisher})]
 
 
 def key_request(key="k1", request_id="req-1", owner="r1", incarnation=1, **fields):
--- a/libs/store/src/bulrushbend/store/replica.py
+++ b/libs/store/src/bulrushbend/store/replica.py
@@ -289,7 +289,7 @@
         timeout_ms: float,
         step: str,
     ) -> Value:
-        """Retry until an attempt succeeds or the deadline passes.
+        """Retry until an attempt succeeds, the deadline passes or the store fails.
 
         Each attempt gets half of the remaining time, so that time is left to reach a
         new leader when the old one does not answer.
@@ -310,6 +310,9 @@
                 StoreFailedError,
             ) as error:
                 reason = str(error)
+            if self.has_failed:
+                # It follows no leader any more, so that no attempt can succeed.
+                break
             await self._clock.sleep_ms(RETRY_DELAY_MS)
         raise NoQuorumError(reason, step=step, peer=self._core.leader)
 
