Do not lose the log file when closing the old one fails

A compaction replaces the log file and closes the old one. If the close reported the failure of an earlier write, as file systems with quotas or over a network do, the error was not a failure of the store: the replica kept its role, with a closed file. The next append raised a ValueError that nothing handles. At the leader the task that writes ended while heartbeats went on, so that no other replica was elected and every change stayed unanswered to the end, with all processes running. At followers every append failed for good; two of three are enough.

All that counts as stored has been synced before a file is closed, so the error is logged and the new file is opened.

test_failed_close_of_the_log_does_not_end_replication failed before, also on: "no majority answered in time" for all further changes.

--- a/libs/store/src/bulrushbend/store/disklog.py
+++ b/libs/store/src/bulrushbend/store/disklog.py
@@ -5,6 +5,7 @@
 from typing import BinaryIO
 
 from bulrushbend.core.errors import StoreFailedError
+from bulrushbend.core.logs import get_logger
 from bulrushbend.store.files import (
     FileSystem,
     LocalFileSystem,
@@ -23,6 +24,8 @@
     record_length,
 )
 
+_log = get_logger("store.disklog")
+
 
 class DiskLogStore(BaseLogStore):
     """Log in one file; see `records` for its format.
@@ -65,10 +68,16 @@
         return self._length
 
     def close(self) -> None:
-        """Close the file."""
-        if self._file is not None:
-            self._file.close()
-            self._file = None
+        """Close the file.
+
+        An error is logged only: what counts as stored has been synced before.
+        """
+        file, self._file = self._file, None
+        if file is not None:
+            try:
+                file.close()
+            except OSError as error:
+                _log.warning("closing %s failed: %s", self._path, error)
 
     def _open(self) -> None:
         data = read_file(self._files, self._path)
--- a/libs/store/tests/store_builders.py
+++ b/libs/store/tests/store_builders.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import io
 import os
 import pathlib
 
@@ -44,7 +45,7 @@
 
     def open(self, path):
         self._require("open")
-        return super().open(path)
+        return _File(path, self)
 
     def write(self, file, data):
         self._require("write")
@@ -112,6 +113,20 @@
             raise OSError(errno.ENOSPC, "No space left on device")
 
 
+class _File(io.FileIO):
+    """File whose close may report the failure of an earlier write."""
+
+    def __init__(self, path, files):
+        self._files = files
+        super().__init__(path, "r+")
+
+    def close(self):
+        was_open = not self.closed
+        super().close()
+        if was_open and "close" in self._files.refused_operations:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+
 class Network:
     """Carries calls between replicas; can isolate replicas and drop replies."""
 
--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -202,6 +202,17 @@
         await wait_until(lambda: cluster.replicas[failed].state.manifest_version == 2)
 
 
+async def test_failed_close_of_the_log_does_not_end_replication(tmp_path):
+    """Guards against a leader that keeps its role but can no longer write."""
+    async with Cluster(tmp_path, snapshot_entries=4) as cluster:
+        for name in cluster.names:
+            cluster.files[name].refused_operations = frozenset({"close"})
+        for version in range(1, 12):
+            await cluster.publish(cluster.leader_name, version)
+        for replica in cluster.replicas.values():
+            await wait_until(lambda s=replica.state: s.manifest_version == 11)
+
+
 async def test_follower_with_a_full_disk_does_not_count_towards_the_majority(tmp_path):
     """With one of three replicas stopped, a full disk on another fails all writes."""
     async with Cluster(tmp_path) as cluster:
