Stop a replica after an unexpected error instead of a part of it

Only `StoreFailedError` made a replica leave the group. Any other error of a store operation, or one while a committed entry was applied, ended the task or call in which it occurred, and the rest went on: a leader without the task that writes kept its role through heartbeats, so that every change stayed unanswered; a follower failed each append for good and did not count as failed, so that its store was never opened again. Errors at two of three replicas, one after another, leave no majority for good while all processes run.

test_unexpected_error_of_the_store_ends_participation (both roles) and test_unexpected_error_while_applying_ends_leadership failed before: "no majority answered in time", a follower that had not failed after 8 s, and "no leader is known".

--- a/libs/store/src/bulrushbend/store/core.py
+++ b/libs/store/src/bulrushbend/store/core.py
@@ -1,12 +1,13 @@
 """State that all roles of a replica share: term, log, commit index, applied state."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 from typing import TypeVar
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import NoQuorumError, StoreFailedError
+from bulrushbend.core.errors import NoQuorumError, StoreFailedError, outer_name_of
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.logs import get_logger
 from bulrushbend.store.base import AppliedEntry
@@ -145,11 +146,8 @@
             The operation failed, now or earlier.
         """
         self.raise_if_failed()
-        try:
+        with self._fail_on_error():
             await asyncio.to_thread(operation, *arguments)
-        except StoreFailedError as error:
-            self.fail(error)
-            raise
 
     def save_vote(self, **changes) -> None:
         """Durably change fields of the `Vote`; a failure stops the replica.
@@ -160,11 +158,25 @@
             The vote could not be made durable.
         """
         self.raise_if_failed()
-        try:
+        with self._fail_on_error():
             self.stores.votes.save(replace(self.stores.votes.vote, **changes))
+
+    @contextlib.contextmanager
+    def _fail_on_error(self) -> Iterator[None]:
+        """Stop the replica after any error, since its state is unknown then."""
+        try:
+            yield
         except StoreFailedError as error:
             self.fail(error)
             raise
+        except Exception as error:
+            failure = StoreFailedError(
+                f"unexpected {outer_name_of(error)}: {error}",
+                step="store",
+                peer=self.name,
+            )
+            self.fail(failure)
+            raise failure from error
 
     def raise_if_failed(self) -> None:
         """Raise `StoreFailedError` if the store has failed or was closed."""
@@ -268,14 +280,21 @@
                 future.exception()
 
     def commit(self, index: int) -> None:
-        """Advance the commit index to `index` and apply the committed entries."""
+        """Advance the commit index to `index` and apply the committed entries.
+
+        Raises
+        ------
+        StoreFailedError
+            An entry could not be applied.
+        """
         if index <= self._commit_index:
             return
         self._commit_index = index
-        for entry in self.stores.log.entries(self._applied_index + 1):
-            if entry.index > index:
-                break
-            self._apply(entry)
+        with self._fail_on_error():
+            for entry in self.stores.log.entries(self._applied_index + 1):
+                if entry.index > index:
+                    break
+                self._apply(entry)
         self._notify_waiters()
         self._snapshot_when_due()
 
--- a/libs/store/src/bulrushbend/store/leadership.py
+++ b/libs/store/src/bulrushbend/store/leadership.py
@@ -296,6 +296,9 @@
                 _log.info("replication failed, retrying: %s", error)
                 await self._core.clock.sleep_ms(self._core.options.append_interval_ms)
                 continue
+            except StoreFailedError as error:
+                _log.error("stopping the replication to %s: %s", peer.node.name, error)
+                return
             if not self._has_pending_updates(peer):
                 await self._wait_for_updates(peer)
 
--- a/libs/store/tests/store_builders.py
+++ b/libs/store/tests/store_builders.py
@@ -38,6 +38,7 @@
         self.sync_fails = False
         self.free_bytes = None
         self.refused_operations = frozenset()
+        self.raises_unexpectedly = False
         self.has_power = True
         self._synced = {}
         self._limits = {}
@@ -107,6 +108,8 @@
         self.has_power = True
 
     def _require(self, operation):
+        if self.raises_unexpectedly:
+            raise ValueError("unexpected error")
         if not self.has_power:
             raise OSError(errno.EIO, "no power")
         if operation in self.refused_operations:
--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -213,6 +213,36 @@
             await wait_until(lambda s=replica.state: s.manifest_version == 11)
 
 
+@pytest.mark.parametrize("role", ["leader", "follower"])
+async def test_unexpected_error_of_the_store_ends_participation(tmp_path, role):
+    """Guards against a replica that keeps its role but can no longer write."""
+    async with Cluster(tmp_path) as cluster:
+        failed = cluster.leader_name
+        if role == "follower":
+            failed = cluster.others(failed)[0]
+        other = next(n for n in cluster.others(failed) if n != cluster.leader_name)
+        await cluster.publish(other, 1)
+        cluster.files[failed].raises_unexpectedly = True
+        await cluster.publish(other, 2)
+        await wait_until(lambda: cluster.replicas[failed].has_failed)
+
+
+async def test_unexpected_error_while_applying_ends_leadership(tmp_path):
+    """Guards against a leader whose writer has ended while its heartbeats go on."""
+
+    def listener(applied):
+        raise RuntimeError("unexpected error")
+
+    async with Cluster(tmp_path) as cluster:
+        failed, leader = cluster.leader_name, cluster.leader
+        other = cluster.others(failed)[0]
+        await cluster.publish(other, 1)
+        leader.listen(listener)
+        for version in (2, 3):
+            await cluster.publish(other, version)
+        assert leader.has_failed
+
+
 async def test_follower_with_a_full_disk_does_not_count_towards_the_majority(tmp_path):
     """With one of three replicas stopped, a full disk on another fails all writes."""
     async with Cluster(tmp_path) as cluster:
