Keep a process running when its event log cannot be written

An event log in a file raised the error of a full disk to whoever wrote an event. Where the log lies on the disk of the store, as in the settings of the examples, a leader whose disk filled failed to step down: the event about it raised first. It kept its role through heartbeats without the task that writes, also when the disk had room again, and every change stayed unanswered while all processes ran. The log of the platform is a pipe, so this cannot happen there.

Writing an event now logs the error, once until a write succeeds, and goes on; the sequence numbers show what is missing. Closing the log no longer raises either, since a control replica with a full disk closes it at each attempt to start.

--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -9,6 +9,9 @@
 from typing import Any, Protocol, TextIO
 
 from bulrushbend.core.clock import Clock
+from bulrushbend.core.logs import get_logger
+
+_log = get_logger("core.events")
 
 
 class EventKind(enum.StrEnum):
@@ -132,7 +135,7 @@
     Parameters
     ----------
     stream : text file
-        Destination of the JSON lines; the caller owns and closes it.
+        Destination of the JSON lines.
     process : str
         Name of the process.
     incarnation : int
@@ -144,11 +147,29 @@
     def __init__(self, stream: TextIO, process: str, incarnation: int, clock: Clock):
         self._stream = stream
         self._lines = EventLines(process, incarnation, clock)
+        self._is_failing = False
 
     def write(self, kind: EventKind, **fields: Any) -> None:
-        """Append one event and flush it, so that it survives a kill of the process."""
-        self._stream.write(self._lines.format(kind, fields))
-        self._stream.flush()
+        """Append one event and flush it, so that it survives a kill of the process.
+
+        If that fails, as on a full disk, the event may be missing from the file, which
+        the sequence numbers show.
+        """
+        try:
+            self._stream.write(self._lines.format(kind, fields))
+            self._stream.flush()
+            self._is_failing = False
+        except OSError as error:
+            if not self._is_failing:
+                _log.error("cannot write to the event log: %s", error)
+            self._is_failing = True
+
+    def close(self) -> None:
+        """Close the stream."""
+        try:
+            self._stream.close()
+        except OSError as error:
+            _log.error("cannot write the last events to the event log: %s", error)
 
 
 class MemoryEventLog:
--- a/libs/process/src/bulrushbend/process/daemon.py
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -129,12 +129,14 @@
         return log
     try:
         Path(settings.event_log).parent.mkdir(parents=True, exist_ok=True)
-        stream = stack.enter_context(open(settings.event_log, "a"))  # noqa: SIM115
+        stream = open(settings.event_log, "a")  # noqa: SIM115
     except OSError as error:
         raise SettingsError(
             error.strerror or str(error), step="event log", peer=settings.event_log
         ) from None
-    return StreamEventLog(stream, identity.name, identity.incarnation, clock)
+    log = StreamEventLog(stream, identity.name, identity.incarnation, clock)
+    stack.callback(log.close)
+    return log
 
 
 def describe_member(
--- a/libs/store/tests/store_builders.py
+++ b/libs/store/tests/store_builders.py
@@ -130,6 +130,19 @@
             raise OSError(errno.ENOSPC, "No space left on device")
 
 
+class TextFile(io.StringIO):
+    """Text file on a disk that may be full."""
+
+    def __init__(self, files):
+        super().__init__()
+        self._files = files
+
+    def write(self, text):
+        if self._files.free_bytes is not None:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return super().write(text)
+
+
 class Network:
     """Carries calls between replicas; can isolate replicas and drop replies."""
 
--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -6,6 +6,8 @@
 from store_builders import (
     ELECTION_TIMEOUT_MS,
     Cluster,
+    FaultyFileSystem,
+    TextFile,
     address,
     key_request,
     key_result,
@@ -13,7 +15,9 @@
     wait_until,
 )
 
+from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import NoQuorumError
+from bulrushbend.core.events import StreamEventLog
 from bulrushbend.store.records import decode_log
 from bulrushbend.wire.control_pb2 import Command
 from bulrushbend.wire.fleet_pb2 import PublishReply, VotersRequest
@@ -213,6 +217,19 @@
             await wait_until(lambda s=replica.state: s.manifest_version == 11)
 
 
+async def test_event_log_on_a_full_disk_does_not_keep_a_leader_in_office(tmp_path):
+    """Guards against an error of the event log before the leader has stepped down."""
+    cluster = Cluster(tmp_path)
+    for name in cluster.names:
+        files = cluster.files[name] = FaultyFileSystem()
+        cluster.events[name] = StreamEventLog(TextFile(files), name, 1, Clock())
+    async with cluster:
+        failed = cluster.leader_name
+        cluster.files[failed].free_bytes = 0
+        await cluster.publish(cluster.others(failed)[0], 1)
+        assert cluster.replicas[failed].has_failed
+
+
 @pytest.mark.parametrize("role", ["leader", "follower"])
 async def test_unexpected_error_of_the_store_ends_participation(tmp_path, role):
     """Guards against a replica that keeps its role but can no longer write."""
