Remove files of the store that could not be completed

If the disk was full, or the process ended, the incomplete file stayed and kept the rest of the disk occupied.

The incomplete file is removed after a failure and when the store is opened.

test_snapshot_that_does_not_fit_leaves_room_for_the_log and test_incomplete_file_of_a_process_that_ended_is_removed failed before: "No space left on device" on opening the store again. The file system of the tests can limit the size of a folder for them.

--- a/libs/store/src/bulrushbend/store/files.py
+++ b/libs/store/src/bulrushbend/store/files.py
@@ -40,6 +40,10 @@
         """Rename a file, replacing `target`."""
         ...
 
+    def remove(self, path: Path) -> None:
+        """Remove a file if it exists."""
+        ...
+
     def sync_folder(self, path: Path) -> None:
         """Make the names in the folder durable."""
         ...
@@ -82,6 +86,10 @@
         """Rename a file, replacing `target`."""
         os.replace(source, target)
 
+    def remove(self, path: Path) -> None:
+        """Remove a file if it exists."""
+        path.unlink(missing_ok=True)
+
     def sync_folder(self, path: Path) -> None:
         """Make the names in the folder durable."""
         descriptor = os.open(path, os.O_RDONLY)
@@ -108,7 +116,7 @@
     StoreFailedError
         An operation failed; the file may hold the old or the new content.
     """
-    temporary = path.with_name(path.name + ".tmp")
+    temporary = temporary_path(path)
     try:
         with contextlib.closing(files.create(temporary)) as file:
             files.write(file, data)
@@ -116,9 +124,17 @@
         files.rename(temporary, path)
         files.sync_folder(path.parent)
     except OSError as error:
+        # An incomplete file would keep a full disk full.
+        with contextlib.suppress(OSError):
+            files.remove(temporary)
         raise store_error(error, path) from error
 
 
+def temporary_path(path: Path) -> Path:
+    """Return the file that holds the new content of `path` until it is complete."""
+    return path.with_name(path.name + ".tmp")
+
+
 def read_file(files: FileSystem, path: Path) -> bytes | None:
     """Return the content of `path`, None if there is no such file.
 
--- a/libs/store/src/bulrushbend/store/stores.py
+++ b/libs/store/src/bulrushbend/store/stores.py
@@ -1,12 +1,19 @@
 """The three stores of a replica: opens them and checks that they are consistent."""
 
 import contextlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 
 from bulrushbend.core.errors import CorruptLogError
 from bulrushbend.store.disklog import DiskLogStore
-from bulrushbend.store.files import DataFolder, FileSystem
+from bulrushbend.store.files import (
+    DataFolder,
+    FileSystem,
+    LocalFileSystem,
+    store_error,
+    temporary_path,
+)
 from bulrushbend.store.log import BaseLogStore, MemoryLogStore
 from bulrushbend.store.records import Position
 from bulrushbend.store.snapshots import (
@@ -60,9 +67,13 @@
         A file cannot be created, read or repaired, or the folder is in use.
     """
     stack.callback(DataFolder(folder).close)
-    votes = DiskVoteStore(folder / "vote", files)
-    snapshots = DiskSnapshotStore(folder / "snapshot", files)
-    log_path = folder / "log"
+    files = files or LocalFileSystem()
+    vote_path, snapshot_path, log_path = (
+        folder / name for name in ("vote", "snapshot", "log")
+    )
+    _remove_incomplete_files(files, (vote_path, snapshot_path, log_path))
+    votes = DiskVoteStore(vote_path, files)
+    snapshots = DiskSnapshotStore(snapshot_path, files)
     if votes.vote.disk_id and not log_path.exists():
         raise CorruptLogError(
             "the log file is missing although the vote file exists",
@@ -76,6 +87,15 @@
     return stores
 
 
+def _remove_incomplete_files(files: FileSystem, paths: Iterable[Path]) -> None:
+    """Remove the new content that a process did not complete before it ended."""
+    for path in paths:
+        try:
+            files.remove(temporary_path(path))
+        except OSError as error:
+            raise store_error(error, path) from error
+
+
 def _check_consistency(stores: Stores, folder: Path) -> None:
     log, last = stores.log, stores.snapshot_position
     if not stores.votes.vote.disk_id and log.last.index > 0:
--- a/libs/store/tests/store_builders.py
+++ b/libs/store/tests/store_builders.py
@@ -30,13 +30,15 @@
 class FaultyFileSystem(LocalFileSystem):
     """File system that injects write failures and simulates a loss of power.
 
-    After a failed sync a later one does not cover the bytes of the failed one, as on
-    Linux, where the kernel marks the pages clean.
+    Each write may have `free_bytes`, and all files of a folder `folder_bytes`. After a
+    failed sync a later one does not cover the bytes of the failed one, as on Linux,
+    where the kernel marks the pages clean.
     """
 
     def __init__(self):
         self.sync_fails = False
         self.free_bytes = None
+        self.folder_bytes = None
         self.refused_operations = frozenset()
         self.raises_unexpectedly = False
         self.has_power = True
@@ -50,8 +52,12 @@
 
     def write(self, file, data):
         self._require("write")
-        if self.free_bytes is not None and len(data) > self.free_bytes:
-            super().write(file, data[: self.free_bytes])
+        free_bytes = self.free_bytes
+        if self.folder_bytes is not None:
+            files = pathlib.Path(file.name).parent.iterdir()
+            free_bytes = self.folder_bytes - sum(f.stat().st_size for f in files)
+        if free_bytes is not None and len(data) > free_bytes:
+            super().write(file, data[:free_bytes])
             raise OSError(errno.ENOSPC, "No space left on device")
         super().write(file, data)
 
--- a/libs/store/tests/test_stores.py
+++ b/libs/store/tests/test_stores.py
@@ -93,3 +93,27 @@
     files.lose_power()
     files.restore_power(0)
     assert DiskVoteStore(tmp_path / "vote").vote == found
+
+
+def test_snapshot_that_does_not_fit_leaves_room_for_the_log(tmp_path):
+    """Guards against an incomplete file that keeps a disk full for good."""
+    files = FaultyFileSystem()
+    files.folder_bytes = 2000
+    with contextlib.ExitStack() as stack:
+        stores = open_stores(tmp_path, stack, files)
+        stores.votes.save(Vote(1, "", "founding"))
+        stores.log.append([Entry(1, 1, b"a" * 500)])
+        with pytest.raises(StoreFailedError):
+            stores.snapshots.save(Snapshot(Position(1, 1), b"s" * 3000))
+    with contextlib.ExitStack() as stack:
+        stores = open_stores(tmp_path, stack, files)
+        stores.log.append([Entry(2, 1, b"b")])
+
+
+def test_incomplete_file_of_a_process_that_ended_is_removed(tmp_path):
+    """Guards against an incomplete file that keeps a disk full for good."""
+    (tmp_path / "snapshot.tmp").write_bytes(b"s" * 1900)
+    files = FaultyFileSystem()
+    files.folder_bytes = 2000
+    with contextlib.ExitStack() as stack:
+        open_stores(tmp_path, stack, files).log.append([Entry(1, 1, b"a" * 500)])
