--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import Any
 
-from grpclib.server import Server
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
@@ -20,6 +19,7 @@
     HighestVersionPublisher,
     Publisher,
 )
+from bulrushbend.control.server import ClosingServer
 from bulrushbend.control.service import FleetService
 from bulrushbend.control.watcher import WatchOptions
 from bulrushbend.core.clock import Clock
@@ -57,9 +57,12 @@
 # Interval of checks for a store failure, and delay before the store is reopened.
 STORE_CHECK_INTERVAL_S = 0.1
 STORE_RETRY_DELAY_S = 0.5
-# Time in which the operators' calls in progress end by their own time limits.
+# Time in which the operators' calls in progress end by their own time limits, and time
+# for those in progress when the replica stops.
 _DRAIN_MS = PUBLISH_TIMEOUT_MS + 500
-_DRAIN_POLL_MS = 20
+CALL_TIMEOUT_MS = 500
+# Time in which the handlers of the connections that were accepted last begin.
+_ACCEPT_MS = 20
 
 
 class ControlDaemon:
@@ -148,18 +151,16 @@
 
     async def drain(self) -> None:
         """Accept no more connections of operators and finish their calls."""
-        if self._publisher is None:
+        if self._stop_listening is None:
             return
         self._events.write(EventKind.PROCESS_DRAINING)
         self._stop_listening()
-        deadline_ms = self._clock.now_ms() + _DRAIN_MS
-        # The handlers of the connections accepted last start after this task.
-        await self._clock.sleep_ms(_DRAIN_POLL_MS)
-        while self._publisher.in_progress and self._clock.now_ms() < deadline_ms:
-            await self._clock.sleep_ms(_DRAIN_POLL_MS)
+        await self._clock.sleep_ms(_ACCEPT_MS)
+        await self._publisher.wait_idle(_DRAIN_MS)
 
     async def stop(self) -> None:
         """Stop the servers and the replica, then close the stores."""
+        self._stop_listening = None
         await self._stack.aclose()
 
     async def _start(self) -> None:
@@ -176,7 +177,6 @@
         self._build(stores)
         await self._start_grpc()
         self._replica.start()
-        self._stack.push_async_callback(self._replica.stop)
         self._start_http()
         self._start_task(self._sweep())
         if settings.voters is not None:
@@ -208,7 +208,7 @@
         )
 
     async def _start_grpc(self) -> None:
-        server = Server([self._service, ConsensusService(self._replica)])
+        server = ClosingServer([self._service, ConsensusService(self._replica)])
         host, port = split_address(self._settings.link_bind)
         try:
             await server.start(host, port)
@@ -222,15 +222,24 @@
         self._stack.callback(server.close)
 
     def _start_http(self) -> None:
+        """Start the HTTP server, and stop the replica between its stop and its end.
+
+        Calls that the leader answers may end before the replica stops. Its stop ends
+        the others with an error, which is sent before the connections are closed.
+        """
         routes = operational_routes(lambda: self.is_ready)
+        publisher = HighestVersionPublisher(self._replica, self._clock)
         if self._operator_routes is not None:
-            self._publisher = HighestVersionPublisher(self._replica, self._clock)
-            routes += self._operator_routes(self._publisher)
+            routes += self._operator_routes(publisher)
         server = HTTPServer(Application(routes))
-        listeners = listen_http(server, self._settings.http_bind)
-        self._stop_listening = lambda: stop_http(server, listeners)
         self._stack.push_async_callback(server.close_all_connections)
+        self._stack.push_async_callback(publisher.wait_idle, CALL_TIMEOUT_MS)
+        self._stack.push_async_callback(self._replica.stop)
+        self._stack.push_async_callback(publisher.wait_idle, CALL_TIMEOUT_MS)
+        listeners = listen_http(server, self._settings.http_bind)
         self._stack.callback(server.stop)
+        self._publisher = publisher
+        self._stop_listening = lambda: stop_http(server, listeners)
 
     def _start_voter_repair(self, voters: int) -> None:
         name = self._settings.name
@@ -331,37 +340,62 @@
         if reload is not None:
             known_replicas.replicas = reload().control
 
-    started: list[ControlDaemon] = []
+    daemon: ControlDaemon | None = None
 
     async def drain() -> None:
-        for daemon in list(started):
+        if daemon is not None:
             await daemon.drain()
 
-    stopping = asyncio.create_task(run_until_signal(drain, reload_settings))
-    while not stopping.done():
+    def build() -> ControlDaemon:
+        nonlocal daemon
         daemon = ControlDaemon(
             settings,
             bootstrap=bootstrap,
             operator_routes=operator_routes,
             known_replicas=lambda: known_replicas.replicas,
         )
+        return daemon
+
+    stopping = asyncio.create_task(run_until_signal(drain, reload_settings))
+    await run_replicas(build, stopping)
+
+
+async def run_replicas(
+    build: Callable[[], ControlDaemon], stopping: asyncio.Task[None]
+) -> None:
+    """Run a replica, and another one after each failure of its store.
+
+    The failure may be temporary, such as a full disk.
+
+    Parameters
+    ----------
+    build : callable
+        Returns a replica that was not started.
+    stopping : asyncio.Task
+        The replica is stopped when this task ends.
+
+    Raises
+    ------
+    SettingsError
+        The event log or an address cannot be opened.
+    CorruptLogError
+        The data folder is damaged.
+    """
+    while not stopping.done():
+        daemon = build()
         try:
             await daemon.start()
         except StoreFailedError as error:
-            # The failure may be temporary, such as a full disk.
             _log.error(
-                "cannot open the data folder %s; retrying in %.1f s: %s",
-                settings.data_folder,
+                "cannot open the store; retrying in %.1f s: %s",
                 STORE_RETRY_DELAY_S,
                 error,
             )
             await _wait_before_retry(stopping)
             continue
-        started.append(daemon)
         try:
             await _wait_for_stop_or_failure(daemon, stopping)
         finally:
-            started.remove(daemon)
             await daemon.stop()
         if not stopping.done():
             await _wait_before_retry(stopping)
--- a/libs/control/src/bulrushbend/control/publishing.py
+++ b/libs/control/src/bulrushbend/control/publishing.py
@@ -1,5 +1,6 @@
 """Publication of manifests; the highest version wins."""
 
+import asyncio
 import contextlib
 from collections.abc import Iterator
 from typing import Protocol
@@ -74,12 +75,9 @@
     def __init__(self, replica: BaseReplica, clock: Clock):
         self._replica = replica
         self._clock = clock
-        self._in_progress = 0
-
-    @property
-    def in_progress(self) -> int:
-        """Number of calls without a result."""
-        return self._in_progress
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
 
     async def publish(self, manifest: Manifest) -> int:
         """Publish a manifest; see `Publisher.publish`."""
@@ -100,10 +98,20 @@
             raise NoQuorumError("no manifest has been accepted yet", step="read")
         return unpack_manifest(document, "state")
 
+    async def wait_idle(self, timeout_ms: float) -> None:
+        """Wait until no call is in progress, at most for `timeout_ms`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                await self._idle.wait()
+
     @contextlib.contextmanager
     def _track(self) -> Iterator[None]:
-        self._in_progress += 1
+        """Count a call in progress."""
+        self._running += 1
+        self._idle.clear()
         try:
             yield
         finally:
-            self._in_progress -= 1
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
--- a/libs/store/src/bulrushbend/store/core.py
+++ b/libs/store/src/bulrushbend/store/core.py
@@ -1,12 +1,13 @@
 """State that all roles of a replica share: term, log, commit index, applied state."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 from typing import TypeVar
 
 from bulrushbend.core.clock import Clock
-from bulrushbend.core.errors import NoQuorumError, StoreFailedError
+from bulrushbend.core.errors import NoQuorumError, StoreFailedError, outer_name_of
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.logs import get_logger
 from bulrushbend.store.base import AppliedEntry
@@ -145,11 +146,8 @@
             The operation failed, now or earlier.
         """
         self.raise_if_failed()
-        try:
+        with self._fail_on_error():
             await asyncio.to_thread(operation, *arguments)
-        except StoreFailedError as error:
-            self.fail(error)
-            raise
 
     def save_vote(self, **changes) -> None:
         """Durably change fields of the `Vote`; a failure stops the replica.
@@ -160,11 +158,25 @@
             The vote could not be made durable.
         """
         self.raise_if_failed()
-        try:
+        with self._fail_on_error():
             self.stores.votes.save(replace(self.stores.votes.vote, **changes))
+
+    @contextlib.contextmanager
+    def _fail_on_error(self) -> Iterator[None]:
+        """Stop the replica after any error, since its state is unknown then."""
+        try:
+            yield
         except StoreFailedError as error:
             self.fail(error)
             raise
+        except Exception as error:
+            failure = StoreFailedError(
+                f"unexpected {outer_name_of(error)}: {error}",
+                step="store",
+                peer=self.name,
+            )
+            self.fail(failure)
+            raise failure from error
 
     def raise_if_failed(self) -> None:
         """Raise `StoreFailedError` if the store has failed or was closed."""
@@ -268,14 +280,21 @@
                 future.exception()
 
     def commit(self, index: int) -> None:
-        """Advance the commit index to `index` and apply the committed entries."""
+        """Advance the commit index to `index` and apply the committed entries.
+
+        Raises
+        ------
+        StoreFailedError
+            An entry could not be applied.
+        """
         if index <= self._commit_index:
             return
         self._commit_index = index
-        for entry in self.stores.log.entries(self._applied_index + 1):
-            if entry.index > index:
-                break
-            self._apply(entry)
+        with self._fail_on_error():
+            for entry in self.stores.log.entries(self._applied_index + 1):
+                if entry.index > index:
+                    break
+                self._apply(entry)
         self._notify_waiters()
         self._snapshot_when_due()
 
@@ -307,7 +326,7 @@
         self._waiters = [pair for pair in waiting if not pair[1].done()]
 
     def _snapshot_when_due(self) -> None:
-        """Take a snapshot when enough entries were applied since the last one.
+        """Take a snapshot when enough entries or bytes were applied since the last one.
 
         The commands in the log must also be at least as large as the last snapshot, so
         that the cost of writing a large state is amortised over as many bytes.
@@ -316,13 +335,16 @@
             return
         if self.role is Role.FAILED:
             return
-        latest = self.stores.snapshots.latest
+        latest, log = self.stores.snapshots.latest, self.stores.log
         entries_since_snapshot = (
             self._applied_index - self.stores.snapshot_position.index
         )
-        if entries_since_snapshot < self.options.snapshot_entries:
+        enough_bytes = log.command_bytes >= self.options.snapshot_bytes
+        if entries_since_snapshot < (
+            1 if enough_bytes else self.options.snapshot_entries
+        ):
             return
-        if latest and self.stores.log.command_bytes < len(latest.data):
+        if latest and log.command_bytes < len(latest.data):
             return
         term = self.stores.log.term_at(self._applied_index)
         last = Position(self._applied_index, term)
@@ -343,7 +365,10 @@
     async def _compact(self, index: int) -> None:
         """Remove old applied entries; slow followers catch up from the newer ones."""
         log = self.stores.log
-        base_index = index - self.options.snapshot_entries // 2
+        base_index = max(
+            index - self.options.snapshot_entries // 2,
+            log.index_before_last(index, self.options.snapshot_bytes // 2),
+        )
         if base_index > log.base.index:
             base = Position(base_index, log.term_at(base_index))
             await self.run_store_operation(log.compact, base)
--- a/libs/store/tests/store_builders.py
+++ b/libs/store/tests/store_builders.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import io
 import os
 import pathlib
 
@@ -27,57 +28,125 @@
 
 
 class FaultyFileSystem(LocalFileSystem):
-    """File system that injects write failures and simulates a loss of power."""
+    """File system that injects write failures and simulates a loss of power.
+
+    Each write may have `free_bytes`, and all files of a folder `folder_bytes`. After a
+    failed sync a later one does not cover the bytes of the failed one, as on Linux,
+    where the kernel marks the pages clean.
+    """
 
     def __init__(self):
         self.sync_fails = False
         self.free_bytes = None
+        self.folder_bytes = None
+        self.refused_operations = frozenset()
+        self.raises_unexpectedly = False
         self.has_power = True
         self._synced = {}
+        self._limits = {}
+        self._replaced = {}
+
+    def open(self, path):
+        self._require("open")
+        return _File(path, self)
 
     def write(self, file, data):
-        self._require_power()
-        if self.free_bytes is not None and len(data) > self.free_bytes:
-            super().write(file, data[: self.free_bytes])
+        self._require("write")
+        free_bytes = self.free_bytes
+        if self.folder_bytes is not None:
+            files = pathlib.Path(file.name).parent.iterdir()
+            free_bytes = self.folder_bytes - sum(f.stat().st_size for f in files)
+        if free_bytes is not None and len(data) > free_bytes:
+            super().write(file, data[:free_bytes])
             raise OSError(errno.ENOSPC, "No space left on device")
         super().write(file, data)
 
     def create(self, path):
-        self._require_power()
+        self._require("create")
         self._synced[path] = 0
+        self._limits.pop(path, None)
         return super().create(path)
 
     def truncate(self, file, length):
-        self._require_power()
+        self._require("truncate")
         super().truncate(file, length)
 
     def sync(self, file):
-        self._require_power()
+        self._require("sync")
+        path = pathlib.Path(file.name)
         if self.sync_fails:
+            self._limits.setdefault(path, self._synced.get(path, 0))
             raise OSError(errno.EIO, "Input/output error")
         super().sync(file)
-        path = pathlib.Path(file.name)
-        self._synced[path] = path.stat().st_size
+        size = path.stat().st_size
+        self._synced[path] = min(size, self._limits.get(path, size))
 
     def rename(self, source, target):
-        self._require_power()
+        self._require("rename")
+        if target.exists():
+            self._replaced.setdefault(target, target.read_bytes())
         super().rename(source, target)
         self._synced[target] = self._synced.pop(source)
+        self._limits.pop(target, None)
+
+    def sync_folder(self, path):
+        self._require("sync_folder")
+        super().sync_folder(path)
+        self._replaced.clear()
 
     def lose_power(self):
         """Fail every operation until `restore_power`."""
         self.has_power = False
 
     def restore_power(self, torn_bytes):
-        """Work again; of the unsynced end of each file, keep only `torn_bytes`."""
+        """Work again; of the unsynced end of each file, keep only `torn_bytes`.
+
+        Names that were replaced without a sync of the folder get their old content.
+        """
+        for path, content in self._replaced.items():
+            path.write_bytes(content)
+            self._synced[path] = len(content)
+        self._replaced.clear()
+        self._limits.clear()
         for path, length in self._synced.items():
             if path.exists() and path.stat().st_size > length + torn_bytes:
                 os.truncate(path, length + torn_bytes)
         self.has_power = True
 
-    def _require_power(self):
+    def _require(self, operation):
+        if self.raises_unexpectedly:
+            raise ValueError("unexpected error")
         if not self.has_power:
             raise OSError(errno.EIO, "no power")
+        if operation in self.refused_operations:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+
+class _File(io.FileIO):
+    """File whose close may report the failure of an earlier write."""
+
+    def __init__(self, path, files):
+        self._files = files
+        super().__init__(path, "r+")
+
+    def close(self):
+        was_open = not self.closed
+        super().close()
+        if was_open and "close" in self._files.refused_operations:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+
+class TextFile(io.StringIO):
+    """Text file on a disk that may be full."""
+
+    def __init__(self, files):
+        super().__init__()
+        self._files = files
+
+    def write(self, text):
+        if self._files.free_bytes is not None:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return super().write(text)
 
 
 class Network:
--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -6,6 +6,8 @@
 from store_builders import (
     ELECTION_TIMEOUT_MS,
     Cluster,
+    FaultyFileSystem,
+    TextFile,
     address,
     key_request,
     key_result,
@@ -13,7 +15,9 @@
     wait_until,
 )
 
+from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import NoQuorumError
+from bulrushbend.core.events import StreamEventLog
 from bulrushbend.store.records import decode_log
 from bulrushbend.wire.control_pb2 import Command
 from bulrushbend.wire.fleet_pb2 import PublishReply, VotersRequest
@@ -163,6 +167,25 @@
         assert len(seen) <= 50
 
 
+async def test_log_of_large_commands_does_not_outgrow_the_disk(tmp_path):
+    """Guards against a log that is limited by the number of its entries only."""
+    limit = 4000
+    async with Cluster(tmp_path, snapshot_bytes=limit) as cluster:
+        for version in range(1, 101):
+            await cluster.publish(cluster.leader_name, version)
+        command_bytes = len(put_manifest(100).SerializeToString())
+        assert 100 * command_bytes > 2 * limit
+        longest = limit + 10 * command_bytes
+        for name in cluster.names:
+            path = tmp_path / name / "log"
+            await wait_until(lambda p=path: p.stat().st_size < longest, 2.0)
+        behind = cluster.others(cluster.leader_name)[0]
+        await cluster.stop(behind)
+        cluster.start(behind)
+        state = cluster.replicas[behind].state
+        await wait_until(lambda: state.manifest_version == 100)
+
+
 async def test_store_failure_ends_leadership_and_voting(tmp_path):
     """After a failed sync a replica must neither continue as leader nor vote."""
     async with Cluster(tmp_path) as cluster:
@@ -183,6 +206,60 @@
         await wait_until(lambda: cluster.replicas[failed].state.manifest_version == 2)
 
 
+async def test_failed_close_of_the_log_does_not_end_replication(tmp_path):
+    """Guards against a leader that keeps its role but can no longer write."""
+    async with Cluster(tmp_path, snapshot_entries=4) as cluster:
+        for name in cluster.names:
+            cluster.files[name].refused_operations = frozenset({"close"})
+        for version in range(1, 12):
+            await cluster.publish(cluster.leader_name, version)
+        for replica in cluster.replicas.values():
+            await wait_until(lambda s=replica.state: s.manifest_version == 11)
+
+
+async def test_event_log_on_a_full_disk_does_not_keep_a_leader_in_office(tmp_path):
+    """Guards against an error of the event log before the leader has stepped down."""
+    cluster = Cluster(tmp_path)
+    for name in cluster.names:
+        files = cluster.files[name] = FaultyFileSystem()
+        cluster.events[name] = StreamEventLog(TextFile(files), name, 1, Clock())
+    async with cluster:
+        failed = cluster.leader_name
+        cluster.files[failed].free_bytes = 0
+        await cluster.publish(cluster.others(failed)[0], 1)
+        assert cluster.replicas[failed].has_failed
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+async def test_unexpected_error_of_the_store_ends_participation(tmp_path, role):
+    """Guards against a replica that keeps its role but can no longer write."""
+    async with Cluster(tmp_path) as cluster:
+        failed = cluster.leader_name
+        if role == "follower":
+            failed = cluster.others(failed)[0]
+        other = next(n for n in cluster.others(failed) if n != cluster.leader_name)
+        await cluster.publish(other, 1)
+        cluster.files[failed].raises_unexpectedly = True
+        await cluster.publish(other, 2)
+        await wait_until(lambda: cluster.replicas[failed].has_failed)
+
+
+async def test_unexpected_error_while_applying_ends_leadership(tmp_path):
+    """Guards against a leader whose writer has ended while its heartbeats go on."""
+
+    def listener(applied):
+        raise RuntimeError("unexpected error")
+
+    async with Cluster(tmp_path) as cluster:
+        failed, leader = cluster.leader_name, cluster.leader
+        other = cluster.others(failed)[0]
+        await cluster.publish(other, 1)
+        leader.listen(listener)
+        for version in (2, 3):
+            await cluster.publish(other, version)
+        assert leader.has_failed
+
+
 async def test_follower_with_a_full_disk_does_not_count_towards_the_majority(tmp_path):
     """With one of three replicas stopped, a full disk on another fails all writes."""
     async with Cluster(tmp_path) as cluster:
