Restore the verbosity of the log after each test

Tests of warnings failed in a whole run and passed alone (18 cases of test_endpoint_sharing.py and test_endpoints.py): daemons of routers and agents that run in the process of a test set the verbosity to errors, and it stayed so for the tests after them.

--- a/conftest.py
+++ b/conftest.py
@@ -1,12 +1,15 @@
 """Marks the tests listed in KNOWN-RED.txt as expected failures and prints them.
 
-Property tests are derandomized in CI; local runs use random examples.
+Property tests are derandomized in CI; local runs use random examples. Each test leaves
+the verbosity of the log as it found it.
 """
 
 import os
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
+from absl import logging
 from hypothesis import settings
 
 settings.register_profile("ci", derandomize=True)
@@ -23,6 +26,14 @@
     return {line for line in lines if line and not line.startswith(" ")}
 
 
+@pytest.fixture(autouse=True)
+def restored_verbosity() -> Iterator[None]:
+    """Restore the verbosity, which daemons in the process of a test change."""
+    verbosity = logging.get_verbosity()
+    yield
+    logging.set_verbosity(verbosity)
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Run the listed tests, but ignore their results."""
     known_failures = _read_known_failures()
