Log the identity of a request that is refused as quarantined

An operator could not relate a refusal to its quarantine: the line of the request names no identity, and the quarantine names the identity and the requests at the crashes only. The line of a request refused with request-quarantined has the identity now. The identity is not logged for other requests, since it is not computed for those without need.

Before, the new test fails for both kinds of requests (no identity in the line); it passes now.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -22,7 +22,12 @@
 from bulrushbend.gateway.admission import AdmissionQueue, ServiceQueues
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.budgets import RetryBudgets
-from bulrushbend.gateway.call import Call, RequestError, not_run_error
+from bulrushbend.gateway.call import (
+    REQUEST_QUARANTINED,
+    Call,
+    RequestError,
+    not_run_error,
+)
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
@@ -475,6 +480,8 @@
             details = {"request_id": self._header_codec.read_request_id(headers)}
         else:
             details = _describe_call(call)
+            if outcome.reason == REQUEST_QUARANTINED:
+                details["identity"] = call.identity
             if call.first_event_ms is not None:
                 self._usage.record_served(call.team, call.cost)
         self._events.write(
--- a/tests/adapter/test_deadly_requests.py
+++ b/tests/adapter/test_deadly_requests.py
@@ -1,6 +1,7 @@
 """A request that crashes each engine that begins to run it, and comes again."""
 
 import asyncio
+import json
 from dataclasses import dataclass
 
 import pytest
@@ -55,6 +56,8 @@
         Time of the first deadly request.
     restarted : tuple of str and float
         Gateway that was started again, and when.
+    events : list of dict
+        Events that the gateways logged.
     """
 
     deadly: list[Attempt]
@@ -63,6 +66,7 @@
     arrivals: list[tuple[float, str]]
     deadly_from_s: float
     restarted: tuple[str, float]
+    events: list[dict]
 
     @property
     def known_s(self) -> float:
@@ -113,6 +117,12 @@
                     4.0, DEADLY_S, lambda kind=kind: DEADLY[kind]
                 )
                 group.create_task(deadly)
+        events = [
+            json.loads(line)
+            for log in folder.glob("*-gateway.log")
+            for line in log.read_text().splitlines()
+            if line.startswith("{")
+        ]
         return {
             kind: Session(
                 deadly=[a for a in load.attempts if a.prompt.body],
@@ -131,6 +141,7 @@
                 ],
                 deadly_from_s=deadly_from_s,
                 restarted=restarted,
+                events=events,
             )
             for kind, load in loads.items()
         }
@@ -192,3 +203,21 @@
     assert len(sent) > MAX_LATE_ARRIVALS, session.describe()
     late = [name for at_s, name in session.arrivals if at_s > started_s]
     assert len(late) <= MAX_LATE_ARRIVALS, f"{late}; {session.describe()}"
+
+
+def test_refused_request_leads_to_its_quarantine_in_the_log(session):
+    # Guards against refusals that an operator cannot relate to a crash.
+    refused = {a.request_id for a in session.deadly if a.status == 503}
+    identities = {
+        event["identity"]
+        for event in session.events
+        if event.get("request_id") in refused
+        and event.get("reason") == "request-quarantined"
+    }
+    quarantined = {
+        event["identity"]
+        for event in session.events
+        if event["kind"] == "request-quarantined"
+    }
+    assert len(identities) == 1
+    assert identities <= quarantined
