Quarantine a request whose copies crash several endpoints at once

Cause: crashes within 200 ms count as one fault, as of a lost rack, so any number of them was not enough for a quarantine.

Change: three crashes within the interval suffice if the request was the only one at all of them and no other endpoint crashed meanwhile. When a rack is lost, endpoints crash at which the request was not.

Ruled out: two crashes at once, which a popular lookup may meet at two endpoints of a lost VM; a shorter interval, which counts the crashes of a rack that is lost gradually.

The new test fails without the change. The test of endpoints that crash together has other requests at some of the endpoints now, as in a lost rack, and one more crash of the request; the case of two endpoints stands beside it.

--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -18,10 +18,12 @@
 
 # Crashes after which a request is quarantined, by whether it is the only candidate of
 # all of them. Endpoints that share a fault, such as a lost rack, crash within the
-# interval and count as one crash.
+# interval and count as one crash, unless the request was at so many and at all of them:
+# copies that are sent at the same time crash several endpoints at once.
 _MIN_CRASHES = 2
 _MIN_CRASHES_IF_AMBIGUOUS = 3
 _SAME_FAULT_INTERVAL_MS = 200.0
+_MIN_CRASHES_AT_ONCE = 3
 # An endpoint needs longer to restart, so reports about it within this time concern the
 # same crash.
 _SAME_CRASH_INTERVAL_MS = 2_000.0
@@ -274,10 +276,13 @@
         for numbers, identities in identities_by_support.items():
             supporting = [crashes[number] for number in numbers]
             faults = max(_count_faults(supporting, name) for name in identities)
-            minimum = _MIN_CRASHES
             if len(identities) > 1:
-                minimum = _MIN_CRASHES_IF_AMBIGUOUS
-            if faults < minimum:
+                is_proven = faults >= _MIN_CRASHES_IF_AMBIGUOUS
+            else:
+                is_proven = faults >= _MIN_CRASHES or _explains_all_at_once(
+                    crashes, supporting
+                )
+            if not is_proven:
                 identities = identities & self._quarantines.keys()
             if identities:
                 requests = {
@@ -352,5 +357,21 @@
     return faults
 
 
+def _explains_all_at_once(
+    crashes: Sequence[CandidateCrash], supporting: Sequence[CandidateCrash]
+) -> bool:
+    """Return whether enough of the crashes happened at once, and no others then."""
+    supporting_times = [crash.crashed_ms for crash in supporting]
+    times = [crash.crashed_ms for crash in crashes]
+    for began_ms in supporting_times:
+        end_ms = began_ms + _SAME_FAULT_INTERVAL_MS
+        number = sum(began_ms <= at_ms < end_ms for at_ms in supporting_times)
+        if number >= _MIN_CRASHES_AT_ONCE and number == sum(
+            began_ms <= at_ms < end_ms for at_ms in times
+        ):
+            return True
+    return False
+
+
 def _strength(cause: _Cause) -> tuple[int, int, list[str]]:
     return cause.faults, len(cause.requests), sorted(cause.identities)
--- a/libs/gateway/tests/test_request_quarantine.py
+++ b/libs/gateway/tests/test_request_quarantine.py
@@ -103,12 +103,30 @@
 
 async def test_endpoints_that_crash_together_count_once(fixture):
     # Guards against a popular request that is refused since a rack was lost.
-    for number in range(3):
+    for number in range(4):
+        fixture.crash(f"e{number}", lookup=f"s{number}")
+        await fixture.clock.advance(20.0)
+        fixture.crash(f"f{number}", **{f"other{number}": f"r{number}"})
+        await fixture.clock.advance(20.0)
+    assert not fixture.quarantined("lookup")
+
+
+async def test_pair_of_endpoints_that_crash_together_counts_once(fixture):
+    # Guards against a request whose copies were at two endpoints of a lost VM.
+    for number in range(2):
         fixture.crash(f"e{number}", lookup=f"s{number}")
         await fixture.clock.advance(50.0)
     assert not fixture.quarantined("lookup")
 
 
+async def test_request_at_each_of_several_crashes_at_once_is_quarantined(fixture):
+    # Guards against copies that are sent together and crash an endpoint each.
+    for number in range(3):
+        fixture.crash(f"e{number}", bad=f"r{number}")
+        await fixture.clock.advance(60.0)
+    assert fixture.quarantined("bad") == {"bad"}
+
+
 async def test_retry_that_crashes_its_endpoint_at_once_is_another_fault(fixture):
     # Guards against a retry that follows too quickly to count.
     fixture.crash("e1", bad="r1")
