Decline the requests that wait at a coordinator when it drains

Requests of other gateways that waited at a coordinator in a planned stop waited there until it had ended, then for two more polls of 250 ms without a reply, which most objectives do not leave, and were refused or late.

Cause: a draining gateway declines new requests of others, but goes on with those in its queue until its own requests have ended.

Change: it declines them when the drain begins, so that their gateways ask the next coordinator at once. The reply is kept for a second, as others are, for gateways that did not get it.

`test_request_that_waits_at_a_draining_coordinator_is_placed_elsewhere` needs the new method; without it the request stays in the queue.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -201,7 +201,7 @@
             self._peer_protocol.send,
             settings.connect_ms,
         )
-        server = PlacementServer(
+        self._placement_server = PlacementServer(
             *identity_args,
             self._queues.for_service,
             lambda: self._accepts_placements,
@@ -215,7 +215,7 @@
         )
         self._peer_protocol.set_receivers(
             self._placement_client,
-            server,
+            self._placement_server,
             self._list_exchange,
             self._crash_reports,
             self._queues.place_waiting_soon,
@@ -381,6 +381,7 @@
         notice_ms = min(self._settings.drain_notice_ms, _MAX_NOTICE_SHARE * drain_ms)
         self._drain_deadline_ms = self._clock.now_ms() + drain_ms
         self._dispatcher.begin_drain(self._drain_deadline_ms)
+        self._placement_server.decline_waiting()
         try:
             await self._clock.sleep_ms(notice_ms)
             self._rejects_requests = True
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -32,6 +32,8 @@
 
 @dataclass(eq=False)
 class _PlacementState:
+    request: PlaceRequest
+    address: str
     task: asyncio.Task[None] | None = None
     reply: PlaceReply | None = None
 
@@ -102,16 +104,14 @@
             )
             self._send_reply(address, refused)
             return
-        state = self._placements[key] = _PlacementState()
-        state.task = asyncio.create_task(self._place(state, request, address))
+        state = self._placements[key] = _PlacementState(request, address)
+        state.task = asyncio.create_task(self._place(state))
         state.task.add_done_callback(lambda _: self._schedule_removal(key, state))
         loop = asyncio.get_running_loop()
         loop.call_later(
             WAITING_REPLY_DELAY_MS / 1000.0,
             self._send_waiting_reply,
             state,
-            request,
-            address,
         )
 
     def cancel(self, cancel: PlaceCancel) -> None:
@@ -121,9 +121,18 @@
         if state is not None and state.task is not None:
             state.task.cancel()
 
-    async def _place(
-        self, state: _PlacementState, request: PlaceRequest, address: str
-    ) -> None:
+    def decline_waiting(self) -> None:
+        """Decline the requests that wait, so that other coordinators place them."""
+        for state in list(self._placements.values()):
+            if state.reply is None:
+                state.reply = self._build_reply(
+                    state.request, PlaceReply.DECLINED, code="not open"
+                )
+                state.task.cancel()
+                self._send_reply(state.address, state.reply)
+
+    async def _place(self, state: _PlacementState) -> None:
+        request = state.request
         queue = self._queue_for(request.service)
         started_ms = self._clock.now_ms()
         try:
@@ -168,7 +177,7 @@
                 fetch_from=placement.fetch_from,
                 serial=placement.serial,
             )
-        self._send_reply(address, state.reply)
+        self._send_reply(state.address, state.reply)
 
     def _schedule_removal(
         self, key: tuple[str, int, int], state: _PlacementState
@@ -180,11 +189,9 @@
         loop = asyncio.get_running_loop()
         loop.call_later(_OUTCOME_RETENTION_MS / 1000.0, self._placements.pop, key, None)
 
-    def _send_waiting_reply(
-        self, state: _PlacementState, request: PlaceRequest, address: str
-    ) -> None:
+    def _send_waiting_reply(self, state: _PlacementState) -> None:
         if state.reply is None and not state.task.done():
-            self._send_reply(address, self._build_reply(request))
+            self._send_reply(state.address, self._build_reply(state.request))
 
     def _build_reply(
         self, request: PlaceRequest, result: int = PlaceReply.WAITING, **fields: object
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -179,6 +179,20 @@
     assert placement.serial == 0
 
 
+async def test_request_that_waits_at_a_draining_coordinator_is_placed_elsewhere():
+    # Guards against requests of other gateways that wait until a coordinator has ended.
+    pair = Pair()
+    pair.occupy("e1", "e2")
+    task = asyncio.create_task(pair.place())
+    await settle()
+    assert pair.coordinator.components.queue.waiting == 1
+    pair.coordinator.is_leaving = True
+    pair.coordinator.server.decline_waiting()
+    async with asyncio.timeout(0.02):
+        assert (await task).serial == 0
+    assert pair.coordinator.components.queue.waiting == 0
+
+
 async def test_refusal_of_the_coordinator_reaches_the_caller():
     pair = Pair()
     pair.occupy("e1", "e2")
