--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from machines import Machines, is_loopback_range_usable
+from machines import PORTS, Machines, is_loopback_range_usable
 from platform_builders import encode, make_config, make_route
 
 from bulrushbend.core.errors import BulrushbendError
@@ -259,6 +259,25 @@
             assert await machines.processes[host, "gateway"].wait() == 0
 
 
+async def test_request_whose_body_ends_late_in_the_grace_is_refused(tmp_path):
+    # Guards against a booking that begins when its gateway is about to stop.
+    async with deployment(tmp_path, grace_s=4) as machines:
+        host = machines.hosts[0]
+        reader, writer = await asyncio.open_connection(host, PORTS["front"])
+        head = [f"{name}: {value}" for name, value in BASE_HEADERS.items()]
+        head += ["Attempt-Id: b1", "Content-Length: 5"]
+        request = "\r\n".join(["POST /book/x HTTP/1.1", *head, "", "row 7"]).encode()
+        writer.write(request[:-2])
+        await asyncio.sleep(0.3)
+        machines.send(signal.SIGTERM, host, "gateway")
+        await asyncio.sleep(2.0)
+        writer.write(request[-2:])
+        response = await reader.read()
+        writer.close()
+        assert response.startswith(b"HTTP/1.1 503 ")
+        assert machines.engines[2].runs == []
+
+
 async def test_order_in_progress_is_answered_before_control_stops(tmp_path):
     # Guards against an operator's order that ends with its replica, without an answer.
     async with deployment(tmp_path) as machines:
