--- a/libs/process/tests/test_signals.py
+++ b/libs/process/tests/test_signals.py
@@ -48,3 +48,17 @@
         assert stopping.done() is is_cancelled
         drained.set()
         await stopping
+
+
+async def test_settings_are_reloaded_after_an_unexpected_error():
+    # Guards against a process that never follows its settings again.
+    reloads = []
+
+    def reload():
+        reloads.append(len(reloads))
+        if len(reloads) == 1:
+            raise ValueError("an error of the test")
+
+    async with waiting_for_signals(asyncio.Event().wait, reload):
+        await send(signal.SIGHUP, signal.SIGHUP)
+    assert reloads == [0, 1]
