Keep load reports within the size of a datagram

A full report names the shared parts of each prompt that was placed since the last but one, without a limit. From 525 prompts of four parts a second on, or with five prompts of 1,500 parts (16 KB of headers each), it exceeded the 65,507 bytes of a UDP datagram; the socket refused it, the error was ignored, and as long as such prompts came, no full report of the gateway arrived anywhere: what its teams used and which of them waited was not known to the others, and where no brief report told of them, its requests were no longer counted after 2.5 s. A coordinator places the prompts of a service for all gateways, so it is the first that is affected. A gateway without others kept every prompt in memory.

Prompts that are left out cost a hint to a cache. Loads and teams are never left out.

Not seen in a deployment.

--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -9,6 +9,7 @@
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.load_totals import Load, LoadTotals
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
+from bulrushbend.gateway.prompt_reports import PromptReports
 from bulrushbend.wire.fleet_pb2 import (
     EndpointLoad,
     GrantMark,
@@ -28,6 +29,8 @@
 # A grant that the requesting gateway has not acknowledged after this time was lost in
 # transit: load changes are reported within 10 ms.
 GRANT_TTL_MS = 250.0
+# Limit on a full report; a UDP datagram holds 65,507 bytes.
+_MAX_REPORT_BYTES = 60_000
 
 _NO_LOAD = Load()
 
@@ -69,8 +72,7 @@
         self, name: str, incarnation: int, clock: Clock, prefix_cache: PrefixCacheIndex
     ):
         self._prefix_cache = prefix_cache
-        self._new_prompts: list[SharedPrompt] = []
-        self._repeated_prompts: list[SharedPrompt] = []
+        self._prompt_reports = PromptReports()
         self._name = name
         self._incarnation = incarnation
         self._clock = clock
@@ -134,7 +136,7 @@
                 placement.endpoint, demand.shared, demand.own_tokens
             )
         if demand.shared:
-            self._new_prompts.append(
+            self._prompt_reports.add(
                 SharedPrompt(
                     endpoint=placement.endpoint,
                     digests=[part.digest for part in demand.shared],
@@ -260,11 +262,6 @@
         if is_brief:
             return report
         self._changed = False
-        report.prompts.extend(self._repeated_prompts + self._new_prompts)
-        self._repeated_prompts, self._new_prompts = self._new_prompts, []
-        for prompt in self._repeated_prompts:
-            # Own tokens are counted once by a gateway that gets both reports.
-            prompt.own_tokens = 0
         report.teams.extend(
             TeamUse(team=t, tokens=n) for t, n in self._team_tokens.items()
         )
@@ -272,6 +269,8 @@
             WaitingLevel(service=s, level=level)
             for s, level in self._waiting_usage.items()
         )
+        room = _MAX_REPORT_BYTES - report.ByteSize()
+        report.prompts.extend(self._prompt_reports.take(room))
         return report
 
     def handle_report(self, report: LoadReport) -> bool:
--- a/libs/gateway/tests/test_loads.py
+++ b/libs/gateway/tests/test_loads.py
@@ -1,3 +1,4 @@
+import pytest
 from gateway_builders import begin
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -72,6 +73,29 @@
     assert prefix_cache.cached_tokens("e1", PARTS) == 4500
 
 
+@pytest.mark.parametrize(("prompts", "parts"), [(1000, 4), (5, 1500), (1, 8000)])
+def test_report_fits_in_a_datagram(prompts, parts):
+    # Guards against reports that are never delivered, and load that is not counted.
+    view = make_view("g1")
+    for _ in range(3):
+        for prompt in range(prompts):
+            shared = [PromptPart(f"{prompt:06}{part:06}", 9) for part in range(parts)]
+            begin(view, f"e{prompt}", f"crew-{prompt}", 300, 40, shared)
+        assert len(view.report().SerializeToString()) <= 65_507
+
+
+def test_newest_prompts_are_reported():
+    # Guards against a report that is full of prompts which the last one contained.
+    view = make_view("g1")
+    for first in (0, 1000):
+        for prompt in range(first, first + 1000):
+            begin(view, "e1", "crew-a", 300, 40, [PromptPart(f"{prompt:040}", 9)])
+        reported = [prompt.digests[0] for prompt in view.report().prompts]
+        assert reported[-1] == f"{first + 999:040}"
+        assert len(reported) >= 500
+        assert reported == sorted(reported)
+
+
 def test_least_recently_used_parts_are_evicted_first():
     prefix_cache = PrefixCacheIndex()
     prefix_cache.set_capacity("e1", 10_000)
