--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -6,6 +6,7 @@
 from bulrushbend.gateway.call import Call, RequestError, not_run_error
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.platform.headers import PlatformHeaderCodec
+from bulrushbend.wire.fleet_pb2 import PlaceRequest
 
 HEADER_CODEC = PlatformHeaderCodec()
 ENDPOINT = DiscoveredEndpoint("i-1", "llm", "10.0.0.1:80", "papantla", 64)
@@ -62,6 +63,20 @@
     assert ended.value.status == 400
 
 
+@pytest.mark.parametrize("digits", [1, 8, 40_000])
+def test_long_prefix_fits_in_a_placement_request(digits):
+    # Guards against coordinators that seem silent, since a request never reaches them.
+    prefix = ",".join(f"{number:0{digits}x}:1" for number in range(100_000 // digits))
+    parts = make_call(**{"Prefix-Hash": prefix}).details.shared_parts
+    request = PlaceRequest(
+        digests=[part.digest for part in parts],
+        part_tokens=[part.tokens for part in parts],
+    )
+    assert request.ByteSize() <= 60_000
+    assert len(parts) >= 2_000 or digits == 40_000
+    assert all(len(part.digest) >= digits for part in parts)
+
+
 def test_credentials_and_forged_headers_are_not_forwarded():
     # Guards against leaked keys, and gateway headers that callers could forge.
     call = make_call(
