Reload settings again after a file with values out of range

A process stopped following its settings file for good after one with an odd value: a port out of range, an infinite time, a seed that is no address, or a value nested too deeply raised ValidationError, ValueError, OverflowError or RecursionError where `SettingsError` is expected, and the task that reloads ended without a line in the log. Later changes of the control replicas were missed, also after SIGHUP. At the start such a value gave a traceback instead of a message that names the file.

The task also goes on after any other error and logs it.

--- a/libs/core/src/bulrushbend/core/settings.py
+++ b/libs/core/src/bulrushbend/core/settings.py
@@ -202,5 +202,5 @@
     except ValidationError as error:
         message = format_validation_error(error)
         raise SettingsError(message, step="settings", peer=str(path)) from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(str(error), step="settings", peer=str(path)) from None
--- a/libs/process/src/bulrushbend/process/daemon.py
+++ b/libs/process/src/bulrushbend/process/daemon.py
@@ -262,3 +262,9 @@
             _log.error(
                 "cannot reload the settings; keeping the current ones: %s", error
             )
+        except Exception as error:
+            _log.error(
+                "reloading the settings failed with unexpected error: %r; keeping the "
+                "current ones",
+                error,
+            )
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -44,6 +44,32 @@
         machine(text)
 
 
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ("[7400,7415]", "[65535,65535]"),
+        ("[7400,7415]", "[0,0]"),
+        ("[7400,7415]", "[99999,99999]"),
+        ('seeds = ["', 'seeds = ["nowhere","'),
+        ('seeds = ["', 'seeds = ["10.2.0.7:99999","'),
+        ("10.1.0.35:8783", "10.1.0.35:99999"),
+        ("grace_s = 8", "grace_s = inf"),
+        ("grace_s = 8", "grace_s = nan"),
+        ("grace_s = 8", "grace_s = 1e300"),
+        ("revoke_ms = 5000", "revoke_ms = inf"),
+        ("retry_ratio = 0.2", "retry_ratio = nan"),
+        ("a_field_of_tomorrow = 1", "a_field = " + 5000 * "[" + 5000 * "]"),
+        ("a_field_of_tomorrow = 1", "a_field = " + 5000 * "1"),
+    ],
+    ids=range(13),
+)
+def test_settings_out_of_range_raise_a_settings_error(machine, old, new):
+    # Guards against a process that ends, or does not reload its settings any more.
+    assert old in SETTINGS
+    with pytest.raises(SettingsError):
+        gateway_settings(machine(SETTINGS.replace(old, new)))
+
+
 def test_control_needs_a_disk(machine):
     # Guards against control that starts without a place for its data.
     settings = machine(SETTINGS.replace("data_dir", "other_dir"))
