Follow control beside a replica with an invalid name or address

`voters add-learner` takes any name and address. Control sends its replicas to all processes, and each raised ValidationError for a name with a space or a port out of range, and UnicodeError or ValueError when it connected to a host such as `a..b`. The error of one replica's task ends the task that watches all of them, so every process lost its connections to control and made them anew each half second, for as long as the entry stayed.

Invalid entries are skipped with a line in the log, and an unexpected error in the watch of one replica is logged and affects only that one.

Not seen in a deployment.

--- a/libs/process/src/bulrushbend/process/fleet_client.py
+++ b/libs/process/src/bulrushbend/process/fleet_client.py
@@ -8,16 +8,24 @@
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
+from pydantic import ValidationError
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import NoQuorumError, outer_name_of
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.logs import get_logger
 from bulrushbend.core.settings import PeerAddress, ProcessSettings, split_address
+from bulrushbend.core.validation import format_validation_error
 from bulrushbend.process.active_manifest import ActiveManifest
 from bulrushbend.process.lease import ManifestLease
 from bulrushbend.wire.fleet_grpc import FleetStub
-from bulrushbend.wire.fleet_pb2 import FleetState, Member, MemberReport, StatusDetail
+from bulrushbend.wire.fleet_pb2 import (
+    ControlNode,
+    FleetState,
+    Member,
+    MemberReport,
+    StatusDetail,
+)
 
 _log = get_logger("process.watch")
 
@@ -216,6 +224,14 @@
                     self._events.write(
                         EventKind.LINK_DOWN, peer=replica.name, reason=reason
                     )
+            except Exception as error:
+                _log.error(
+                    "watching control replica %s at %s failed with unexpected error: "
+                    "%r; trying again",
+                    replica.name,
+                    replica.address,
+                    error,
+                )
             finally:
                 channel.close()
                 self._connected.discard(replica.name)
@@ -277,9 +293,8 @@
         if self._lease is not None and state.lease_stamp and is_newest:
             self._lease.renew(state.lease_stamp)
         if state.control:
-            self._advertised_replicas[replica_name] = tuple(
-                PeerAddress(name=node.name, address=node.address)
-                for node in state.control
+            self._advertised_replicas[replica_name] = _decode_replicas(
+                state.control, replica_name
             )
             self._replicas_changed.set()
         if state.members_are_complete:
@@ -310,3 +325,22 @@
         self._members = merged_members
         for listener in self._listeners:
             listener(merged_members)
+
+
+def _decode_replicas(
+    nodes: Iterable[ControlNode], source: str
+) -> tuple[PeerAddress, ...]:
+    """Return the control replicas; invalid entries are logged and skipped."""
+    replicas = []
+    for node in nodes:
+        try:
+            replicas.append(PeerAddress(name=node.name, address=node.address))
+        except ValidationError as error:
+            _log.warning(
+                "skipped control replica %r at %r in the list of %s: %s",
+                node.name,
+                node.address,
+                source,
+                format_validation_error(error),
+            )
+    return tuple(replicas)
