--- a/libs/control/tests/control_builders.py
+++ b/libs/control/tests/control_builders.py
@@ -30,6 +30,18 @@
     ]
 
 
+def spare_settings(template, name, folder):
+    """Return settings of a replica outside of the initial configuration."""
+    return template.model_copy(
+        update={
+            "name": name,
+            "http_address": free_address(),
+            "link_address": free_address(),
+            "data_folder": str(folder / name),
+        }
+    )
+
+
 def router_settings(control, name="r1", heartbeat_ms=50):
     return RouterSettings(
         name=name,
--- a/libs/control/tests/test_repair.py
+++ b/libs/control/tests/test_repair.py
@@ -5,12 +5,11 @@
 import shutil
 from pathlib import Path
 
-from bulrushbend.bench.addresses import free_address
 from bulrushbend.control.daemon import ControlDaemon
 from bulrushbend.core.settings import PeerAddress
 from bulrushbend.wire.control_pb2 import Command
 
-from .control_builders import control_settings, publish_request
+from .control_builders import control_settings, publish_request, spare_settings
 
 NAMES = ("c1", "c2", "c3")
 FAST = {"election_timeout_ms": 200, "append_interval_ms": 40, "voters": 3}
@@ -36,14 +35,7 @@
     def add(self, name, folder):
         """Add settings of a replica outside of the initial configuration."""
         template = self.settings[NAMES[0]]
-        self.settings[name] = template.model_copy(
-            update={
-                "name": name,
-                "http_address": free_address(),
-                "link_address": free_address(),
-                "data_folder": str(folder / name),
-            }
-        )
+        self.settings[name] = spare_settings(template, name, folder)
 
     def delete_data(self, name):
         shutil.rmtree(Path(self.settings[name].data_folder))
