Handle the error of a confirmed read that no stream waits for

When the store of a control replica failed, its watch streams ended while the read that they shared was still running.

test_failed_read_without_a_waiting_stream_writes_no_traceback failed before.

--- a/libs/control/src/bulrushbend/control/watcher.py
+++ b/libs/control/src/bulrushbend/control/watcher.py
@@ -86,6 +86,8 @@
         """
         if self._pending_read is None:
             self._pending_read = asyncio.create_task(self._start_read_after_delay())
+            # All waiting streams may have ended when the read fails.
+            self._pending_read.add_done_callback(_mark_error_as_handled)
         await asyncio.shield(self._pending_read)
 
     async def _start_read_after_delay(self) -> None:
@@ -94,6 +96,11 @@
         await self._replica.read_index(CONFIRM_TIMEOUT_MS)
 
 
+def _mark_error_as_handled(read: asyncio.Task[None]) -> None:
+    if not read.cancelled():
+        read.exception()
+
+
 class Watcher:
     """Serves one stream of `Fleet.Watch`.
 
--- a/libs/control/tests/test_service.py
+++ b/libs/control/tests/test_service.py
@@ -1,6 +1,11 @@
+import asyncio
+import gc
+
 from bulrushbend.control.membership import Membership
 from bulrushbend.control.service import FleetService
+from bulrushbend.control.watcher import ReadIndexBatcher
 from bulrushbend.core.clock import ManualClock
+from bulrushbend.core.errors import NoQuorumError
 from bulrushbend.store.base import SoloReplica
 
 from .control_builders import publish_request
@@ -18,3 +23,22 @@
     assert service.superseded_for_ms(1) == 1600
     assert service.superseded_for_ms(4) == 400
     assert service.superseded_for_ms(5) == 0
+
+
+class _ReplicaWithoutLeader(SoloReplica):
+    async def read_index(self, timeout_ms):
+        raise NoQuorumError("no leader is known", step="read index")
+
+
+async def test_failed_read_without_a_waiting_stream_writes_no_traceback():
+    """Guards against logs full of tracebacks when the store of a replica fails."""
+    unhandled = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: unhandled.append(context))
+    batcher = ReadIndexBatcher(_ReplicaWithoutLeader())
+    waiting = asyncio.create_task(batcher.wait())
+    await asyncio.sleep(0)
+    waiting.cancel()
+    await asyncio.sleep(0.2)
+    gc.collect()
+    assert unhandled == []
