Split an array or object of white space into no parts

A random example of test_other_content_raises_value_error found it: an object of white space raised ValueError, and an array of white space had one element that cannot be decoded, so a list without endpoints in a damaged page was logged as one with an invalid entry. The new test and the example failed before.

--- a/libs/wire/src/bulrushbend/wire/json_parts.py
+++ b/libs/wire/src/bulrushbend/wire/json_parts.py
@@ -85,7 +85,8 @@
             end = position + depth
             if content[end + 1 :].strip():
                 raise ValueError("the document goes on after its end")
-            return [*parts, content[start:end]] if end > start or parts else []
+            last = content[start:end]
+            return [*parts, last] if parts or last.strip() else []
     raise ValueError("the document has no end")
 
 
--- a/libs/wire/tests/test_json_parts.py
+++ b/libs/wire/tests/test_json_parts.py
@@ -32,6 +32,7 @@
 @example('["\\')
 @example("[]]")
 @example('{"a":1,"a":1}')
+@example("{ }")
 def test_other_content_raises_value_error(text):
     # Guards against an error that the reader of a list does not expect.
     for split, kind in ((split_array, list), (split_object, dict)):
@@ -45,6 +46,12 @@
             assert not valid
 
 
+def test_white_space_is_no_element():
+    # Guards against an empty list that is read as one with an invalid entry.
+    assert split_array(b" [ ] ") == []
+    assert split_object(b" { } ") == {}
+
+
 @pytest.mark.parametrize("content", [b"", b"1", b"[", b"[1]]", b'["]', b"[1] 2"])
 def test_content_that_is_not_one_array_is_refused(content):
     with pytest.raises(ValueError):
