Send nothing to endpoints that state they are leaving

Callers' requests reached endpoints long after these had stated in a response that they are leaving: only the endpoint list was read, and it may show a leaving endpoint as ready for long.

Cause: the gateway passed the statement on to the caller and did not look at it.

Each response is now examined when its headers arrive, whatever its status and whether or not it is passed on. The notice holds for one incarnation: a new id at the same address and a later start of the same id are used at once, an endpoint that vanishes from the list and comes back is still leaving. Placement leaves such endpoints out, without the bound on avoided endpoints, which is for failures. The sending gateway checks its own notices before it connects and again before it sends, so that a grant of another coordinator, a repeated or resumed request or a reserved successor cannot reach the endpoint; the request is placed anew, at no cost in attempts or retry budget. Coordinators are told by a datagram, which only saves that round trip. Callers are refused at once when all endpoints of their service are leaving.

Ruled out: treating it as a failure with a backoff.

--- a/libs/bench/src/bulrushbend/bench/placement_costs.py
+++ b/libs/bench/src/bulrushbend/bench/placement_costs.py
@@ -15,6 +15,7 @@
 from bulrushbend.gateway.admission import AdmissionQueue
 from bulrushbend.gateway.call import Placement, PromptPart
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.loads import LoadView
@@ -99,12 +100,13 @@
     directory.adopt(found, 0.0)
     prefix_cache = PrefixCacheIndex()
     loads = LoadView("g0", 1, clock, prefix_cache)
-    placer = Placer(
-        loads, prefix_cache, EndpointHealth(clock, events), PlacementLimits(), "dc-0"
-    )
+    notices = EndpointNotices(clock, events, directory.get)
+    health = EndpointHealth(clock, events)
+    limits = PlacementLimits()
+    placer = Placer(loads, prefix_cache, health, notices, limits, "dc-0")
     shares = TeamShares(clock)
     queue = AdmissionQueue(
-        _SERVICE, directory, placer, loads, shares, clock, most_waiting=10_000
+        _SERVICE, directory, placer, notices, loads, shares, clock, most_waiting=10_000
     )
     prompts = [
         (
--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -15,6 +15,7 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import Placement, RequestError, not_run_error
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import EndpointDirectory
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placer import Placer
@@ -52,6 +53,7 @@
 _RETRY_AFTER_PER_WAITING_MS = 40.0
 # Restarted endpoints appear in the endpoint list after about this time.
 _NO_ENDPOINT_RETRY_AFTER_MS = 1_000.0
+_ALL_LEAVING = "all known endpoints are leaving"
 
 
 @dataclass(eq=False)
@@ -71,6 +73,8 @@
         Endpoints of the service.
     placer : Placer
         Chooses the endpoint.
+    notices : EndpointNotices
+        Determines which endpoints accept no requests.
     loads : LoadView
         Records placed requests.
     shares : TeamShares
@@ -86,6 +90,7 @@
         service: str,
         directory: EndpointDirectory,
         placer: Placer,
+        notices: EndpointNotices,
         loads: LoadView,
         shares: TeamShares,
         clock: Clock,
@@ -94,6 +99,7 @@
         self._service = service
         self._directory = directory
         self._placer = placer
+        self._notices = notices
         self._loads = loads
         self._shares = shares
         self._clock = clock
@@ -117,10 +123,8 @@
             No endpoint can serve the request in time; it was not sent.
         """
         if not self._directory.of_service(self._service):
-            message = "no endpoint is known"
-            raise not_run_error(
-                503, "no-endpoint", message, _NO_ENDPOINT_RETRY_AFTER_MS
-            )
+            raise _no_endpoint_error("no endpoint is known")
+        self.check_notices()
         self._shares.charge(self._loads.pop_charges())
         peer_usage = self._loads.lowest_waiting_usage(self._service)
         if not self._queues_by_team and not self._must_yield(demand.team, peer_usage):
@@ -143,6 +147,11 @@
             self._remove(entry)
             raise
 
+    def check_notices(self) -> None:
+        """Raise `RequestError` if all known endpoints are leaving."""
+        if self._are_all_leaving():
+            raise _no_endpoint_error(_ALL_LEAVING)
+
     def place_waiting_soon(self) -> None:
         """Schedule a placement pass; later calls until it runs share the same pass."""
         if self._queues_by_team and not self._is_pass_scheduled:
@@ -280,11 +289,22 @@
 
     def _refuse_expired(self) -> None:
         now_ms = self._clock.now_ms()
+        are_leaving = self._are_all_leaving()
         for queue in self._queues_by_team.values():
-            for entry in [e for e in queue if e.demand.wait_until_ms <= now_ms]:
+            for entry in [
+                e for e in queue if are_leaving or e.demand.wait_until_ms <= now_ms
+            ]:
                 queue.remove(entry)
                 if not entry.placed.done():
-                    entry.placed.set_exception(self._overload_error("no-capacity"))
+                    entry.placed.set_exception(
+                        _no_endpoint_error(_ALL_LEAVING)
+                        if are_leaving
+                        else self._overload_error("no-capacity")
+                    )
+
+    def _are_all_leaving(self) -> bool:
+        endpoints = self._directory.of_service(self._service)
+        return bool(endpoints) and not self._notices.has_usable(endpoints)
 
     def _overload_error(self, code: str) -> RequestError:
         retry_after_ms = (
@@ -323,6 +343,10 @@
                 )
 
 
+def _no_endpoint_error(message: str) -> RequestError:
+    return not_run_error(503, "no-endpoint", message, _NO_ENDPOINT_RETRY_AFTER_MS)
+
+
 def _prompt_tokens(entry: _WaitingRequest) -> int:
     return entry.demand.tokens
 
--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -3,6 +3,7 @@
 | observation | verdict |
 | --- | --- |
 | the connection failed | not run |
+| the endpoint stated in the meantime that it is leaving | withheld |
 | the response states that the request did not run | not run |
 | reset, end of connection or time-out after the request was sent | may have run |
 | invalid response, or the response to another request | may have run |
@@ -28,9 +29,11 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import Call, Placement
 from bulrushbend.gateway.crash_reports import CrashReports
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.header_codec import HeaderCodec
 from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.leaving_reports import LeavingReports
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.sink import ResponseSink
 from bulrushbend.wire.eventstream import EventFramer, StreamTail, contains_event_end
@@ -63,6 +66,7 @@
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
+    WITHHELD = "withheld"
     MAY_HAVE_RUN = "may-have-run"
     BROKEN_OFF = "broken-off"
 
@@ -112,6 +116,8 @@
     loads: LoadView
     health: EndpointHealth
     crash_reports: CrashReports
+    notices: EndpointNotices
+    leaving_reports: LeavingReports
     clock: Clock
     connect_ms: float
 
@@ -204,6 +210,8 @@
             self._context.loads.end(self._endpoint.id)
 
     async def _run(self) -> AttemptResult:
+        if not self._context.notices.may_send(self._endpoint):
+            return self._withhold()
         timeouts = self._timeouts()
         try:
             exchange = await Exchange.connect(self._endpoint.address, timeouts)
@@ -212,6 +220,9 @@
                 self._endpoint.id, f"connect: {error.message}"
             )
             return AttemptResult(Verdict.NOT_RUN, f"connect: {error.message}")
+        if not self._context.notices.may_send(self._endpoint):
+            exchange.close()
+            return self._withhold()
         self._sent = True
         try:
             if self._successors is not None:
@@ -241,6 +252,12 @@
         finally:
             exchange.close()
 
+    def _withhold(self) -> AttemptResult:
+        """Return the result of a request that the endpoint does not want."""
+        if self._placement.coordinator:
+            self._context.leaving_reports.repeat(self._endpoint)
+        return AttemptResult(Verdict.WITHHELD, "endpoint leaving")
+
     def _request(self) -> ExchangeRequest:
         call = self._call
         remaining_ms = call.remaining_ms(self._context.clock.now_ms())
@@ -270,6 +287,8 @@
             self._stop_watching()
         if is_event_stream and exchange.ends_with_connection:
             self._tail = StreamTail()
+        if header_codec.states_leaving(headers):
+            self._context.leaving_reports.record_leaving(self._endpoint)
         # A refusal of another request proves nothing about this one.
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -26,10 +26,12 @@
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange, reader_rank
 from bulrushbend.gateway.endpoints import EndpointDirectory, EndpointSource
 from bulrushbend.gateway.header_codec import HeaderCodec
 from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.leaving_reports import LeavingReports
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.loop_monitor import EventLoopMonitor
 from bulrushbend.gateway.outcomes import (
@@ -155,11 +157,13 @@
             identity.name, identity.incarnation, clock, self._prefix_cache
         )
         self._health = EndpointHealth(clock, events)
+        self._notices = EndpointNotices(clock, events, self._directory.get)
         self._shares = TeamShares(clock)
         self._placer = Placer(
             self._loads,
             self._prefix_cache,
             self._health,
+            self._notices,
             PlacementLimits(),
             settings.data_centre,
         )
@@ -194,6 +198,13 @@
             self._peer_protocol.send,
             settings.connect_ms,
         )
+        leaving_reports = LeavingReports(
+            self._notices,
+            self._coordinators,
+            clock,
+            self._directory.get,
+            self._peer_protocol.send,
+        )
         server = PlacementServer(
             *identity_args,
             self._queues.for_service,
@@ -211,6 +222,7 @@
             server,
             self._list_exchange,
             self._crash_reports,
+            leaving_reports,
             self._queues.place_waiting_soon,
         )
         context = AttemptContext(
@@ -218,6 +230,8 @@
             self._loads,
             self._health,
             self._crash_reports,
+            self._notices,
+            leaving_reports,
             clock,
             settings.connect_ms,
         )
@@ -492,6 +506,7 @@
             service,
             self._directory,
             self._placer,
+            self._notices,
             self._loads,
             self._shares,
             self._clock,
@@ -544,6 +559,7 @@
         for endpoint in ended:
             self._prefix_cache.remove(endpoint)
             self._health.remove(endpoint)
+        self._notices.update()
         manifest = self._in_force.current
         if manifest is not None:
             for endpoint in self._directory.endpoints:
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -128,14 +128,19 @@
         self, call: Call, sink: ResponseSink, framer: EventFramer | None
     ) -> AttemptResult:
         refusals = 0
+        withheld: set[str] = set()
         placement: Placement | None = None
         while True:
             if placement is None:
-                placement = await self._place(call)
+                placement = await self._place(call, withheld)
             result = await self._attempt(call, placement, sink, framer)
             self._log_failure(call, placement, result)
             if result.verdict is Verdict.ANSWERED:
                 return result
+            if result.verdict is Verdict.WITHHELD:
+                withheld.add(placement.endpoint)
+                placement = None
+                continue
             call.tried.add(placement.endpoint)
             if result.verdict is Verdict.NOT_RUN:
                 refusals += 1
@@ -153,8 +158,11 @@
                 framer.restart()
                 call.last_event_id = framer.last_id or call.details.last_event_id
 
-    async def _place(self, call: Call) -> Placement:
+    async def _place(self, call: Call, withheld: set[str]) -> Placement:
         demand = demand_of(call, self._clock.now_ms())
+        if withheld:
+            avoided = demand.avoided | withheld
+            demand = dataclasses.replace(demand, avoided=avoided)
         try:
             return await self._placement_for(call.service).place(demand)
         except RequestError as error:
--- a/libs/gateway/src/bulrushbend/gateway/header_codec.py
+++ b/libs/gateway/src/bulrushbend/gateway/header_codec.py
@@ -65,6 +65,10 @@
         """Return whether the response belongs to `call` and comes from an endpoint."""
         ...
 
+    def states_leaving(self, headers: HTTPHeaders) -> bool:
+        """Return whether the endpoint states in a response that it is leaving."""
+        ...
+
     def caller_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers that are passed to the caller with a response."""
         ...
--- a/libs/gateway/src/bulrushbend/gateway/metrics.py
+++ b/libs/gateway/src/bulrushbend/gateway/metrics.py
@@ -22,6 +22,10 @@
     "bulrushbend_gateway_endpoint_crashes_total",
     "Crashes of endpoints that this gateway observed.",
 )
+LEAVING = Counter(
+    "bulrushbend_gateway_leaving_endpoints_total",
+    "Endpoints that stated that they are leaving, to this or another gateway.",
+)
 QUARANTINED = Gauge(
     "bulrushbend_gateway_quarantined_prompts",
     "Prompt parts that crash endpoints and are refused.",
--- a/libs/gateway/src/bulrushbend/gateway/peer_protocol.py
+++ b/libs/gateway/src/bulrushbend/gateway/peer_protocol.py
@@ -11,6 +11,7 @@
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange
+from bulrushbend.gateway.leaving_reports import LeavingReports
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placement_client import PlacementClient
 from bulrushbend.gateway.placement_server import PlacementServer
@@ -60,6 +61,7 @@
         self._server: PlacementServer | None = None
         self._list_exchange: EndpointListExchange | None = None
         self._crash_reports: CrashReports | None = None
+        self._leaving_reports: LeavingReports | None = None
         self._on_load_change: Callable[[], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._last_full_report_ms = clock.now_ms()
@@ -74,6 +76,7 @@
         server: PlacementServer,
         list_exchange: EndpointListExchange,
         crash_reports: CrashReports,
+        leaving_reports: LeavingReports,
         on_load_change: Callable[[], None],
     ) -> None:
         """Set the receivers of the messages and the callback for load changes."""
@@ -81,6 +84,7 @@
         self._server = server
         self._list_exchange = list_exchange
         self._crash_reports = crash_reports
+        self._leaving_reports = leaving_reports
         self._on_load_change = on_load_change
 
     async def open(self, address: str) -> None:
@@ -167,6 +171,8 @@
                 self._list_exchange.handle_page(datagram.list_page)
             case "crash_note":
                 self._crash_reports.handle_note(datagram.crash_note, sender)
+            case "leaving_endpoint":
+                self._leaving_reports.handle_report(datagram.leaving_endpoint)
             case _:
                 _log.warning(
                     "dropped a datagram from %s without a known message", sender
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -264,6 +264,7 @@
         RequestError
             No endpoint can accept the request in time; it was not sent.
         """
+        self._queue.check_notices()
         if demand.has_prompt:
             placement = await self._client.request_placement(self._service, demand)
             if placement is not None:
--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -12,6 +12,7 @@
 
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.endpoint_index import EndpointIndex
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.health import EndpointHealth
 from bulrushbend.gateway.load_totals import Load
@@ -118,6 +119,8 @@
         Shared prompt parts that each endpoint has cached.
     health : EndpointHealth
         Determines which endpoints are avoided and which are slow.
+    notices : EndpointNotices
+        Determines which endpoints accept no requests.
     limits : PlacementLimits
         Bounds on the work at one endpoint.
     data_centre : str
@@ -129,12 +132,14 @@
         loads: LoadView,
         prefix_cache: PrefixCacheIndex,
         health: EndpointHealth,
+        notices: EndpointNotices,
         limits: PlacementLimits,
         data_centre: str,
     ):
         self._loads = loads
         self._prefix_cache = prefix_cache
         self._health = health
+        self._notices = notices
         self._limits = limits
         self._data_centre = data_centre
         self._indexes: dict[str, EndpointIndex] = {}
@@ -205,7 +210,7 @@
             return None
         totals = self._loads.totals()
         index = self._index_of(endpoints)
-        avoided = self._health.avoided(endpoints)
+        avoided = self._avoided(endpoints)
         cached_by_holder = {
             name: cached
             for name, cached in self._prefix_cache.longest_holders(
@@ -255,6 +260,17 @@
         source = index.get(holder) if fetched and holder else None
         return Choice(endpoint, unread, source, is_full)
 
+    def _avoided(self, endpoints: Sequence[DiscoveredEndpoint]) -> frozenset[str]:
+        """Return the ids of endpoints that fail or that accept no requests.
+
+        The bound on avoided endpoints only holds for those that fail.
+        """
+        leaving = self._notices.leaving
+        if not leaving:
+            return self._health.avoided(endpoints)
+        staying = [e for e in endpoints if e.id not in leaving]
+        return self._health.avoided(staying) | leaving
+
     def _index_of(self, endpoints: Sequence[DiscoveredEndpoint]) -> EndpointIndex:
         """Return the index of a list of endpoints, which is kept until it changes."""
         service = endpoints[0].service
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -15,6 +15,7 @@
 from bulrushbend.gateway.call import Call, CallDetails, Placement, PromptPart
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.demand import Demand, demand_of
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
 from bulrushbend.gateway.header_codec import (
     bearer_token,
@@ -22,6 +23,7 @@
     retry_after_value,
 )
 from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.leaving_reports import LeavingReports
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placer import PlacementLimits, Placer
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
@@ -136,12 +138,15 @@
         self.prefix_cache = PrefixCacheIndex()
         self.loads = LoadView(name, 1, self.clock, self.prefix_cache)
         self.health = EndpointHealth(self.clock, self.events)
+        self.notices = EndpointNotices(self.clock, self.events, self.directory.get)
+        self.directory.add_listener(lambda ended: self.notices.update())
         self.quarantine = PromptQuarantine(self.clock, self.events)
         self.shares = TeamShares(self.clock)
         self.placer = Placer(
             self.loads,
             self.prefix_cache,
             self.health,
+            self.notices,
             PlacementLimits(unread_tokens),
             "papantla",
         )
@@ -149,6 +154,7 @@
             SERVICE,
             self.directory,
             self.placer,
+            self.notices,
             self.loads,
             self.shares,
             self.clock,
@@ -166,6 +172,11 @@
             connect_ms,
         )
 
+    def make_leaving_reports(self, coordinators, send):
+        return LeavingReports(
+            self.notices, coordinators, self.clock, self.directory.get, send
+        )
+
     def choose(self, call, remaining_wait=1.0):
         demand = demand_of(call, self.clock.now_ms())
         return self.placer.choose(
@@ -207,6 +218,9 @@
     def is_genuine(self, call, status, headers):
         return headers.get("Id", call.details.request_id) == call.details.request_id
 
+    def states_leaving(self, headers):
+        return headers.get("Leaving") == "1"
+
     def caller_headers(self, headers):
         return end_to_end_headers(headers, frozenset())
 
@@ -278,11 +292,10 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def stream_head():
-    return (
-        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        b"Transfer-Encoding: chunked\r\n\r\n"
-    )
+def stream_head(**headers):
+    lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 def event(number):
--- a/libs/gateway/tests/test_datagram_fuzzing.py
+++ b/libs/gateway/tests/test_datagram_fuzzing.py
@@ -20,6 +20,7 @@
     EndpointLoad,
     GatewayDatagram,
     GrantMark,
+    LeavingEndpoint,
     LoadReport,
     PlaceCancel,
     PlaceReply,
@@ -108,6 +109,14 @@
             retry_after_ms=st.floats(),
         ),
     ),
+    messages(
+        GatewayDatagram,
+        leaving_endpoint=messages(
+            LeavingEndpoint,
+            endpoint=texts,
+            started_ms=st.none() | st.integers(-(2**63), 2**63 - 1),
+        ),
+    ),
     messages(
         GatewayDatagram,
         crash_note=messages(
@@ -189,6 +198,7 @@
             self.gateway.server,
             exchange,
             components.make_crash_reports(self.gateway.coordinators, lambda *_: None),
+            components.make_leaving_reports(self.gateway.coordinators, lambda *_: None),
             components.queue.place_waiting_soon,
         )
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -22,11 +22,12 @@
 from bulrushbend.core.manifest import RouteKind
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.budgets import RetryBudgets
-from bulrushbend.gateway.call import RequestError
+from bulrushbend.gateway.call import Placement, RequestError
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
 from bulrushbend.gateway.quarantine import Suspect
+from bulrushbend.wire.exchange import Exchange
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -45,6 +46,8 @@
             self.components.loads,
             self.components.health,
             self.components.make_crash_reports(coordinators, lambda *_: None),
+            self.components.notices,
+            self.components.make_leaving_reports(coordinators, lambda *_: None),
             clock,
             300.0,
         )
@@ -111,6 +114,7 @@
 ONCE = make_route(kind=RouteKind.NON_IDEMPOTENT, most_endpoints=2)
 RESUMABLE = make_route(kind=RouteKind.STREAM, resumable=True, most_endpoints=2)
 RESPONSE = [plain_response(b"done")]
+RESPONSE_ONLY = [RESPONSE]
 
 
 async def test_response_is_forwarded_unchanged():
@@ -168,6 +172,122 @@
         assert len(fixture.endpoints[0].requests) == 1
 
 
+@pytest.mark.parametrize(
+    "response",
+    [
+        [plain_response(Leaving="1")],
+        [stream_head(Leaving="1") + chunk(event(1)) + END_OF_CHUNKS],
+        [plain_response(b"", "500 E", Leaving="1")],
+        [plain_response(b"", "503 Busy", Not_Run="1", Leaving="1")],
+        [plain_response(b"", "421 Misdirected", Leaving="1")],
+        [plain_response(Id="other", Leaving="1")],
+    ],
+)
+async def test_endpoint_that_states_that_it_leaves_gets_no_further_request(response):
+    # Guards against requests to an endpoint that is still listed as ready.
+    async with running_dispatcher([response], RESPONSE_ONLY) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        with contextlib.suppress(RequestError):
+            await fixture.serve(route=IDEMPOTENT)
+        assert len(fixture.endpoints[0].requests) == 1
+        for _ in range(5):
+            assert (await fixture.serve(route=ONCE)).verdict is Verdict.ANSWERED
+        assert len(fixture.endpoints[0].requests) == 1
+
+
+async def test_stream_at_a_leaving_endpoint_goes_on():
+    # Guards against running streams that are cut when their endpoint states it leaves.
+    script = [stream_head() + chunk(event(1)), 0.2, chunk(event(2)) + END_OF_CHUNKS]
+    async with running_dispatcher([script], RESPONSE_ONLY) as fixture:
+        running = asyncio.create_task(fixture.serve(route=RESUMABLE))
+        await asyncio.sleep(0.1)
+        endpoint = fixture.components.source.endpoints[0]
+        fixture.components.notices.record_leaving(endpoint, "response")
+        assert (await running).verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2)
+        assert runs(fixture) == 1
+
+
+class ScriptedPlacement:
+    """Placement of a coordinator that does not know which endpoints are leaving."""
+
+    def __init__(self, loads, *endpoints):
+        self.avoided = []
+        self._loads = loads
+        self._endpoints = list(endpoints)
+
+    async def place(self, demand):
+        self.avoided.append(demand.avoided)
+        placement = Placement(self._endpoints.pop(0), 1, coordinator="g2")
+        return self._loads.begin(placement, demand)
+
+
+async def test_leaving_endpoint_that_a_coordinator_chose_gets_no_request():
+    # Guards against a lost report, and a retry that is counted for a request not sent.
+    names = ["e0", "e1", "e2", "e3", "e4", "e5"]
+    scripts = [RESPONSE_ONLY] * len(names)
+    async with running_dispatcher(*scripts, budget=0) as fixture:
+        endpoints = fixture.components.source.endpoints
+        for endpoint in endpoints[:5]:
+            fixture.components.notices.record_leaving(endpoint, "response")
+        placement = ScriptedPlacement(fixture.components.loads, *names)
+        fixture.dispatcher._placement_for = lambda service: placement
+        result = await fixture.serve(route=ONCE)
+        assert result.verdict is Verdict.ANSWERED
+        assert [len(e.requests) for e in fixture.endpoints] == [0, 0, 0, 0, 0, 1]
+        assert placement.avoided[-1] == set(names[:5])
+        assert fixture.is_idle
+
+
+async def test_endpoint_that_leaves_during_the_connect_gets_no_request(monkeypatch):
+    # Guards against a request that is sent on the word of a check before the connect.
+    async with running_dispatcher(RESPONSE_ONLY, RESPONSE_ONLY) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        connect = Exchange.connect
+
+        async def leave_meanwhile(address, timeouts):
+            exchange = await connect(address, timeouts)
+            endpoint = fixture.components.source.endpoints[0]
+            fixture.components.notices.record_leaving(endpoint, "response")
+            return exchange
+
+        monkeypatch.setattr(Exchange, "connect", leave_meanwhile)
+        assert (await fixture.serve(route=ONCE)).verdict is Verdict.ANSWERED
+        assert [len(e.requests) for e in fixture.endpoints] == [0, 1]
+        assert fixture.is_idle
+
+
+async def test_request_waiting_when_all_endpoints_leave_is_refused_at_once():
+    # Guards against callers that wait until their time is over.
+    async with running_dispatcher(RESPONSE_ONLY) as fixture:
+        fixture.components.begin("e0", tokens=9_000)
+        waiting = asyncio.create_task(fixture.serve_error(tokens=5_000))
+        await asyncio.sleep(0.05)
+        endpoint = fixture.components.source.endpoints[0]
+        fixture.components.notices.record_leaving(endpoint, "response")
+        async with asyncio.timeout(0.2):
+            error = await waiting
+        assert (error.status, error.code) == (503, "no-endpoint")
+
+
+async def test_silent_stream_does_not_move_to_an_endpoint_that_is_leaving():
+    # Guards against a successor that was reserved before its endpoint stated it leaves.
+    stream = [stream_head() + chunk(event(1)), "hang"]
+    end = [stream_head() + chunk(event(2)) + END_OF_CHUNKS]
+    async with running_dispatcher([stream], RESPONSE_ONLY, [end]) as fixture:
+        for name in ("e1", "e2"):
+            fixture.components.health.record_failure(name, "the test")
+        endpoint = fixture.components.source.endpoints[1]
+        placement = ScriptedPlacement(fixture.components.loads, "e0", "e1", "e2")
+        fixture.dispatcher._placement_for = lambda service: placement
+        running = asyncio.create_task(fixture.serve(route=RESUMABLE))
+        await asyncio.sleep(0.3)
+        fixture.components.notices.record_leaving(endpoint, "response")
+        assert (await running).verdict is Verdict.ANSWERED
+        assert [len(e.requests) for e in fixture.endpoints] == [1, 0, 1]
+        assert fixture.sink.body == event(1) + event(2)
+
+
 async def test_request_refused_by_all_endpoints_is_reported_as_not_run():
     refusal = [plain_response(b"", "503 Busy", Not_Run="1")]
     async with running_dispatcher([refusal]) as fixture:
--- /dev/null
+++ b/libs/gateway/tests/test_endpoint_notices.py
@@ -0,0 +1,174 @@
+"""Notices of endpoints about themselves, and their reports between gateways."""
+
+import pytest
+from gateway_builders import SERVICE, GatewayComponents, make_call, make_endpoint
+
+from bulrushbend.core.clock import ManualClock
+from bulrushbend.core.events import EventKind
+from bulrushbend.gateway.call import RequestError
+from bulrushbend.gateway.coordinators import Coordinators
+from bulrushbend.gateway.endpoint_notices import _MAX_NOTICES, _RETENTION_MS
+from bulrushbend.wire.fleet_pb2 import LeavingEndpoint
+
+
+def list_endpoints(components, *endpoints):
+    components.directory._update_list(list(endpoints), components.clock.boot_ms())
+
+
+async def test_leaving_endpoint_is_not_chosen_although_it_is_listed_as_ready():
+    # Guards against requests that an endpoint gets after it said that it leaves.
+    components = GatewayComponents(make_endpoint("e1"), make_endpoint("e2"))
+    components.notices.record_leaving(make_endpoint("e1"), "response")
+    for _ in range(6):
+        placement = await components.place(make_call(tokens=100))
+        assert placement.endpoint == "e2"
+
+
+async def test_endpoints_of_a_leaving_majority_are_not_chosen():
+    # Guards against the bound on avoided endpoints, which leaving ones do not have.
+    components = GatewayComponents(*(make_endpoint(f"e{n}") for n in range(4)))
+    for name in ("e0", "e1", "e2"):
+        components.notices.record_leaving(make_endpoint(name), "response")
+    components.health.record_failure("e3", "reset")
+    assert (await components.place(make_call())).endpoint == "e3"
+
+
+async def test_request_without_staying_endpoints_is_refused_at_once():
+    # Guards against callers that wait in the queue for endpoints that all leave.
+    components = GatewayComponents(make_endpoint("e1"))
+    components.notices.record_leaving(make_endpoint("e1"), "response")
+    with pytest.raises(RequestError) as raised:
+        await components.place(make_call())
+    assert (raised.value.status, raised.value.code) == (503, "no-endpoint")
+    assert raised.value.retry_after_ms > 0
+
+
+def test_another_start_of_an_endpoint_is_used_at_once():
+    # Guards against a new endpoint that is left out for what its predecessor said.
+    components = GatewayComponents(make_endpoint("e1", started_ms=5))
+    components.notices.record_leaving(make_endpoint("e1", started_ms=5), "response")
+    restarted = make_endpoint("e1", started_ms=6)
+    successor = make_endpoint("e2")
+    list_endpoints(components, restarted, successor)
+    assert components.notices.leaving == frozenset()
+    assert components.notices.may_send(restarted)
+    assert components.notices.may_send(successor)
+
+
+def test_late_statement_of_an_earlier_start_is_ignored():
+    # Guards against a restarted endpoint that is left out for an old response.
+    components = GatewayComponents(make_endpoint("e1", started_ms=6))
+    components.notices.record_leaving(make_endpoint("e1", started_ms=5), "response")
+    assert components.notices.leaving == frozenset()
+
+
+@pytest.mark.parametrize("started_ms", [None, 5])
+def test_leaving_endpoint_that_is_listed_again_is_still_leaving(started_ms):
+    # Guards against a list that loses an endpoint for a moment, or shows an older one.
+    endpoint = make_endpoint("e1", started_ms=started_ms)
+    components = GatewayComponents(endpoint)
+    components.notices.record_leaving(endpoint, "response")
+    for later in (endpoint, make_endpoint("e1", started_ms=4)):
+        list_endpoints(components)
+        list_endpoints(components, later)
+        assert components.notices.leaving == {"e1"}
+        assert not components.notices.may_send(later)
+
+
+async def test_notice_of_a_listed_endpoint_does_not_expire():
+    # Guards against a request to an endpoint that stays listed for long.
+    endpoint = make_endpoint("e1", started_ms=5)
+    components = GatewayComponents(endpoint)
+    components.notices.record_leaving(endpoint, "response")
+    await components.clock.advance(2 * _RETENTION_MS)
+    list_endpoints(components, endpoint, make_endpoint("e2"))
+    assert not components.notices.may_send(endpoint)
+    list_endpoints(components, make_endpoint("e2"))
+    await components.clock.advance(_RETENTION_MS)
+    list_endpoints(components)
+    assert components.notices.may_send(endpoint)
+
+
+def test_number_of_notices_is_bounded():
+    # Guards against memory that grows with every endpoint that ever left.
+    components = GatewayComponents()
+    for number in range(_MAX_NOTICES + 5):
+        components.notices.record_leaving(make_endpoint(f"e{number}"), "response")
+    assert len(components.notices._leaving) == _MAX_NOTICES
+    assert not components.notices.may_send(make_endpoint(f"e{_MAX_NOTICES}"))
+
+
+def test_leaving_is_logged_once():
+    # Guards against a log line for each response of a leaving endpoint.
+    components = GatewayComponents(make_endpoint("e1"))
+    for _ in range(3):
+        components.notices.record_leaving(make_endpoint("e1"), "response")
+    records = [
+        record
+        for record in components.events.records
+        if record["kind"] == EventKind.ENDPOINT_LEAVING
+    ]
+    assert [record["endpoint"] for record in records] == ["e1"]
+
+
+class Fleet:
+    """Two gateways, each the coordinator of the other, that report to each other."""
+
+    def __init__(self, **listed):
+        self.sent = []
+        self.reports = {}
+        self.components = {}
+        clock = ManualClock()
+        for name, endpoint in listed.items():
+            components = GatewayComponents(endpoint, clock=clock, name=name)
+            coordinators = Coordinators(name, clock, components.events)
+            coordinators.set_peers({n: n for n in listed if n != name})
+            coordinators.set_services([SERVICE])
+            self.components[name] = components
+            self.reports[name] = components.make_leaving_reports(
+                coordinators, self._deliver
+            )
+
+    def _deliver(self, address, datagram):
+        self.sent.append(address)
+        self.reports[address].handle_report(datagram.leaving_endpoint)
+
+
+def test_coordinators_learn_that_an_endpoint_is_leaving():
+    # Guards against coordinators that place requests of others at a leaving endpoint.
+    endpoint = make_endpoint("e1", started_ms=5)
+    fleet = Fleet(g1=endpoint, g2=endpoint)
+    for _ in range(3):
+        fleet.reports["g1"].record_leaving(endpoint)
+    assert fleet.components["g2"].notices.leaving == {"e1"}
+    assert fleet.sent == ["g2"]
+
+
+@pytest.mark.parametrize("started_ms", [None, 4, 6])
+def test_report_on_another_start_of_an_endpoint_is_ignored(started_ms):
+    # Guards against an endpoint that is left out for what another incarnation said.
+    fleet = Fleet(
+        g1=make_endpoint("e1", started_ms=started_ms),
+        g2=make_endpoint("e1", started_ms=5),
+    )
+    fleet.reports["g1"].record_leaving(make_endpoint("e1", started_ms=started_ms))
+    assert fleet.components["g2"].notices.leaving == frozenset()
+
+
+def test_report_on_an_unknown_endpoint_is_ignored():
+    # Guards against memory for endpoints that only a malformed datagram names.
+    fleet = Fleet(g1=make_endpoint("e1"))
+    fleet.reports["g1"].handle_report(LeavingEndpoint(endpoint="e9"))
+    assert not fleet.components["g1"].notices._leaving
+
+
+async def test_leaving_endpoint_that_is_still_chosen_is_reported_again():
+    # Guards against a coordinator that never learns it because a datagram was lost.
+    endpoint = make_endpoint("e1")
+    fleet = Fleet(g1=endpoint, g2=endpoint)
+    fleet.components["g1"].notices.record_leaving(endpoint, "response")
+    for _ in range(10):
+        fleet.reports["g1"].repeat(endpoint)
+        await fleet.components["g1"].clock.advance(100)
+    assert fleet.components["g2"].notices.leaving == {"e1"}
+    assert len(fleet.sent) == 2
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True)
 class Arrival:
-    """A request that an engine has read.
+    """A request that an engine has read, also if it was rejected.
 
     Attributes
     ----------
@@ -38,11 +38,14 @@
         Id of the request.
     parts : tuple of str
         Ids of the shared parts of its prompt.
+    instance : str
+        Id of the incarnation that read it.
     """
 
     at_s: float
     request_id: str
     parts: tuple[str, ...]
+    instance: str
 
 
 class _Server(HTTPServer):
@@ -80,7 +83,7 @@
     runs : list of tuple
         Request id, tenant and path of each run.
     arrivals : list of Arrival
-        All requests with a prompt that were read, also those that were rejected.
+        All requests that were read.
     crashes : list of float
         Times of the event loop at which the engine crashed.
     deadly_parts : set of str
@@ -97,6 +100,10 @@
         Pauses that are made, one in each of the next streams, before their third event.
     silent_s : float
         Time from the start of a run until the first byte of the response.
+    is_leaving : bool
+        Whether all responses state that the engine is leaving.
+    started_ms : int or None
+        Start that the list shows; None if it shows none.
     on_listening : callable
         Called with False before a crash, and with True after the next start.
     """
@@ -121,6 +128,8 @@
         self.waiting = 0
         self.down_s = 2.0
         self.silences = []
+        self.is_leaving = False
+        self.started_ms = None
         self.on_listening = lambda is_listening: None
         self.random = random.Random(f"{seed} {name}")
         self._listed_instance = name
@@ -131,7 +140,7 @@
         self._listen()
 
     def list_entry(self):
-        return {
+        entry = {
             "id": self._listed_instance,
             "service": self.service,
             "addr": self.listed_address,
@@ -140,6 +149,14 @@
             "state": self.state,
             "cold_left_ms": 0,
         }
+        return entry if self.started_ms is None else entry | {"born": self.started_ms}
+
+    def replace(self) -> None:
+        """Let another incarnation take over the address; the list shows it late."""
+        self.is_leaving = False
+        self.instance = f"{self.name}.{next(self._incarnations)}"
+        loop = asyncio.get_running_loop()
+        self._timers.append(loop.call_later(LIST_LAG_S, self._list, self.instance))
 
     def crash(self) -> None:
         """Reset all connections, refuse new ones and start again after `down_s`."""
@@ -185,10 +202,12 @@
         engine = self._engine
         headers = self.request.headers
         parts = parse_parts(headers.get("Prefix-Hash", ""))
-        if "Prefix-Hash" in headers:
-            now_s = asyncio.get_running_loop().time()
-            arrival = Arrival(now_s, headers.get("Attempt-Id", ""), tuple(parts))
-            engine.arrivals.append(arrival)
+        request_id = headers.get("Attempt-Id", "")
+        now_s = asyncio.get_running_loop().time()
+        arrival = Arrival(now_s, request_id, tuple(parts), engine.instance)
+        engine.arrivals.append(arrival)
+        if engine.is_leaving:
+            self.set_header("Server-Leaving", "1")
         if headers.get("Expect-Instance") != engine.instance:
             self.set_status(421)
             return
--- a/tests/adapter/test_boundary.py
+++ b/tests/adapter/test_boundary.py
@@ -9,6 +9,7 @@
     "Attempt-Id",
     "Instance-Seal",
     "Not-Executed",
+    "Server-Leaving",
     "Prefix-Hash",
     "Token-Usage",
     "Expect-Instance",
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -101,6 +101,29 @@
     assert HEADER_CODEC.proves_not_run(status, HTTPHeaders(headers)) is proved
 
 
+@pytest.mark.parametrize(
+    ("values", "states_leaving"),
+    [
+        ([], False),
+        (["1"], True),
+        ([" 1 "], True),
+        (["0", "1"], True),
+        ([""], False),
+        (["0"], False),
+        (["yes"], False),
+        (["true"], False),
+        (["11"], False),
+        (["1, 0"], False),
+    ],
+)
+def test_only_the_defined_value_states_that_an_endpoint_leaves(values, states_leaving):
+    # Guards against a sound endpoint that is left out for a value without a meaning.
+    response = HTTPHeaders()
+    for value in values:
+        response.parse_line(f"Server-Leaving: {value}")
+    assert HEADER_CODEC.states_leaving(response) is states_leaving
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "genuine"),
     [
