Send nothing to an endpoint within the pause that it asked for

An endpoint that turned a gateway away with 503 and Retry-After got the next requests of that gateway at once, new and repeated ones, and those that a coordinator elsewhere had placed there. Callers were sent to endpoints that did not want them.

Cause: Retry-After of an endpoint was passed on and not read.

A 503 with Retry-After now pauses this gateway for that incarnation of the endpoint, from the arrival of the response. A longer pause replaces a shorter one, a shorter one does not cut a longer one: two responses may cross, and waiting too long costs less than a request that is turned away. The checks are those for leaving endpoints: placement leaves the endpoint out, and the sending gateway checks again before it connects and before it sends, at no cost in attempts or retry budget. A pause binds one gateway, so it is named in the requests to coordinators, and a coordinator's own pauses do not count in what it grants to others. The bound on avoided endpoints does not apply.

When no endpoint of a service is left, callers are refused at once with the end of the first pause as Retry-After, at most 3 s. They do not wait for it, even within their waiting time: another gateway may serve them meanwhile, and after a wait all of them would reach an endpoint that has just been too busy. Waiting requests of this gateway are refused alike.

Values that cannot be read (negative numbers, dates, exponents, lists, text, not finite) are logged, and the endpoint has the backoff of a failed one. Of several headers the longest time counts. An absurd number of seconds is kept and ends with the endpoint.

Ruled out: recording a failure for the duration. Health is shared with the requests of other gateways, is bounded to half of the endpoints, and any success ends it.

--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -58,6 +58,7 @@
     ENDPOINT_FOUND = "endpoint-found"
     ENDPOINT_LEAVING = "endpoint-leaving"
     ENDPOINT_GONE = "endpoint-gone"
+    ENDPOINT_PAUSED = "endpoint-paused"
     ENDPOINT_AVOIDED = "endpoint-avoided"
     ENDPOINT_SOUND = "endpoint-sound"
     ENDPOINT_CRASHED = "endpoint-crashed"
--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -53,7 +53,8 @@
 _RETRY_AFTER_PER_WAITING_MS = 40.0
 # Restarted endpoints appear in the endpoint list after about this time.
 _NO_ENDPOINT_RETRY_AFTER_MS = 1_000.0
-_ALL_LEAVING = "all known endpoints are leaving"
+# Any gateway but this one, as a requester.
+_ANOTHER = "another gateway"
 
 
 @dataclass(eq=False)
@@ -74,7 +75,7 @@
     placer : Placer
         Chooses the endpoint.
     notices : EndpointNotices
-        Determines which endpoints accept no requests.
+        Determines which endpoints want no requests.
     loads : LoadView
         Records placed requests.
     shares : TeamShares
@@ -124,7 +125,7 @@
         """
         if not self._directory.of_service(self._service):
             raise _no_endpoint_error("no endpoint is known")
-        self.check_notices()
+        self.check_notices(demand.requester)
         self._shares.charge(self._loads.pop_charges())
         peer_usage = self._loads.lowest_waiting_usage(self._service)
         if not self._queues_by_team and not self._must_yield(demand.team, peer_usage):
@@ -147,10 +148,15 @@
             self._remove(entry)
             raise
 
-    def check_notices(self) -> None:
-        """Raise `RequestError` if all known endpoints are leaving."""
-        if self._are_all_leaving():
-            raise _no_endpoint_error(_ALL_LEAVING)
+    def check_notices(self, requester: str = "") -> None:
+        """Raise `RequestError` if no known endpoint wants requests of a gateway.
+
+        The request does not wait for the end of a pause: other gateways may send to the
+        endpoints, and the caller may return there.
+        """
+        error = self._notice_error(requester)
+        if error is not None:
+            raise error
 
     def place_waiting_soon(self) -> None:
         """Schedule a placement pass; later calls until it runs share the same pass."""
@@ -289,22 +295,37 @@
 
     def _refuse_expired(self) -> None:
         now_ms = self._clock.now_ms()
-        are_leaving = self._are_all_leaving()
+        has_own, has_any = self._has_usable(""), self._has_usable(_ANOTHER)
         for queue in self._queues_by_team.values():
-            for entry in [
-                e for e in queue if are_leaving or e.demand.wait_until_ms <= now_ms
-            ]:
+            for entry in list(queue):
+                demand = entry.demand
+                error = None
+                if not (has_any if demand.requester else has_own):
+                    error = self._notice_error(demand.requester)
+                elif demand.wait_until_ms <= now_ms:
+                    error = self._overload_error("no-capacity")
+                if error is None:
+                    continue
                 queue.remove(entry)
                 if not entry.placed.done():
-                    entry.placed.set_exception(
-                        _no_endpoint_error(_ALL_LEAVING)
-                        if are_leaving
-                        else self._overload_error("no-capacity")
-                    )
+                    entry.placed.set_exception(error)
 
-    def _are_all_leaving(self) -> bool:
+    def _has_usable(self, requester: str) -> bool:
+        """Return whether an endpoint wants requests of a gateway, or none is known."""
+        endpoints = self._directory.of_service(self._service)
+        return not endpoints or self._notices.has_usable(endpoints, requester)
+
+    def _notice_error(self, requester: str) -> RequestError | None:
+        """Return the error if no known endpoint wants requests of a gateway."""
+        if self._has_usable(requester):
+            return None
         endpoints = self._directory.of_service(self._service)
-        return bool(endpoints) and not self._notices.has_usable(endpoints)
+        pause_ms = None if requester else self._notices.pause_left_ms(endpoints)
+        if pause_ms is None:
+            return _no_endpoint_error("all known endpoints are leaving")
+        message = "all endpoints asked this gateway for a pause"
+        retry_after_ms = min(_MAX_RETRY_AFTER_MS, pause_ms)
+        return not_run_error(503, "endpoints-paused", message, retry_after_ms)
 
     def _overload_error(self, code: str) -> RequestError:
         retry_after_ms = (
--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -3,7 +3,7 @@
 | observation | verdict |
 | --- | --- |
 | the connection failed | not run |
-| the endpoint stated in the meantime that it is leaving | withheld |
+| the endpoint stated in the meantime that it wants no requests | withheld |
 | the response states that the request did not run | not run |
 | reset, end of connection or time-out after the request was sent | may have run |
 | invalid response, or the response to another request | may have run |
@@ -256,7 +256,7 @@
         """Return the result of a request that the endpoint does not want."""
         if self._placement.coordinator:
             self._context.leaving_reports.repeat(self._endpoint)
-        return AttemptResult(Verdict.WITHHELD, "endpoint leaving")
+        return AttemptResult(Verdict.WITHHELD, "endpoint wants no requests")
 
     def _request(self) -> ExchangeRequest:
         call = self._call
@@ -287,8 +287,7 @@
             self._stop_watching()
         if is_event_stream and exchange.ends_with_connection:
             self._tail = StreamTail()
-        if header_codec.states_leaving(headers):
-            self._context.leaving_reports.record_leaving(self._endpoint)
+        self._record_notices(status, headers)
         # A refusal of another request proves nothing about this one.
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
@@ -307,6 +306,27 @@
         self._context.health.record_answer(self._endpoint.id)
         return AttemptResult(Verdict.ANSWERED, status=status)
 
+    def _record_notices(self, status: int, headers: HTTPHeaders) -> None:
+        """Record what the endpoint states about itself in its response."""
+        if self._context.header_codec.states_leaving(headers):
+            self._context.leaving_reports.record_leaving(self._endpoint)
+        if status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        try:
+            pause_ms = self._context.header_codec.read_pause_ms(headers)
+        except ValueError as error:
+            _log.warning(
+                "response of endpoint %s: %s; avoiding it for its backoff instead",
+                self._endpoint.id,
+                error,
+            )
+            self._context.health.record_failure(
+                self._endpoint.id, "unreadable Retry-After"
+            )
+            return
+        if pause_ms is not None:
+            self._context.notices.record_pause(self._endpoint, pause_ms)
+
     def _response_headers(self, exchange: Exchange) -> HTTPHeaders:
         headers = self._context.header_codec.caller_headers(exchange.headers)
         length = exchange.headers.get("Content-Length")
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -515,7 +515,10 @@
 
     def _placement_for(self, service: str) -> CoordinatedPlacement:
         return CoordinatedPlacement(
-            service, self._queues.for_service(service), self._placement_client
+            service,
+            self._queues.for_service(service),
+            self._placement_client,
+            self._notices,
         )
 
     def add_listener(self, listener: Callable[[Manifest], None]) -> None:
--- a/libs/gateway/src/bulrushbend/gateway/header_codec.py
+++ b/libs/gateway/src/bulrushbend/gateway/header_codec.py
@@ -1,5 +1,7 @@
 """Interface for encoding and decoding the headers of callers and endpoints."""
 
+import math
+import re
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -26,6 +28,9 @@
 )
 
 
+_SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?|\.[0-9]+")
+
+
 class HeaderCodec(Protocol):
     """Decodes and encodes the headers of a deployment."""
 
@@ -69,6 +74,18 @@
         """Return whether the endpoint states in a response that it is leaving."""
         ...
 
+    def read_pause_ms(self, headers: HTTPHeaders) -> float | None:
+        """Return how long the endpoint of a 503 response wants no further requests.
+
+        None if it does not say so.
+
+        Raises
+        ------
+        ValueError
+            The value cannot be read.
+        """
+        ...
+
     def caller_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers that are passed to the caller with a response."""
         ...
@@ -101,6 +118,29 @@
     return f"{error.retry_after_ms / 1000.0:.3f}"
 
 
+def parse_retry_after(headers: HTTPHeaders) -> float | None:
+    """Return the time in Retry-After in milliseconds, None if there is none.
+
+    Of several headers, the longest time counts.
+
+    Raises
+    ------
+    ValueError
+        A value is not a number of seconds, with or without a fraction.
+    """
+    values = headers.get_list("Retry-After")
+    delays_ms = [_parse_seconds(value) * 1000.0 for value in values]
+    if not all(map(math.isfinite, delays_ms)):
+        raise ValueError(f"Retry-After is too large: {values[0][:40]!r}")
+    return max(delays_ms, default=None)
+
+
+def _parse_seconds(text: str) -> float:
+    if not _SECONDS.fullmatch(text.strip()):
+        raise ValueError(f"Retry-After is no number of seconds: {text[:40]!r}")
+    return float(text)
+
+
 def bearer_token(headers: HTTPHeaders, scheme: str) -> str:
     """Return the token of the Authorization header, empty if there is none."""
     actual_scheme, _, token = headers.get("Authorization", "").partition(" ")
--- a/libs/gateway/src/bulrushbend/gateway/metrics.py
+++ b/libs/gateway/src/bulrushbend/gateway/metrics.py
@@ -26,6 +26,10 @@
     "bulrushbend_gateway_leaving_endpoints_total",
     "Endpoints that stated that they are leaving, to this or another gateway.",
 )
+PAUSES = Counter(
+    "bulrushbend_gateway_endpoint_pauses_total",
+    "Pauses that endpoints asked this gateway for.",
+)
 QUARANTINED = Gauge(
     "bulrushbend_gateway_quarantined_prompts",
     "Prompt parts that crash endpoints and are refused.",
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -1,6 +1,8 @@
 """Client that requests placements from the coordinator of a service."""
 
 import asyncio
+import dataclasses
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +16,7 @@
 )
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.wire.fleet_pb2 import (
     GatewayDatagram,
@@ -31,6 +34,8 @@
 _MAX_UNANSWERED_REQUESTS = 2
 # Coordinators that a request asks in turn before the gateway chooses the endpoint.
 _MAX_COORDINATORS = 2
+# Paused endpoints that a request names; a datagram with them stays under 8 KB.
+_MAX_PAUSED = 256
 # Bits of a request number that count the requests of one incarnation.
 _NUMBER_BITS = 24
 
@@ -246,12 +251,21 @@
         Queue of this gateway.
     client : PlacementClient
         Requests placements from the coordinator.
+    notices : EndpointNotices
+        Determines which endpoints want no requests.
     """
 
-    def __init__(self, service: str, queue: AdmissionQueue, client: PlacementClient):
+    def __init__(
+        self,
+        service: str,
+        queue: AdmissionQueue,
+        client: PlacementClient,
+        notices: EndpointNotices,
+    ):
         self._service = service
         self._queue = queue
         self._client = client
+        self._notices = notices
 
     async def place(self, demand: Demand) -> Placement:
         """Wait until an endpoint is chosen for a request and its load is counted.
@@ -266,7 +280,10 @@
         """
         self._queue.check_notices()
         if demand.has_prompt:
-            placement = await self._client.request_placement(self._service, demand)
+            # The coordinator does not know which endpoints paused this gateway.
+            paused = itertools.islice(self._notices.paused, _MAX_PAUSED)
+            asked = dataclasses.replace(demand, avoided=demand.avoided.union(paused))
+            placement = await self._client.request_placement(self._service, asked)
             if placement is not None:
                 return placement
         return await self._queue.place(demand)
--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -120,7 +120,7 @@
     health : EndpointHealth
         Determines which endpoints are avoided and which are slow.
     notices : EndpointNotices
-        Determines which endpoints accept no requests.
+        Determines which endpoints want no requests.
     limits : PlacementLimits
         Bounds on the work at one endpoint.
     data_centre : str
@@ -210,7 +210,7 @@
             return None
         totals = self._loads.totals()
         index = self._index_of(endpoints)
-        avoided = self._avoided(endpoints)
+        avoided = self._avoided(demand, endpoints)
         cached_by_holder = {
             name: cached
             for name, cached in self._prefix_cache.longest_holders(
@@ -260,16 +260,18 @@
         source = index.get(holder) if fetched and holder else None
         return Choice(endpoint, unread, source, is_full)
 
-    def _avoided(self, endpoints: Sequence[DiscoveredEndpoint]) -> frozenset[str]:
-        """Return the ids of endpoints that fail or that accept no requests.
+    def _avoided(
+        self, demand: Demand, endpoints: Sequence[DiscoveredEndpoint]
+    ) -> frozenset[str]:
+        """Return the ids of endpoints that fail or that want no requests.
 
         The bound on avoided endpoints only holds for those that fail.
         """
-        leaving = self._notices.leaving
-        if not leaving:
+        excluded = self._notices.excluded(demand.requester)
+        if not excluded:
             return self._health.avoided(endpoints)
-        staying = [e for e in endpoints if e.id not in leaving]
-        return self._health.avoided(staying) | leaving
+        others = [e for e in endpoints if e.id not in excluded]
+        return self._health.avoided(others) | excluded
 
     def _index_of(self, endpoints: Sequence[DiscoveredEndpoint]) -> EndpointIndex:
         """Return the index of a list of endpoints, which is kept until it changes."""
--- a/libs/gateway/tests/fleet_model.py
+++ b/libs/gateway/tests/fleet_model.py
@@ -90,7 +90,7 @@
             self.send,
         )
         self.placement = CoordinatedPlacement(
-            SERVICE, self.components.queue, self.client
+            SERVICE, self.components.queue, self.client, self.components.notices
         )
 
     def accepts_placements(self):
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -20,6 +20,7 @@
 from bulrushbend.gateway.header_codec import (
     bearer_token,
     end_to_end_headers,
+    parse_retry_after,
     retry_after_value,
 )
 from bulrushbend.gateway.health import EndpointHealth
@@ -221,6 +222,9 @@
     def states_leaving(self, headers):
         return headers.get("Leaving") == "1"
 
+    def read_pause_ms(self, headers):
+        return parse_retry_after(headers)
+
     def caller_headers(self, headers):
         return end_to_end_headers(headers, frozenset())
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -195,6 +195,81 @@
         assert len(fixture.endpoints[0].requests) == 1
 
 
+PAUSING = [plain_response(b"", "503 Busy", Not_Run="1", Retry_After="5")]
+PAUSING_AFTER_RUN = [plain_response(b"", "503 Busy", Retry_After="5")]
+
+
+@pytest.mark.parametrize("response", [PAUSING, PAUSING_AFTER_RUN])
+async def test_endpoint_that_asks_for_a_pause_gets_no_request_meanwhile(response):
+    # Guards against requests that an endpoint turned away and gets again at once.
+    async with running_dispatcher([response], RESPONSE_ONLY) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        for _ in range(5):
+            result = await fixture.serve(route=IDEMPOTENT)
+            assert result.verdict is Verdict.ANSWERED
+        assert len(fixture.endpoints[0].requests) == 1
+
+
+async def test_request_is_refused_at_once_while_all_endpoints_pause():
+    # Guards against callers that wait, or that are sent back before the pause ends.
+    async with running_dispatcher([PAUSING]) as fixture:
+        for _ in range(3):
+            async with asyncio.timeout(0.3):
+                error = await fixture.serve_error(route=ONCE)
+            assert (error.status, error.code) == (503, "endpoints-paused")
+            assert error.retry_after_ms == 3_000.0
+        assert runs(fixture) == 1
+        assert fixture.is_idle
+
+
+async def test_retry_after_of_an_endpoint_reaches_the_caller_of_its_response():
+    # Guards against callers that do not learn when the endpoint wants requests again.
+    async with running_dispatcher([PAUSING_AFTER_RUN]) as fixture:
+        result = await fixture.serve(route=ONCE)
+        assert (result.verdict, fixture.sink.status) == (Verdict.ANSWERED, 503)
+        assert fixture.sink.headers["Retry-After"] == "5"
+
+
+@pytest.mark.parametrize("value", ["soon", "-1", "nan", "inf", "9" * 400])
+async def test_endpoint_with_an_unreadable_pause_is_avoided_for_its_backoff(value):
+    # Guards against an odd value that ends the request or leaves the endpoint out.
+    response = [plain_response(b"", "503 Busy", Not_Run="1", Retry_After=value)]
+    async with running_dispatcher([response, RESPONSE], RESPONSE_ONLY) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        assert (await fixture.serve(route=ONCE)).verdict is Verdict.ANSWERED
+        endpoints = fixture.components.source.endpoints
+        assert fixture.components.notices.paused == frozenset()
+        assert "e0" in fixture.components.health.avoided(endpoints)
+
+
+async def test_retry_after_of_another_status_is_no_pause():
+    # Guards against an endpoint that is left out for a delay that concerns one request.
+    response = [plain_response(b"", "429 Busy", Retry_After="5")]
+    async with running_dispatcher([response]) as fixture:
+        for _ in range(2):
+            await fixture.serve(route=ONCE)
+            assert fixture.sink.status == 429
+        assert runs(fixture) == 2
+
+
+async def test_endpoint_that_pauses_during_the_connect_gets_no_request(monkeypatch):
+    # Guards against a burst of which each request was placed before the first response.
+    async with running_dispatcher(RESPONSE_ONLY, RESPONSE_ONLY, budget=0) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        connect = Exchange.connect
+
+        async def pause_meanwhile(address, timeouts):
+            exchange = await connect(address, timeouts)
+            endpoint = fixture.components.source.endpoints[0]
+            fixture.components.notices.record_pause(endpoint, 5_000.0)
+            return exchange
+
+        monkeypatch.setattr(Exchange, "connect", pause_meanwhile)
+        assert (await fixture.serve(route=ONCE)).verdict is Verdict.ANSWERED
+        assert [len(e.requests) for e in fixture.endpoints] == [0, 1]
+        assert fixture.is_idle
+
+
 async def test_stream_at_a_leaving_endpoint_goes_on():
     # Guards against running streams that are cut when their endpoint states it leaves.
     script = [stream_head() + chunk(event(1)), 0.2, chunk(event(2)) + END_OF_CHUNKS]
--- a/libs/gateway/tests/test_endpoint_notices.py
+++ b/libs/gateway/tests/test_endpoint_notices.py
@@ -1,12 +1,17 @@
 """Notices of endpoints about themselves, and their reports between gateways."""
 
+import asyncio
+import dataclasses
+
 import pytest
+from fleet_model import ModelGateway
 from gateway_builders import SERVICE, GatewayComponents, make_call, make_endpoint
 
 from bulrushbend.core.clock import ManualClock
 from bulrushbend.core.events import EventKind
 from bulrushbend.gateway.call import RequestError
 from bulrushbend.gateway.coordinators import Coordinators
+from bulrushbend.gateway.demand import demand_of
 from bulrushbend.gateway.endpoint_notices import _MAX_NOTICES, _RETENTION_MS
 from bulrushbend.wire.fleet_pb2 import LeavingEndpoint
 
@@ -94,7 +99,7 @@
     components = GatewayComponents()
     for number in range(_MAX_NOTICES + 5):
         components.notices.record_leaving(make_endpoint(f"e{number}"), "response")
-    assert len(components.notices._leaving) == _MAX_NOTICES
+    assert components.notices.size == _MAX_NOTICES
     assert not components.notices.may_send(make_endpoint(f"e{_MAX_NOTICES}"))
 
 
@@ -159,7 +164,7 @@
     # Guards against memory for endpoints that only a malformed datagram names.
     fleet = Fleet(g1=make_endpoint("e1"))
     fleet.reports["g1"].handle_report(LeavingEndpoint(endpoint="e9"))
-    assert not fleet.components["g1"].notices._leaving
+    assert fleet.components["g1"].notices.size == 0
 
 
 async def test_leaving_endpoint_that_is_still_chosen_is_reported_again():
@@ -172,3 +177,128 @@
         await fleet.components["g1"].clock.advance(100)
     assert fleet.components["g2"].notices.leaving == {"e1"}
     assert len(fleet.sent) == 2
+
+
+def pauses(components):
+    return [
+        record["pause_ms"]
+        for record in components.events.records
+        if record["kind"] == EventKind.ENDPOINT_PAUSED
+    ]
+
+
+async def test_paused_endpoint_is_used_again_when_its_pause_ends():
+    # Guards against requests within the pause, and an endpoint that is left out after.
+    endpoint = make_endpoint("e1")
+    components = GatewayComponents(endpoint, make_endpoint("e2"))
+    components.notices.record_pause(endpoint, 2_000.0)
+    for _ in range(5):
+        assert components.choose(make_call()).endpoint.id == "e2"
+        assert not components.notices.may_send(endpoint)
+        await components.clock.advance(399.0)
+    await components.clock.advance(5.0)
+    components.begin("e2", tokens=2_000)
+    assert components.choose(make_call()).endpoint.id == "e1"
+    assert components.notices.may_send(endpoint)
+
+
+async def test_shorter_pause_does_not_cut_a_longer_one():
+    # Guards against two responses that cross, of which the newer asks for less.
+    endpoint = make_endpoint("e1")
+    components = GatewayComponents(endpoint)
+    for pause_ms in (1_000.0, 3_000.0, 500.0):
+        components.notices.record_pause(endpoint, pause_ms)
+    await components.clock.advance(2_999.0)
+    assert components.notices.paused == {"e1"}
+    await components.clock.advance(1.0)
+    assert components.notices.paused == frozenset()
+    assert pauses(components) == [1_000, 3_000]
+
+
+@pytest.mark.parametrize("pause_ms", [0.0, 0.0004])
+async def test_pause_without_a_duration_has_no_effect(pause_ms):
+    # Guards against an endpoint that is left out although it asked for no time.
+    endpoint = make_endpoint("e1")
+    components = GatewayComponents(endpoint)
+    components.notices.record_pause(endpoint, pause_ms)
+    await components.clock.advance(1.0)
+    assert components.notices.may_send(endpoint)
+    assert (await components.place(make_call())).endpoint == "e1"
+
+
+@pytest.mark.parametrize("pause_ms", [1e12, 1e300])
+async def test_endless_pause_ends_with_its_endpoint(pause_ms):
+    # Guards against an absurd pause that outlives the endpoint that asked for it.
+    endpoint = make_endpoint("e1", started_ms=5)
+    components = GatewayComponents(endpoint, make_endpoint("e2"))
+    components.notices.record_pause(endpoint, pause_ms)
+    await components.clock.advance(100_000.0)
+    assert components.choose(make_call()).endpoint.id == "e2"
+    restarted = make_endpoint("e1", started_ms=6)
+    list_endpoints(components, restarted)
+    assert components.choose(make_call()).endpoint.id == "e1"
+    assert components.notices.may_send(restarted)
+
+
+async def test_own_pauses_do_not_bind_other_gateways():
+    # Guards against a coordinator that grants less to others since it was turned away.
+    components = GatewayComponents(make_endpoint("e1"))
+    components.notices.record_pause(make_endpoint("e1"), 2_000.0)
+    demand = demand_of(make_call(), components.clock.now_ms())
+    others = dataclasses.replace(demand, requester="g2")
+    assert (await components.queue.place(others)).endpoint == "e1"
+    with pytest.raises(RequestError) as raised:
+        await components.queue.place(demand)
+    assert (raised.value.status, raised.value.code) == (503, "endpoints-paused")
+
+
+async def test_retry_after_is_the_end_of_the_first_pause():
+    # Guards against callers that return while all endpoints are paused, or far later.
+    found = [make_endpoint("e1"), make_endpoint("e2"), make_endpoint("e3")]
+    components = GatewayComponents(*found)
+    for endpoint, pause_ms in zip(found, (2_000.0, 9_000.0), strict=False):
+        components.notices.record_pause(endpoint, pause_ms)
+    components.notices.record_leaving(found[2], "response")
+    for expected_ms in (2_000.0, 1_500.0, 1_000.0):
+        with pytest.raises(RequestError) as raised:
+            await components.place(make_call())
+        assert raised.value.retry_after_ms == expected_ms
+        await components.clock.advance(500.0)
+    components.notices.record_pause(found[0], 1e12)
+    with pytest.raises(RequestError) as raised:
+        await components.place(make_call())
+    assert raised.value.retry_after_ms == 3_000.0
+
+
+async def test_waiting_requests_of_this_gateway_are_refused_when_all_endpoints_pause():
+    # Guards against callers that wait for endpoints which this gateway may not use.
+    components = GatewayComponents(make_endpoint("e1"))
+    components.begin("e1", tokens=9_000)
+    demand = demand_of(make_call(tokens=5_000), components.clock.now_ms())
+    others = dataclasses.replace(demand, requester="g2")
+    tasks = [asyncio.create_task(components.queue.place(d)) for d in (demand, others)]
+    await asyncio.sleep(0)
+    components.notices.record_pause(make_endpoint("e1"), 2_000.0)
+    components.queue.place_waiting()
+    await asyncio.sleep(0)
+    assert tasks[0].exception().code == "endpoints-paused"
+    components.loads.end_prefill("e1", 9_000)
+    components.queue.place_waiting()
+    assert (await tasks[1]).endpoint == "e1"
+
+
+async def test_coordinator_does_not_choose_what_paused_the_asking_gateway():
+    # Guards against a round trip for each request, and a grant that cannot be used.
+    clock, fleet = ManualClock(), {}
+    for number in (1, 2):
+        gateway = ModelGateway(number, ("e1", "e2"), clock, fleet)
+        fleet[gateway.name] = gateway
+    for gateway in fleet.values():
+        others = {name: name for name in fleet if name != gateway.name}
+        gateway.coordinators.set_peers(others)
+    asking = next(g for g in fleet.values() if g.coordinators.choose(SERVICE))
+    asking.components.notices.record_pause(make_endpoint("e1"), 2_000.0)
+    for _ in range(4):
+        demand = demand_of(make_call(tokens=100), clock.now_ms())
+        placement = await asking.placement.place(demand)
+        assert (placement.endpoint, bool(placement.coordinator)) == ("e2", True)
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -48,6 +48,28 @@
     instance: str
 
 
+@dataclass(frozen=True)
+class Pause:
+    """A request that an engine turned away with a pause.
+
+    Attributes
+    ----------
+    at_s : float
+        Time of the event loop.
+    request_id : str
+        Id of the request.
+    instance : str
+        Id of the incarnation.
+    duration_s : float
+        Time for which it wants no requests of the gateway that sent this one.
+    """
+
+    at_s: float
+    request_id: str
+    instance: str
+    duration_s: float
+
+
 class _Server(HTTPServer):
     """Server that can reset all its connections."""
 
@@ -102,6 +124,10 @@
         Time from the start of a run until the first byte of the response.
     is_leaving : bool
         Whether all responses state that the engine is leaving.
+    pause_s : float
+        Time for which callers are turned away that send a request, 0 for none.
+    pauses : list of Pause
+        All requests that were turned away with a pause.
     started_ms : int or None
         Start that the list shows; None if it shows none.
     on_listening : callable
@@ -129,6 +155,8 @@
         self.down_s = 2.0
         self.silences = []
         self.is_leaving = False
+        self.pause_s = 0.0
+        self.pauses = []
         self.started_ms = None
         self.on_listening = lambda is_listening: None
         self.random = random.Random(f"{seed} {name}")
@@ -211,7 +239,11 @@
         if headers.get("Expect-Instance") != engine.instance:
             self.set_status(421)
             return
-        if engine.refuses:
+        if engine.pause_s:
+            pause = Pause(now_s, request_id, engine.instance, engine.pause_s)
+            engine.pauses.append(pause)
+            self.set_header("Retry-After", f"{engine.pause_s:g}")
+        if engine.refuses or engine.pause_s:
             self.set_status(503)
             self.set_header("Not-Executed", "1")
             return
--- a/tests/adapter/test_endpoint_notices.py
+++ b/tests/adapter/test_endpoint_notices.py
@@ -25,11 +25,11 @@
     return [name for _, request, name in arrivals if request.startswith(prefix)]
 
 
-async def send_generations(machines, prefix, count=4):
+async def send_generations(machines, prefix, count=4, hosts=None):
     """Send requests with different prompts through all gateways, return statuses."""
     statuses = []
     for _ in range(count):
-        for host in machines.hosts:
+        for host in hosts or machines.hosts:
             request_id = f"{prefix}{next(_serials)}"
             headers = BASE_HEADERS | {
                 "Attempt-Id": request_id,
@@ -103,6 +103,71 @@
         assert statuses.count(200) >= len(statuses) - 2
 
 
+async def test_gateway_that_was_turned_away_sends_nothing_until_the_pause_ends(
+    tmp_path,
+):
+    # Guards against requests within a pause, also by grants of another gateway.
+    async with deployment(tmp_path, model_engines=2) as machines:
+        engine = machines.engines[0]
+        first, *others = machines.hosts
+
+        async def is_turned_away():
+            await send_generations(machines, "a", 1, [first])
+            return engine.pauses
+
+        engine.pause_s = 3.0
+        await machines.wait_until(is_turned_away, "the first gateway is turned away")
+        engine.pause_s = 0.0
+        end_s = engine.pauses[-1].at_s + 3.0
+        while asyncio.get_running_loop().time() < end_s - 0.3:
+            statuses = await send_generations(machines, "b", 2, [first])
+            statuses += await send_generations(machines, "c", 2, others)
+            assert statuses == [200] * len(statuses)
+        assert engine.name not in engines_that_read(machines, "b")
+        assert engine.name in engines_that_read(machines, "c")
+
+        async def is_used():
+            await send_generations(machines, "d", 2, [first])
+            return engine.name in engines_that_read(machines, "d")
+
+        await machines.wait_until(is_used, "the endpoint is used after the pause", 5.0)
+
+
+async def test_load_of_gateways_that_are_turned_away_stays_away(tmp_path):
+    # Guards against repeated and concurrent requests at endpoints that want none.
+    async with deployment(tmp_path, model_engines=3) as machines:
+        turning_away = machines.engines[:2]
+        for engine in turning_away:
+            engine.pause_s = 3.0
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + 2.5
+
+        async def send(prefix, host):
+            while loop.time() < end_s:
+                await send_generations(machines, prefix, 1, [host])
+
+        load = [
+            send(f"h{n}-", host) for n, host in enumerate(machines.hosts) for _ in "ab"
+        ]
+        await asyncio.gather(*load)
+        assert any(engine.pauses for engine in turning_away)
+        for engine in turning_away:
+            for number in range(len(machines.hosts)):
+                prefix = f"h{number}-"
+                told_s = [
+                    pause.at_s
+                    for pause in engine.pauses
+                    if pause.request_id.startswith(prefix)
+                ]
+                late = [
+                    arrival
+                    for arrival in engine.arrivals
+                    if arrival.request_id.startswith(prefix)
+                    and told_s[0] + 0.5 < arrival.at_s < told_s[0] + 3.0
+                ]
+                assert len(late) <= 2
+
+
 async def test_request_is_refused_at_once_when_all_endpoints_leave(tmp_path):
     # Guards against callers that wait for endpoints that accept no requests.
     route = make_route("book", service="app", type="idempotent", resumable=False)
@@ -119,3 +184,16 @@
         assert (status, loop.time() - started_s < 0.3) == (503, True)
         assert float(headers["Retry-After"]) > 0
         assert engines_that_read(machines, "b") == []
+
+
+async def test_retry_after_is_the_pause_when_all_endpoints_pause(tmp_path):
+    # Guards against callers that wait, or return while no endpoint wants requests.
+    async with deployment(tmp_path) as machines:
+        host = machines.hosts[0]
+        app = machines.engines[2]
+        app.pause_s = 2.0
+        for request_id in ("a1", "b1", "b2"):
+            status, headers, _ = await send_booking(machines, host, request_id)
+            assert status == 503
+            assert 1.5 < float(headers["Retry-After"]) <= 2.0
+        assert engines_that_read(machines, "b") == []
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -124,6 +124,53 @@
     assert HEADER_CODEC.states_leaving(response) is states_leaving
 
 
+@pytest.mark.parametrize(
+    ("values", "pause_ms"),
+    [
+        ([], None),
+        (["2"], 2_000.0),
+        ([" 0.25 "], 250.0),
+        ([".5"], 500.0),
+        (["0"], 0.0),
+        (["1000000000"], 1e12),
+        (["1", "3", "2"], 3_000.0),
+    ],
+)
+def test_pause_is_read_in_seconds(values, pause_ms):
+    # Guards against a pause in the wrong unit, or the shorter one of two.
+    response = HTTPHeaders()
+    for value in values:
+        response.parse_line(f"Retry-After: {value}")
+    assert HEADER_CODEC.read_pause_ms(response) == pause_ms
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "",
+        "-1",
+        "+1",
+        "1e3",
+        "1_0",
+        "0x10",
+        "1, 2",
+        "1 2",
+        "1.",
+        "nan",
+        "inf",
+        "soon",
+        "Fri, 04 Dec 2026 23:59:59 GMT",
+        "9" * 400,
+        "9" * 307,
+        "\u0662",
+    ],
+)
+def test_odd_pause_is_reported_as_unreadable(value):
+    # Guards against another error than the one that the gateway expects, or a pause.
+    with pytest.raises(ValueError, match="Retry-After"):
+        HEADER_CODEC.read_pause_ms(HTTPHeaders({"Retry-After": value}))
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "genuine"),
     [
