--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -15,6 +15,7 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import Placement, RequestError, not_run_error
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import EndpointDirectory
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.placer import Placer
@@ -52,6 +53,8 @@
 _RETRY_AFTER_PER_WAITING_MS = 40.0
 # Restarted endpoints appear in the endpoint list after about this time.
 _NO_ENDPOINT_RETRY_AFTER_MS = 1_000.0
+# Any gateway but this one, as a requester.
+_ANOTHER = "another gateway"
 
 
 @dataclass(eq=False)
@@ -71,6 +74,8 @@
         Endpoints of the service.
     placer : Placer
         Chooses the endpoint.
+    notices : EndpointNotices
+        Determines which endpoints want no requests.
     loads : LoadView
         Records placed requests.
     shares : TeamShares
@@ -86,6 +91,7 @@
         service: str,
         directory: EndpointDirectory,
         placer: Placer,
+        notices: EndpointNotices,
         loads: LoadView,
         shares: TeamShares,
         clock: Clock,
@@ -94,6 +100,7 @@
         self._service = service
         self._directory = directory
         self._placer = placer
+        self._notices = notices
         self._loads = loads
         self._shares = shares
         self._clock = clock
@@ -117,10 +124,8 @@
             No endpoint can serve the request in time; it was not sent.
         """
         if not self._directory.of_service(self._service):
-            message = "no endpoint is known"
-            raise not_run_error(
-                503, "no-endpoint", message, _NO_ENDPOINT_RETRY_AFTER_MS
-            )
+            raise _no_endpoint_error("no endpoint is known")
+        self.check_notices(demand.requester)
         self._shares.charge(self._loads.pop_charges())
         peer_usage = self._loads.lowest_waiting_usage(self._service)
         if not self._queues_by_team and not self._must_yield(demand.team, peer_usage):
@@ -143,6 +148,16 @@
             self._remove(entry)
             raise
 
+    def check_notices(self, requester: str = "") -> None:
+        """Raise `RequestError` if no known endpoint wants requests of a gateway.
+
+        The request does not wait for the end of a pause: other gateways may send to the
+        endpoints, and the caller may return there.
+        """
+        error = self._notice_error(requester)
+        if error is not None:
+            raise error
+
     def place_waiting_soon(self) -> None:
         """Schedule a placement pass; later calls until it runs share the same pass."""
         if self._queues_by_team and not self._is_pass_scheduled:
@@ -280,11 +295,37 @@
 
     def _refuse_expired(self) -> None:
         now_ms = self._clock.now_ms()
+        has_own, has_any = self._has_usable(""), self._has_usable(_ANOTHER)
         for queue in self._queues_by_team.values():
-            for entry in [e for e in queue if e.demand.wait_until_ms <= now_ms]:
+            for entry in list(queue):
+                demand = entry.demand
+                error = None
+                if not (has_any if demand.requester else has_own):
+                    error = self._notice_error(demand.requester)
+                elif demand.wait_until_ms <= now_ms:
+                    error = self._overload_error("no-capacity")
+                if error is None:
+                    continue
                 queue.remove(entry)
                 if not entry.placed.done():
-                    entry.placed.set_exception(self._overload_error("no-capacity"))
+                    entry.placed.set_exception(error)
+
+    def _has_usable(self, requester: str) -> bool:
+        """Return whether an endpoint wants requests of a gateway, or none is known."""
+        endpoints = self._directory.of_service(self._service)
+        return not endpoints or self._notices.has_usable(endpoints, requester)
+
+    def _notice_error(self, requester: str) -> RequestError | None:
+        """Return the error if no known endpoint wants requests of a gateway."""
+        if self._has_usable(requester):
+            return None
+        endpoints = self._directory.of_service(self._service)
+        pause_ms = None if requester else self._notices.pause_left_ms(endpoints)
+        if pause_ms is None:
+            return _no_endpoint_error("all known endpoints are leaving")
+        message = "all endpoints asked this gateway for a pause"
+        retry_after_ms = min(_MAX_RETRY_AFTER_MS, pause_ms)
+        return not_run_error(503, "endpoints-paused", message, retry_after_ms)
 
     def _overload_error(self, code: str) -> RequestError:
         retry_after_ms = (
@@ -323,6 +364,10 @@
                 )
 
 
+def _no_endpoint_error(message: str) -> RequestError:
+    return not_run_error(503, "no-endpoint", message, _NO_ENDPOINT_RETRY_AFTER_MS)
+
+
 def _prompt_tokens(entry: _WaitingRequest) -> int:
     return entry.demand.tokens
 
--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -3,6 +3,7 @@
 | observation | verdict |
 | --- | --- |
 | the connection failed | not run |
+| the endpoint stated in the meantime that it wants no requests | withheld |
 | the response states that the request did not run | not run |
 | reset, end of connection or time-out after the request was sent | may have run |
 | invalid response, or the response to another request | may have run |
@@ -28,9 +29,11 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import Call, Placement
 from bulrushbend.gateway.crash_reports import CrashReports
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.header_codec import HeaderCodec
 from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.leaving_reports import LeavingReports
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.sink import ResponseSink
 from bulrushbend.wire.eventstream import EventFramer, StreamTail, contains_event_end
@@ -66,6 +69,7 @@
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
+    WITHHELD = "withheld"
     MAY_HAVE_RUN = "may-have-run"
     BROKEN_OFF = "broken-off"
 
@@ -115,6 +119,8 @@
     loads: LoadView
     health: EndpointHealth
     crash_reports: CrashReports
+    notices: EndpointNotices
+    leaving_reports: LeavingReports
     clock: Clock
     connect_ms: float
 
@@ -208,6 +214,8 @@
             self._context.loads.end(self._endpoint.id)
 
     async def _run(self) -> AttemptResult:
+        if not self._context.notices.may_send(self._endpoint):
+            return self._withhold()
         timeouts = self._timeouts()
         try:
             exchange = await Exchange.connect(self._endpoint.address, timeouts)
@@ -216,6 +224,9 @@
                 self._endpoint.id, f"connect: {error.message}"
             )
             return AttemptResult(Verdict.NOT_RUN, f"connect: {error.message}")
+        if not self._context.notices.may_send(self._endpoint):
+            exchange.close()
+            return self._withhold()
         self._sent = True
         try:
             if self._successors is not None:
@@ -249,6 +260,12 @@
         finally:
             exchange.close()
 
+    def _withhold(self) -> AttemptResult:
+        """Return the result of a request that the endpoint does not want."""
+        if self._placement.coordinator:
+            self._context.leaving_reports.repeat(self._endpoint)
+        return AttemptResult(Verdict.WITHHELD, "endpoint wants no requests")
+
     def _request(self) -> ExchangeRequest:
         call = self._call
         remaining_ms = call.remaining_ms(self._context.clock.now_ms())
@@ -278,6 +295,7 @@
             self._stop_watching()
         if is_event_stream and exchange.ends_with_connection:
             self._tail = StreamTail()
+        self._record_notices(status, headers)
         # A refusal of another request proves nothing about this one.
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
@@ -298,6 +316,27 @@
         self._context.health.record_answer(self._endpoint.id)
         return AttemptResult(Verdict.ANSWERED, status=status)
 
+    def _record_notices(self, status: int, headers: HTTPHeaders) -> None:
+        """Record what the endpoint states about itself in its response."""
+        if self._context.header_codec.states_leaving(headers):
+            self._context.leaving_reports.record_leaving(self._endpoint)
+        if status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        try:
+            pause_ms = self._context.header_codec.read_pause_ms(headers)
+        except ValueError as error:
+            _log.warning(
+                "response of endpoint %s: %s; avoiding it for its backoff instead",
+                self._endpoint.id,
+                error,
+            )
+            self._context.health.record_failure(
+                self._endpoint.id, "unreadable Retry-After"
+            )
+            return
+        if pause_ms is not None:
+            self._context.notices.record_pause(self._endpoint, pause_ms)
+
     def _response_headers(self, exchange: Exchange) -> HTTPHeaders:
         headers = self._context.header_codec.caller_headers(exchange.headers)
         length = exchange.headers.get("Content-Length")
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -32,10 +32,12 @@
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange, reader_rank
 from bulrushbend.gateway.endpoints import EndpointDirectory, EndpointSource
 from bulrushbend.gateway.header_codec import HeaderCodec
 from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.leaving_reports import LeavingReports
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.gateway.loop_monitor import EventLoopMonitor
 from bulrushbend.gateway.outcomes import (
@@ -164,11 +166,13 @@
             identity.name, identity.incarnation, clock, self._prefix_cache
         )
         self._health = EndpointHealth(clock, events)
+        self._notices = EndpointNotices(clock, events, self._directory.get)
         self._shares = TeamShares(clock)
         self._placer = Placer(
             self._loads,
             self._prefix_cache,
             self._health,
+            self._notices,
             PlacementLimits(),
             settings.data_centre,
         )
@@ -205,6 +209,13 @@
             self._peer_protocol.send,
             settings.connect_ms,
         )
+        leaving_reports = LeavingReports(
+            self._notices,
+            self._coordinators,
+            clock,
+            self._directory.get,
+            self._peer_protocol.send,
+        )
         self._placement_server = PlacementServer(
             *identity_args,
             self._queues.for_service,
@@ -223,6 +234,7 @@
             self._placement_server,
             self._list_exchange,
             self._crash_reports,
+            leaving_reports,
             self._queues.place_waiting_soon,
         )
         context = AttemptContext(
@@ -230,6 +242,8 @@
             self._loads,
             self._health,
             self._crash_reports,
+            self._notices,
+            leaving_reports,
             clock,
             settings.connect_ms,
         )
@@ -517,6 +531,7 @@
             service,
             self._directory,
             self._placer,
+            self._notices,
             self._loads,
             self._shares,
             self._clock,
@@ -525,7 +540,10 @@
 
     def _placement_for(self, service: str) -> CoordinatedPlacement:
         return CoordinatedPlacement(
-            service, self._queues.for_service(service), self._placement_client
+            service,
+            self._queues.for_service(service),
+            self._placement_client,
+            self._notices,
         )
 
     def add_listener(self, listener: Callable[[Manifest], None]) -> None:
@@ -569,6 +587,7 @@
         for endpoint in ended:
             self._prefix_cache.remove(endpoint)
             self._health.remove(endpoint)
+        self._notices.update()
         manifest = self._in_force.current
         if manifest is not None:
             for endpoint in self._directory.endpoints:
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -151,17 +151,22 @@
     ) -> AttemptResult:
         call = running.call
         refusals = 0
+        withheld: set[str] = set()
         placement: Placement | None = None
         while True:
             if placement is None:
                 self._check_drain(call)
-                placement = await self._place(call)
+                placement = await self._place(call, withheld)
             running.is_sent = True
             result = await self._attempt(call, placement, sink, framer)
             running.is_sent = False
             self._log_failure(call, placement, result)
             if result.verdict is Verdict.ANSWERED:
                 return result
+            if result.verdict is Verdict.WITHHELD:
+                withheld.add(placement.endpoint)
+                placement = None
+                continue
             call.tried.add(placement.endpoint)
             if result.verdict is Verdict.NOT_RUN:
                 refusals += 1
@@ -179,8 +184,11 @@
                 framer.restart()
                 call.last_event_id = framer.last_id or call.details.last_event_id
 
-    async def _place(self, call: Call) -> Placement:
+    async def _place(self, call: Call, withheld: set[str]) -> Placement:
         demand = demand_of(call, self._clock.now_ms())
+        if withheld:
+            avoided = demand.avoided | withheld
+            demand = dataclasses.replace(demand, avoided=avoided)
         try:
             return await self._placement_for(call.service).place(demand)
         except RequestError as error:
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -1,6 +1,8 @@
 """Client that requests placements from the coordinator of a service."""
 
 import asyncio
+import dataclasses
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -17,6 +19,7 @@
 )
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoint_validation import check_address
 from bulrushbend.gateway.loads import LoadView
 from bulrushbend.wire.fleet_pb2 import (
@@ -37,6 +40,8 @@
 _MAX_UNANSWERED_REQUESTS = 2
 # Coordinators that a request asks in turn before the gateway chooses the endpoint.
 _MAX_COORDINATORS = 2
+# Paused endpoints that a request names; a datagram with them stays under 8 KB.
+_MAX_PAUSED = 256
 # Bits of a request number that count the requests of one incarnation.
 _NUMBER_BITS = 24
 # Range of the times in refusals, and the time used instead of one outside of it.
@@ -277,12 +282,21 @@
         Queue of this gateway.
     client : PlacementClient
         Requests placements from the coordinator.
+    notices : EndpointNotices
+        Determines which endpoints want no requests.
     """
 
-    def __init__(self, service: str, queue: AdmissionQueue, client: PlacementClient):
+    def __init__(
+        self,
+        service: str,
+        queue: AdmissionQueue,
+        client: PlacementClient,
+        notices: EndpointNotices,
+    ):
         self._service = service
         self._queue = queue
         self._client = client
+        self._notices = notices
 
     async def place(self, demand: Demand) -> Placement:
         """Wait until an endpoint is chosen for a request and its load is counted.
@@ -295,8 +309,12 @@
         RequestError
             No endpoint can accept the request in time; it was not sent.
         """
+        self._queue.check_notices()
         if demand.has_prompt:
-            placement = await self._client.request_placement(self._service, demand)
+            # The coordinator does not know which endpoints paused this gateway.
+            paused = itertools.islice(self._notices.paused, _MAX_PAUSED)
+            asked = dataclasses.replace(demand, avoided=demand.avoided.union(paused))
+            placement = await self._client.request_placement(self._service, asked)
             if placement is not None:
                 return placement
         return await self._queue.place(demand)
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True)
 class Arrival:
-    """A request that an engine has read.
+    """A request that an engine has read, also if it was rejected.
 
     Attributes
     ----------
@@ -40,12 +40,37 @@
         Ids of the shared parts of its prompt.
     body : bytes
         Body of the request.
+    instance : str
+        Id of the incarnation that read it.
     """
 
     at_s: float
     request_id: str
     parts: tuple[str, ...]
     body: bytes
+    instance: str
+
+
+@dataclass(frozen=True)
+class Pause:
+    """A request that an engine turned away with a pause.
+
+    Attributes
+    ----------
+    at_s : float
+        Time of the event loop.
+    request_id : str
+        Id of the request.
+    instance : str
+        Id of the incarnation.
+    duration_s : float
+        Time for which it wants no requests of the gateway that sent this one.
+    """
+
+    at_s: float
+    request_id: str
+    instance: str
+    duration_s: float
 
 
 class _Server(HTTPServer):
@@ -104,6 +129,14 @@
         Time from the start of a run until the first byte of the response.
     slow_s : float
         Longest additional time, which is drawn for each run.
+    is_leaving : bool
+        Whether all responses state that the engine is leaving.
+    pause_s : float
+        Time for which callers are turned away that send a request, 0 for none.
+    pauses : list of Pause
+        All requests that were turned away with a pause.
+    started_ms : int or None
+        Start that the list shows; None if it shows none.
     on_listening : callable
         Called with False before a crash, and with True after the next start.
     """
@@ -129,6 +162,10 @@
         self.waiting = 0
         self.down_s = 2.0
         self.silences = []
+        self.is_leaving = False
+        self.pause_s = 0.0
+        self.pauses = []
+        self.started_ms = None
         self.on_listening = lambda is_listening: None
         self.random = random.Random(f"{seed} {name}")
         self._listed_instance = name
@@ -140,7 +177,7 @@
         self._listen()
 
     def list_entry(self):
-        return {
+        entry = {
             "id": self._listed_instance,
             "service": self.service,
             "addr": self.listed_address,
@@ -149,6 +186,14 @@
             "state": self.state,
             "cold_left_ms": 0,
         }
+        return entry if self.started_ms is None else entry | {"born": self.started_ms}
+
+    def replace(self) -> None:
+        """Let another incarnation take over the address; the list shows it late."""
+        self.is_leaving = False
+        self.instance = f"{self.name}.{next(self._incarnations)}"
+        loop = asyncio.get_running_loop()
+        self._timers.append(loop.call_later(LIST_LAG_S, self._list, self.instance))
 
     def response_delay_s(self) -> float:
         """Return the time from the start of a run until the first byte."""
@@ -200,13 +245,21 @@
         engine = self._engine
         headers = self.request.headers
         parts = parse_parts(headers.get("Prefix-Hash", ""))
-        now_s = asyncio.get_running_loop().time()
         request_id, body = headers.get("Attempt-Id", ""), self.request.body
-        engine.arrivals.append(Arrival(now_s, request_id, tuple(parts), body))
+        now_s = asyncio.get_running_loop().time()
+        engine.arrivals.append(
+            Arrival(now_s, request_id, tuple(parts), body, engine.instance)
+        )
+        if engine.is_leaving:
+            self.set_header("Server-Leaving", "1")
         if headers.get("Expect-Instance") != engine.instance:
             self.set_status(421)
             return
-        if engine.refuses:
+        if engine.pause_s:
+            pause = Pause(now_s, request_id, engine.instance, engine.pause_s)
+            engine.pauses.append(pause)
+            self.set_header("Retry-After", f"{engine.pause_s:g}")
+        if engine.refuses or engine.pause_s:
             self.set_status(503)
             self.set_header("Not-Executed", "1")
             return
