Count no crash by a prompt part as evidence about requests

Cause: the two quarantines did not know of each other, though a crash has one cause.

Change: crashes with a suspect whose parts are quarantined are no evidence about requests, also when the parts are quarantined later; requests that were quarantined for such crashes only are released.

Before: test_victim_of_two_crashes_by_a_prompt_is_not_quarantined fails if no crash counts as explained. A victim of two crashes for other reasons in close succession may still be refused for a minute, or until the cause is found.

--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -214,14 +214,10 @@
                 Suspect(s.request_id, tuple(s.digests), s.identity)
                 for s in crash.suspects
             ]
-            is_new = self._quarantine.record_crash(crash.endpoint, crashed_ms, suspects)
+            is_new, answered = self._record_crash(crash.endpoint, crashed_ms, suspects)
             if is_new:
                 self._health.record_crash(crash.endpoint)
-            completed.update(
-                self._request_quarantine.record_crash(
-                    crash.endpoint, crashed_ms, _identities(suspects)
-                )
-            )
+            completed.update(answered)
         if sound or completed:
             correction = CrashNote(sound=sorted(sound), completed=sorted(completed))
             self._send(sender, GatewayDatagram(crash_note=correction))
@@ -310,10 +306,7 @@
             if not candidate.has_begun:
                 digests = self._quarantine.unproven(call.shared_digests)
             suspects.append(Suspect(call.details.request_id, digests, call.identity))
-        is_new = self._quarantine.record_crash(endpoint, crashed_ms, suspects)
-        self._request_quarantine.record_crash(
-            endpoint, crashed_ms, _identities(suspects)
-        )
+        is_new, _ = self._record_crash(endpoint, crashed_ms, suspects)
         if not is_new and not suspects:
             return
         metrics.CRASHES.inc()
@@ -334,6 +327,23 @@
         for note in _build_notes([_describe(endpoint, age_ms, suspects)]):
             self._send_to(addresses, note)
 
+    def _record_crash(
+        self, endpoint: str, crashed_ms: float, suspects: list[Suspect]
+    ) -> tuple[bool, list[str]]:
+        """Record a crash; return whether it is new, and the requests it cannot be.
+
+        The latter are the identities to which there was a complete response since.
+        """
+        quarantined = self._quarantine.active
+        is_new = self._quarantine.record_crash(endpoint, crashed_ms, suspects)
+        identities = [(s.identity, s.request_id) for s in suspects]
+        completed = self._request_quarantine.record_crash(
+            endpoint, crashed_ms, identities
+        )
+        if self._quarantine.active != quarantined:
+            self._request_quarantine.evaluate()
+        return is_new, completed
+
     def _broadcast_released(self, digests: Collection[str]) -> None:
         """Tell all gateways that responses with suspected parts began."""
         if digests:
@@ -375,10 +385,6 @@
     )
 
 
-def _identities(suspects: Iterable[Suspect]) -> list[tuple[str, str]]:
-    return [(suspect.identity, suspect.request_id) for suspect in suspects]
-
-
 def _build_notes(crashes: Iterable[EndpointCrash]) -> list[CrashNote]:
     """Return notes about crashes, each in one datagram.
 
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -191,7 +191,7 @@
             settings.data_centre,
         )
         quarantine = PromptQuarantine(clock, events)
-        request_quarantine = RequestQuarantine(clock, events)
+        request_quarantine = RequestQuarantine(clock, events, quarantine.explains)
         self._crash_reports = CrashReports(
             quarantine,
             request_quarantine,
--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -160,6 +160,15 @@
             self._sound.popitem(last=False)
         return released
 
+    def explains(self, endpoint: str, crashed_ms: float) -> bool:
+        """Return whether a suspect of a crash has quarantined parts."""
+        crash = self._find(endpoint, crashed_ms) if self._quarantines else None
+        return crash is not None and any(
+            parts.issubset(suspect.digests)
+            for suspect in crash.suspects.values()
+            for parts in self._quarantines
+        )
+
     def record_crash(
         self, endpoint: str, crashed_ms: float, suspects: Iterable[Suspect]
     ) -> bool:
--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -6,11 +6,12 @@
 Each request that an endpoint had just begun to run when it crashed is a candidate for
 the cause. A complete response clears it. A candidate of several crashes is quarantined
 if no other one was present at the same crashes. Candidates that cannot be told apart
-are quarantined together after a further crash.
+are quarantined together after a further crash. Crashes that a quarantined prompt part
+explains are no evidence about requests.
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
@@ -84,9 +85,17 @@
         Source of time.
     events : EventLog
         Records the requests that are quarantined and released.
+    is_explained : callable
+        Returns whether the crash of an endpoint at a time has another known cause.
     """
 
-    def __init__(self, clock: Clock, events: EventLog):
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventLog,
+        is_explained: Callable[[str, float], bool],
+    ):
+        self._is_explained = is_explained
         self._clock = clock
         self._events = events
         # Crashes in the order of their times, and their number by candidate.
@@ -164,7 +173,7 @@
         if identity in self._quarantines:
             self._end(identity)
         if was_relevant:
-            self._evaluate()
+            self.evaluate()
         return True
 
     def record_crash(
@@ -217,36 +226,22 @@
             self._crashes.sort(key=lambda entry: entry.crashed_ms)
             self._drop_oldest(len(self._crashes) - _MAX_CRASHES)
         if has_changed:
-            self._evaluate()
+            self.evaluate()
         return completed
 
-    def _is_relevant(self, identity: str) -> bool:
-        """Return whether a candidate may be a cause for which the evidence suffices."""
-        return self._counts[identity] >= _MIN_CRASHES or identity in self._quarantines
-
-    def _drop_oldest(self, number: int) -> None:
-        for crash in self._crashes[: max(0, number)]:
-            self._counts.subtract(crash.candidates.keys())
-            for identity in crash.candidates:
-                if not self._counts[identity]:
-                    del self._counts[identity]
-        del self._crashes[: max(0, number)]
-
-    def _find(self, endpoint: str, crashed_ms: float) -> CandidateCrash | None:
-        for crash in self._crashes:
-            distance_ms = abs(crash.crashed_ms - crashed_ms)
-            if crash.endpoint == endpoint and distance_ms < _SAME_CRASH_INTERVAL_MS:
-                return crash
-        return None
-
-    def _evaluate(self) -> None:
-        """Quarantine the requests that explain the crashes.
+    def evaluate(self) -> None:
+        """Quarantine the requests that explain the crashes, and release others.
 
         The strongest cause is chosen first. A crash that it explains is no evidence
         against the other candidates.
         """
-        unexplained = list(self._crashes)
+        unexplained: list[CandidateCrash] = []
         explained: set[str] = set()
+        for crash in self._crashes:
+            if self._is_explained(crash.endpoint, crash.crashed_ms):
+                explained.update(crash.candidates)
+            else:
+                unexplained.append(crash)
         imposed: set[str] = set()
         while cause := max(self._causes(unexplained), key=_strength, default=None):
             imposed |= cause.identities
@@ -263,6 +258,25 @@
             if not any(identity in crash.candidates for crash in unexplained):
                 self._end(identity)
 
+    def _is_relevant(self, identity: str) -> bool:
+        """Return whether a candidate may be a cause for which the evidence suffices."""
+        return self._counts[identity] >= _MIN_CRASHES or identity in self._quarantines
+
+    def _drop_oldest(self, number: int) -> None:
+        for crash in self._crashes[: max(0, number)]:
+            self._counts.subtract(crash.candidates.keys())
+            for identity in crash.candidates:
+                if not self._counts[identity]:
+                    del self._counts[identity]
+        del self._crashes[: max(0, number)]
+
+    def _find(self, endpoint: str, crashed_ms: float) -> CandidateCrash | None:
+        for crash in self._crashes:
+            distance_ms = abs(crash.crashed_ms - crashed_ms)
+            if crash.endpoint == endpoint and distance_ms < _SAME_CRASH_INTERVAL_MS:
+                return crash
+        return None
+
     def _causes(self, crashes: Sequence[CandidateCrash]) -> list[_Cause]:
         """Return the possible causes for which the evidence suffices."""
         support: dict[str, list[int]] = {}
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -84,8 +84,10 @@
     return PromptQuarantine(clock, MemoryEventLog())
 
 
-def make_request_quarantine(clock):
-    return RequestQuarantine(clock, MemoryEventLog())
+def make_request_quarantine(clock, explained=()):
+    return RequestQuarantine(
+        clock, MemoryEventLog(), lambda endpoint, crashed_ms: endpoint in explained
+    )
 
 
 class FakeSource:
@@ -142,7 +144,9 @@
         self.loads = LoadView(name, 1, self.clock, self.prefix_cache)
         self.health = EndpointHealth(self.clock, self.events)
         self.quarantine = PromptQuarantine(self.clock, self.events)
-        self.request_quarantine = RequestQuarantine(self.clock, self.events)
+        self.request_quarantine = RequestQuarantine(
+            self.clock, self.events, self.quarantine.explains
+        )
         self.shares = TeamShares(self.clock)
         self.placer = Placer(
             self.loads,
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -279,3 +279,19 @@
     await asyncio.sleep(0.01)
     assert fleet.components["g2"].request_quarantine.remaining_ms(identity) > 0.0
     task.cancel()
+
+
+async def test_victim_of_two_crashes_by_a_prompt_is_not_quarantined():
+    # Guards against a sound request whose retry met the next crash by a prompt part.
+    fleet = Fleet("g1", "g2")
+    victim = make_call(request_id="v1", body=b"sound")
+    for components in fleet.components.values():
+        components.quarantine.record_sound(["aa"])
+    for number in (1, 2):
+        for call in (victim, make_prompt_call(f"r{number}")):
+            endpoint = crashed_endpoint(f"e{number}")
+            await fleet.reports["g1"].examine(endpoint, call, False)
+        await asyncio.sleep(0.25)
+    for components in fleet.components.values():
+        assert components.quarantine.remaining_ms(["bad"]) > 0.0
+        assert components.request_quarantine.remaining_ms(victim.identity) == 0.0
--- a/libs/gateway/tests/test_request_quarantine.py
+++ b/libs/gateway/tests/test_request_quarantine.py
@@ -11,7 +11,8 @@
 
     def __init__(self):
         self.clock = ManualClock(1_000_000.0)
-        self.quarantine = make_request_quarantine(self.clock)
+        self.explained = set()
+        self.quarantine = make_request_quarantine(self.clock, self.explained)
 
     def crash(self, endpoint, **requests_by_identity):
         candidates = [
@@ -79,6 +80,20 @@
     assert fixture.quarantined("sound", "bad", "worse") == {"bad", "worse"}
 
 
+async def test_request_at_crashes_with_a_known_cause_is_released(fixture):
+    # Guards against sound requests that are refused since a prompt crashed endpoints.
+    for number in range(2):
+        fixture.crash(f"e{number}", sound="s")
+        await fixture.clock.advance(1_000.0)
+    assert fixture.quarantined("sound") == {"sound"}
+    fixture.explained.add("e1")
+    fixture.quarantine.evaluate()
+    assert fixture.quarantined("sound") == {"sound"}
+    fixture.explained.add("e0")
+    fixture.quarantine.evaluate()
+    assert not fixture.quarantined("sound")
+
+
 async def test_complete_response_ends_the_quarantine(fixture):
     for number in range(2):
         fixture.crash(f"e{number}", bad=f"r{number}")
