Recognise a crash that a note reports late as the same one

Cause: notes state the age of a crash, and a gateway that was frozen reads them seconds after they arrived. The crash then seems to be another one of the same endpoint, more than 2 s later, with the same suspects: a second fault. It is repeated to all others as such. The quarantine of prompt parts had the same fault.

Change: a report about an endpoint that names a request of a known crash of that endpoint is about this crash, whatever its age; a request is not sent to the same endpoint twice.

Ruled out: dropping notes after a stall; the event loop may read several before a task can notice the stall.

Both new tests fail without the change.

--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence, Set
+from collections.abc import Collection, Iterable, Sequence, Set
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
@@ -162,7 +162,7 @@
 
     def explains(self, endpoint: str, crashed_ms: float) -> bool:
         """Return whether a suspect of a crash has quarantined parts."""
-        crash = self._find(endpoint, crashed_ms) if self._quarantines else None
+        crash = self._find(endpoint, crashed_ms, ()) if self._quarantines else None
         return crash is not None and any(
             parts.issubset(suspect.digests)
             for suspect in crash.suspects.values()
@@ -191,7 +191,9 @@
         self._expire()
         if crashed_ms < self._clock.now_ms() - _EVIDENCE_TTL_MS:
             return False
-        crash = self._find(endpoint, crashed_ms)
+        suspects = list(suspects)
+        request_ids = [suspect.request_id for suspect in suspects]
+        crash = self._find(endpoint, crashed_ms, request_ids)
         is_new = crash is None
         if crash is None:
             crash = EndpointCrash(endpoint, crashed_ms)
@@ -211,10 +213,18 @@
             self._evaluate()
         return is_new
 
-    def _find(self, endpoint: str, crashed_ms: float) -> EndpointCrash | None:
+    def _find(
+        self, endpoint: str, crashed_ms: float, request_ids: Collection[str]
+    ) -> EndpointCrash | None:
         for crash in self._crashes:
+            if crash.endpoint != endpoint:
+                continue
             distance_ms = abs(crash.crashed_ms - crashed_ms)
-            if crash.endpoint == endpoint and distance_ms < _SAME_CRASH_INTERVAL_MS:
+            # A gateway that was frozen reads notes late, so their crashes seem later. A
+            # request is not sent to an endpoint twice.
+            if distance_ms < _SAME_CRASH_INTERVAL_MS or any(
+                request_id in crash.suspects for request_id in request_ids
+            ):
                 return crash
         return None
 
--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -11,7 +11,7 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence, Set
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
@@ -201,7 +201,9 @@
         self._expire()
         if crashed_ms < self._clock.now_ms() - _EVIDENCE_TTL_MS:
             return []
-        known = self._find(endpoint, crashed_ms)
+        candidates = list(candidates)
+        request_ids = {request_id for _, request_id in candidates}
+        known = self._find(endpoint, crashed_ms, request_ids)
         crash = known or CandidateCrash(endpoint, crashed_ms)
         completed = []
         has_changed = False
@@ -209,7 +211,7 @@
             # A gateway of an earlier version sends none.
             if not identity:
                 continue
-            if self._completed.get(identity, float("-inf")) >= crashed_ms:
+            if self._completed.get(identity, float("-inf")) >= crash.crashed_ms:
                 completed.append(identity)
                 continue
             copies = crash.candidates.get(identity)
@@ -270,10 +272,19 @@
                     del self._counts[identity]
         del self._crashes[: max(0, number)]
 
-    def _find(self, endpoint: str, crashed_ms: float) -> CandidateCrash | None:
+    def _find(
+        self, endpoint: str, crashed_ms: float, request_ids: Set[str]
+    ) -> CandidateCrash | None:
         for crash in self._crashes:
+            if crash.endpoint != endpoint:
+                continue
             distance_ms = abs(crash.crashed_ms - crashed_ms)
-            if crash.endpoint == endpoint and distance_ms < _SAME_CRASH_INTERVAL_MS:
+            # A gateway that was frozen reads notes late, so their crashes seem later. A
+            # request is not sent to an endpoint twice.
+            if distance_ms < _SAME_CRASH_INTERVAL_MS or any(
+                not copies.isdisjoint(request_ids)
+                for copies in crash.candidates.values()
+            ):
                 return crash
         return None
 
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -121,6 +121,15 @@
     assert not fixture.is_quarantined("rare")
 
 
+async def test_note_that_was_read_late_reports_no_further_crash():
+    # Guards against sound parts that a frozen gateway reports at a second crash.
+    fixture = QuarantineFixture()
+    fixture.crash("e1", r1=["rare"], r2=["rare"])
+    await fixture.clock.advance(3_500.0)
+    assert not fixture.crash("e1", r1=["rare"], r2=["rare"])
+    assert not fixture.is_quarantined("rare")
+
+
 async def test_restarted_endpoint_can_crash_again():
     fixture = QuarantineFixture()
     fixture.crash("e1", r1=["bad"])
--- a/libs/gateway/tests/test_request_quarantine.py
+++ b/libs/gateway/tests/test_request_quarantine.py
@@ -157,6 +157,15 @@
     assert not fixture.quarantined("bad")
 
 
+async def test_note_that_was_read_late_reports_no_further_crash(fixture):
+    # Guards against a sound request that a frozen gateway reports at a second crash.
+    fixture.crash("e1", sound="s1", other="r1")
+    await fixture.clock.advance(3_500.0)
+    fixture.crash("e1", sound="s1")
+    assert not fixture.quarantined("sound")
+    assert len(fixture.quarantine.crashes) == 1
+
+
 async def test_crash_of_the_same_endpoint_is_not_an_earlier_one(fixture):
     # Guards against a first victim that loses its retry since a copy was beside it.
     fixture.crash("e1", sound="s1")
