--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -87,8 +87,10 @@
     return PromptQuarantine(clock, MemoryEventLog())
 
 
-def make_request_quarantine(clock):
-    return RequestQuarantine(clock, MemoryEventLog())
+def make_request_quarantine(clock, explained=()):
+    return RequestQuarantine(
+        clock, MemoryEventLog(), lambda endpoint, crashed_ms: endpoint in explained
+    )
 
 
 class FakeSource:
@@ -147,7 +149,9 @@
         self.notices = EndpointNotices(self.clock, self.events, self.directory.get)
         self.directory.add_listener(lambda ended: self.notices.update())
         self.quarantine = PromptQuarantine(self.clock, self.events)
-        self.request_quarantine = RequestQuarantine(self.clock, self.events)
+        self.request_quarantine = RequestQuarantine(
+            self.clock, self.events, self.quarantine.explains
+        )
         self.shares = TeamShares(self.clock)
         self.placer = Placer(
             self.loads,
