Ignore levels of waiting teams that are no numbers

A load report with a level of nan, sent by a malformed datagram, hid the levels of the teams that wait at other gateways, since the smallest of nan and a number may be nan and no usage is above it: teams with a high usage did not yield. With minus infinity they always yielded, up to the bound on yielding.

Levels that are not finite are left out. Two of the three cases of the test fail on the code before.

--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -1,5 +1,6 @@
 """Load of each endpoint: the requests in progress from this and all other gateways."""
 
+import math
 from collections import OrderedDict, defaultdict, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -307,7 +308,11 @@
         else:
             peer.full_report_ms = peer.received_ms
             peer.teams = {use.team: use.tokens for use in report.teams}
-            peer.waiting = {entry.service: entry.level for entry in report.waiting}
+            peer.waiting = {
+                entry.service: entry.level
+                for entry in report.waiting
+                if math.isfinite(entry.level)
+            }
             if is_same_incarnation and known.full_report_ms > float("-inf"):
                 self._charge_increases(known.teams, peer.teams)
             for prompt in report.prompts:
--- a/libs/gateway/tests/test_loads.py
+++ b/libs/gateway/tests/test_loads.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 from gateway_builders import begin
 from hypothesis import given, settings
@@ -7,6 +9,7 @@
 from bulrushbend.gateway.call import PromptPart
 from bulrushbend.gateway.loads import REPORT_TTL_MS, Load, LoadView
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
+from bulrushbend.wire.fleet_pb2 import LoadReport
 
 PARTS = (PromptPart("p1", 500), PromptPart("p2", 4000))
 
@@ -73,6 +76,17 @@
     assert prefix_cache.cached_tokens("e1", PARTS) == 4500
 
 
+@pytest.mark.parametrize("level", [math.nan, math.inf, -math.inf])
+def test_level_that_is_no_number_is_ignored(level):
+    # Guards against teams that never yield, or always do, after a malformed report.
+    view = make_view("g1")
+    for name, reported in (("g2", level), ("g3", 5.0)):
+        report = LoadReport(gateway=name, incarnation=1, sequence=1)
+        report.waiting.add(service="llm", level=reported)
+        view.handle_report(report)
+    assert view.lowest_waiting_usage("llm") == 5.0
+
+
 @pytest.mark.parametrize(("prompts", "parts"), [(1000, 4), (5, 1500), (1, 8000)])
 def test_report_fits_in_a_datagram(prompts, parts):
     # Guards against reports that are never delivered, and load that is not counted.
