Fuzz the decoders of the endpoint list

Bytes are inserted into and removed from a page of two entries; both decoders may raise the two errors that the reader of the list handles, and return checked endpoints only.

--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -3,14 +3,21 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from platform_builders import encode, make_instance
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
 from bulrushbend.core.errors import PeerError, PeerTimeoutError
+from bulrushbend.gateway.endpoint_validation import check_address
 from bulrushbend.platform import instances
-from bulrushbend.platform.instances import InstanceList, decode_page
+from bulrushbend.platform.instances import (
+    InstanceList,
+    decode_damaged_page,
+    decode_page,
+)
 
 INVALID_ENTRIES = [
     None,
@@ -99,6 +106,19 @@
     assert [endpoint.id for endpoint in found] == ["i-2", "i-3"]
 
 
+@given(st.binary(max_size=40), st.integers(0, 200), st.integers(0, 40))
+def test_damaged_page_raises_only_expected_errors(inserted, position, removed):
+    # Guards against an error that the reader of the list does not expect.
+    entries = [encode(make_instance(f"i-{number}")) for number in (1, 2)]
+    content = b'{"instances":[%s],"next":null}' % b",".join(entries)
+    content = content[:position] + inserted + content[position + removed :]
+    for decode in (decode_page, decode_damaged_page):
+        with contextlib.suppress(ValueError, RecursionError):
+            for endpoint in decode(content).endpoints:
+                assert check_address(endpoint.address)
+                assert endpoint.id.isprintable() and endpoint.slots >= 1
+
+
 def test_entry_is_decoded():
     # Guards against wrong values of decoded fields.
     page = {"instances": [make_instance(state="draining", born=1700000000000)]}
