Raise PeerError for a replica whose address cannot be used

A call to a control replica whose address has a port out of range, or a host that cannot be encoded, raised ValueError or UnicodeError instead of the `PeerError` that its callers handle, so an entry in the voter list ended the task of the leader that replicates to it, or a vote.

The five cases of the test fail on the code before.

--- a/libs/store/src/bulrushbend/store/transport.py
+++ b/libs/store/src/bulrushbend/store/transport.py
@@ -67,9 +67,7 @@
         connection_key = (peer.address, method in _FORWARDED_METHODS)
         channel = self._channels.get(connection_key)
         if channel is None:
-            channel = self._channels[connection_key] = Channel(
-                *split_address(peer.address)
-            )
+            channel = self._channels[connection_key] = _open_channel(peer, method)
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
                 return await _stub_method(channel, method)(request)
@@ -78,7 +76,14 @@
             raise PeerTimeoutError(
                 f"no answer within {timeout_ms:.0f} ms", step=method, peer=peer.name
             ) from None
-        except (GRPCError, ProtocolError, StreamTerminatedError, OSError) as error:
+        except (
+            GRPCError,
+            ProtocolError,
+            StreamTerminatedError,
+            OSError,
+            # The host of the address cannot be encoded for the name resolution.
+            ValueError,
+        ) as error:
             self._close_channel(connection_key, channel)
             reason = str(error) or type(error).__name__
             raise PeerError(reason, step=method, peer=peer.name) from None
@@ -98,6 +103,13 @@
             channel.close()
 
 
+def _open_channel(peer: Node, method: str) -> Channel:
+    try:
+        return Channel(*split_address(peer.address))
+    except ValueError as error:
+        raise PeerError(str(error), step=method, peer=peer.name) from None
+
+
 def _stub_method(channel: Channel, method: str) -> Any:
     stub = FleetStub if method == "ChangeVoters" else ConsensusStub
     return getattr(stub(channel), method)
--- a/libs/store/tests/test_transport.py
+++ b/libs/store/tests/test_transport.py
@@ -82,3 +82,12 @@
             for method, request in (("Vote", PROBE), ("ReadIndex", ReadIndexRequest())):
                 with pytest.raises(PeerError, match="store has failed"):
                     await transport.call(node, method, request, 1000)
+
+
+@pytest.mark.parametrize("address", ["c1:99999", "c1", "a..b:80", "a\0b:80", ":"])
+async def test_invalid_address_raises_a_peer_error(address):
+    # Guards against a leader that ends because of the address of one learner.
+    transport = GrpcTransport()
+    with pytest.raises(PeerError):
+        await transport.call(Node("c1", address), "RequestVote", PROBE, 500.0)
+    transport.close()
