Refuse a learner whose name or address processes cannot use

`voters add-learner` with a name such as `x 1` or a port of 99999 was accepted; only a colon was looked for. Control sends its replicas to all processes, and on the code before the last changes one such entry took every gateway out of service: the task that follows control raised ValidationError at each start, the leases ran out, and callers got 503 until the learner was removed.

Name and address are checked as in the settings before the change is made; a refused change says why.

--- a/libs/store/src/bulrushbend/store/voters.py
+++ b/libs/store/src/bulrushbend/store/voters.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+from pydantic import ValidationError
+
 from bulrushbend.core.errors import NoQuorumError
+from bulrushbend.core.settings import PeerAddress
+from bulrushbend.core.validation import format_validation_error
 from bulrushbend.store.configuration import Configuration, Node
 from bulrushbend.store.core import ReplicaCore
 from bulrushbend.store.leadership import Leadership
@@ -75,8 +79,13 @@
         configuration = self._core.configuration
         if configuration.voter(request.name) is not None:
             raise _ChangeRefusedError(f"{request.name} is a voter; remove it first")
-        if not request.name or ":" not in request.address:
-            raise _ChangeRefusedError("a learner needs a name and an address host:port")
+        try:
+            PeerAddress(name=request.name, address=request.address)
+        except ValidationError as error:
+            reason = format_validation_error(error)
+            raise _ChangeRefusedError(
+                f"a learner needs a name and an address host:port; {reason}"
+            ) from None
         return configuration.with_learner(Node(request.name, request.address))
 
     async def _promote(self, name: str) -> Configuration:
--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -26,6 +26,24 @@
     assert reply.accepted, reply.message
 
 
+@pytest.mark.parametrize(
+    ("name", "address"),
+    [("x 1", "c9:1"), ("", "c9:1"), ("c9", "c9:99999"), ("c9", "c9"), ("c9", "c9:")],
+)
+async def test_learner_with_an_invalid_name_or_address_is_refused(
+    tmp_path, name, address
+):
+    """A replica that is sent to all processes must have an address they can use."""
+    async with Cluster(tmp_path) as cluster:
+        await cluster.wait_for_leader()
+        request = VotersRequest(
+            change=VotersRequest.ADD_LEARNER, name=name, address=address
+        )
+        reply = await cluster.leader.change_voters(request)
+        assert not reply.accepted
+        assert not reply.learners
+
+
 async def test_concurrent_publishes_of_one_version_accept_one_manifest(tmp_path):
     """Two manifests with the same version must not both be accepted."""
     async with Cluster(tmp_path) as cluster:
