Call an existing method in the test of invalid addresses

Two of the five cases of test_invalid_address_raises_a_peer_error called a method that the stub does not have and failed with AttributeError, with and without the change that they are for. With the method `Vote` all five fail on the code before that change, with ValueError or UnicodeError, and pass on it.

--- a/libs/store/tests/test_transport.py
+++ b/libs/store/tests/test_transport.py
@@ -89,5 +89,5 @@
     # Guards against a leader that ends because of the address of one learner.
     transport = GrpcTransport()
     with pytest.raises(PeerError):
-        await transport.call(Node("c1", address), "RequestVote", PROBE, 500.0)
+        await transport.call(Node("c1", address), "Vote", PROBE, 500.0)
     transport.close()
