Hold up the disk until the calls of the test are in progress

The test of calls that are in progress when a disk fills sent them and filled the disk at the same moment, so that a connection could still be in the queue of the listening socket when that was closed. It now holds up the write first.

--- a/libs/control/tests/control_builders.py
+++ b/libs/control/tests/control_builders.py
@@ -1,6 +1,7 @@
 """Builders of settings, members and requests for the tests of control."""
 
 import errno
+import threading
 
 from tornado.web import RequestHandler
 
@@ -67,10 +68,12 @@
 
 
 class Disk(LocalFileSystem):
-    """File system that refuses all writes while it is full."""
+    """File system that refuses all writes while it is full, and can hold them up."""
 
     def __init__(self):
         self.is_full = False
+        self.answers = threading.Event()
+        self.answers.set()
 
     def create(self, path):
         self._require_room()
@@ -81,6 +84,7 @@
         super().write(file, data)
 
     def _require_room(self):
+        self.answers.wait(5.0)
         if self.is_full:
             raise OSError(errno.ENOSPC, "No space left on device")
 
--- a/libs/control/tests/test_full_disks.py
+++ b/libs/control/tests/test_full_disks.py
@@ -139,9 +139,12 @@
         others = [name for name in NAMES if name != fleet.leader]
         name = fleet.leader if full == "the leader" else others[0]
         assert await fleet.publish(name, 1) == 200
+        fleet.disks[name].answers.clear()
+        calls = [asyncio.create_task(fleet.publish(name, 2)) for _ in range(5)]
+        await asyncio.sleep(FAST["election_timeout_ms"] / 2000)
         fleet.disks[name].is_full = True
-        statuses = await asyncio.gather(*(fleet.publish(name, 2) for _ in range(5)))
-        assert set(statuses) <= {200, 503}
+        fleet.disks[name].answers.set()
+        assert set(await asyncio.gather(*calls)) <= {200, 503}
 
 
 async def test_keys_are_recorded_at_other_replicas_when_the_disk_is_full(tmp_path):
