Play endpoints that leave and that turn gateways away in the soak

The soak had no engines that state in their responses that they leave while they are listed as ready, nor any that turn gateways away for a time. It now plays both, with random numbers of their own so that the other faults of a seed stay as they were, and checks for every engine that no request that a caller sent later than 3 s after a gateway had passed on a statement reaches it by that gateway, and that no more than two requests reach it from a gateway between 0.5 s after it turned that gateway away and the end of the pause. A restart or freeze of the gateway excuses both; a cut of its link to the engine excuses the latter.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -2,9 +2,10 @@
 
 The programs run as separate processes on loopback addresses. Signals pause, kill, stop
 and restart processes, a proxy drops, silences and delays links to endpoints, endpoints
-refuse requests, pause within their streams and crash on a part of a prompt, and
-configurations are published throughout. The answers that callers received and the
-requests that endpoints ran are checked against the guarantees.
+refuse requests, pause within their streams, turn gateways away for a time, state that
+they leave and crash on a part of a prompt, and configurations are published throughout.
+The answers that callers received and the requests that endpoints ran are checked
+against the guarantees.
 
 Run it by hand with ``make soak`` or
 ``python tests/adapter/soak.py --seeds 50 --first 1000 --seconds 20``.
@@ -28,6 +29,13 @@
 
 import fire
 from machines import Machines
+from notice_checks import (
+    LeavingAnswer,
+    Origin,
+    Span,
+    find_late_arrivals,
+    find_paused_arrivals,
+)
 from platform_builders import encode, make_config, make_route
 from standin_platform import Engine
 
@@ -57,6 +65,12 @@
 # Time for all gateways to serve again after the last fault: the platform allows 12 s
 # for a core that lost all its processes, and starting takes some seconds.
 RECOVERY_TIMEOUT_S = 25.0
+# Time for which an engine states that it leaves, for which it turns gateways away, and
+# the pause for which it asks.
+LEAVING_S = (3.5, 6.0)
+TURNING_AWAY_S = (0.1, 1.0)
+PAUSE_S = (1.0, 3.0)
+MAX_NOTICE_INTERVAL_S = 3.0
 # A sound engine may pause within a stream for a second or so.
 SILENCE_S = (1.0, 1.6)
 # The platform allows three requests with a part that crashes engines to reach engines
@@ -116,6 +130,11 @@
         self._random = random.Random(self.seed)
         # Separate, so that the other faults of a seed stay as they were.
         self._engine_random = random.Random(f"engines {self.seed}")
+        self._notice_random = random.Random(f"notices {self.seed}")
+        self._origins: dict[str, Origin] = {}
+        self._leaving_answers: list[LeavingAnswer] = []
+        self._restarts: list[Span] = []
+        self._cuts: list[Span] = []
         for engine in self._model_engines:
             engine.deadly_parts = {DEADLY_PART}
         self._running = True
@@ -134,7 +153,11 @@
             asyncio.create_task(self._send_requests()) for _ in range(CALLER_COUNT)
         ]
         tasks.append(asyncio.create_task(self._publish_periodically()))
-        await asyncio.gather(self._inject_faults(), self._inject_engine_faults())
+        await asyncio.gather(
+            self._inject_faults(),
+            self._inject_engine_faults(),
+            self._inject_notices(),
+        )
         await self._wait_until_all_serve("all gateways serve after the faults")
         self._running = False
         await asyncio.gather(*tasks)
@@ -145,6 +168,7 @@
         return [
             *violations,
             *self._check_answers(),
+            *self._check_notices(),
             *await self._check_configurations(),
         ]
 
@@ -161,6 +185,8 @@
     async def _call(self, kind: str, host: str) -> SentRequest:
         request = SentRequest(f"{len(self.sent):08x}", kind)
         self.sent.append(request)
+        loop = asyncio.get_running_loop()
+        self._origins[request.request_id] = Origin(host, loop.time())
         headers = {
             "Authorization": "Token forged" if kind == "forged" else AUTHORIZATION,
             "Host": "a.example",
@@ -176,13 +202,17 @@
                 "Prefix-Hash": PREFIXES[kind],
             }
         try:
-            status, _, body = await self.machines.call(
+            status, answer, body = await self.machines.call(
                 host, "front", "POST", path, headers, request.request_id.encode()
             )
         except BulrushbendError:
             # Without a complete answer nothing is guaranteed.
             return request
         request.status, request.body = status, body
+        if answer.get("Server-Leaving") == "1":
+            instance = answer["Instance-Seal"].removesuffix(".seal")
+            answered = LeavingAnswer(host, instance, loop.time())
+            self._leaving_answers.append(answered)
         return request
 
     async def _publish(self) -> bool:
@@ -228,6 +258,35 @@
             await fault()
             await asyncio.sleep(self._engine_random.uniform(0.0, MAX_FAULT_INTERVAL_S))
 
+    async def _inject_notices(self) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds
+        open_notices = set()
+        while loop.time() < end:
+            notice = self._notice_random.choice((self._leave, self._turn_away))
+            open_notices.add(asyncio.create_task(notice()))
+            await asyncio.sleep(self._notice_random.uniform(0.0, MAX_NOTICE_INTERVAL_S))
+        await asyncio.gather(*open_notices)
+
+    async def _leave(self) -> None:
+        """Let an engine state that it leaves, and another one take its address."""
+        engine = self._notice_random.choice(self._model_engines)
+        instance = engine.instance
+        if not instance or any(e.is_leaving for e in self._model_engines):
+            return
+        self.faults.append(f"leaving {engine.name}")
+        engine.is_leaving = True
+        await asyncio.sleep(self._notice_random.uniform(*LEAVING_S))
+        if engine.instance == instance:
+            engine.replace()
+
+    async def _turn_away(self) -> None:
+        engine = self._notice_random.choice(self.machines.engines)
+        self.faults.append(f"turns away {engine.name}")
+        engine.pause_s = self._notice_random.uniform(*PAUSE_S)
+        await asyncio.sleep(self._notice_random.uniform(*TURNING_AWAY_S))
+        engine.pause_s = 0.0
+
     async def _fall_silent(self) -> None:
         engine = self._engine_random.choice(self._model_engines)
         self.faults.append(f"silences {engine.name}")
@@ -256,7 +315,13 @@
             return
         self.faults.append(f"{inject.__name__} {key}")
         self._busy.add(key)
-        await inject(*key)
+        loop = asyncio.get_running_loop()
+        host, role = key
+        restart = Span(host, loop.time())
+        if role == "gateway":
+            self._restarts.append(restart)
+        await inject(host, role)
+        restart.end_s = loop.time()
         self._busy.discard(key)
 
     async def _pause(self, host: str, role: str) -> None:
@@ -293,9 +358,13 @@
         engine = self._random.choice(self.machines.engines)
         link = self._random.choice(("drop", "silent"))
         self.faults.append(f"{link} {engine.name}")
+        loop = asyncio.get_running_loop()
+        cut = Span(engine.name, loop.time())
+        self._cuts.append(cut)
         await asyncio.to_thread(self.machines.set_link_rule, engine, link)
         await self._wait_fault_duration()
         await asyncio.to_thread(self.machines.heal)
+        cut.end_s = loop.time()
 
     async def _delay(self) -> None:
         self.faults.append("delay")
@@ -351,6 +420,18 @@
             for arrival in engine.arrivals
         )
 
+    def _check_notices(self) -> list[str]:
+        """Return the requests at engines that had stated that they want none."""
+        violations = []
+        for engine in self.machines.engines:
+            violations += find_late_arrivals(
+                engine, self._origins, self._leaving_answers, self._restarts
+            )
+            violations += find_paused_arrivals(
+                engine, self._origins, self._restarts, self._cuts
+            )
+        return violations
+
     def _check_answers(self) -> list[str]:
         runs = Counter()
         violations = []
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -209,6 +209,7 @@
 
     def _restart(self):
         self.instance = f"{self.name}.{next(self._incarnations)}"
+        self.is_leaving = False
         self._listen()
         self.on_listening(True)
         loop = asyncio.get_running_loop()
