Build the list of wanted endpoints only while others fail

A placement built a list of the endpoints that want requests whenever any endpoint was leaving or paused, although the bound on avoided endpoints needs it only while endpoints fail.

--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -267,11 +267,12 @@
 
         The bound on avoided endpoints only holds for those that fail.
         """
+        avoided = self._health.avoided(endpoints)
         excluded = self._notices.excluded(demand.requester)
-        if not excluded:
-            return self._health.avoided(endpoints)
-        others = [e for e in endpoints if e.id not in excluded]
-        return self._health.avoided(others) | excluded
+        if avoided and excluded:
+            others = [e for e in endpoints if e.id not in excluded]
+            avoided = self._health.avoided(others)
+        return avoided | excluded
 
     def _index_of(self, endpoints: Sequence[DiscoveredEndpoint]) -> EndpointIndex:
         """Return the index of a list of endpoints, which is kept until it changes."""
