Refuse requests at a coordinator when their endpoints pause

A request that waited at a coordinator elsewhere waited on when all endpoints of its service had paused its own gateway meanwhile, until it was granted one that it could not use or its time was over.

Cause: the paused endpoints are named when the request is sent, and only the gateway's own queue was checked later.

Without the check, the new test does not end within its second.

--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -11,6 +11,7 @@
 from bulrushbend.gateway.call import (
     QUARANTINED,
     Placement,
+    RequestError,
     not_run_error,
     quarantine_error,
 )
@@ -96,43 +97,60 @@
         """Number of requests without a final reply."""
         return len(self._pending)
 
-    async def request_placement(self, service: str, demand: Demand) -> Placement | None:
+    async def request_placement(
+        self, service: str, demand: Demand, check: Callable[[], None]
+    ) -> Placement | None:
         """Return the placement granted by a coordinator of the service.
 
         None means that this gateway has to choose the endpoint: it is the coordinator
         itself, or the first two in rank declined or did not reply.
 
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        demand : Demand
+            The request.
+        check : callable
+            Raises `RequestError` if the request need not wait any longer.
+
         Raises
         ------
         RequestError
-            The coordinator refused the request.
+            The coordinator refused the request, or `check` did.
         """
         for _ in range(_MAX_COORDINATORS):
             coordinator = self._coordinators.choose(service)
             if coordinator is None:
                 return None
-            placement = await self._request_from(coordinator, service, demand)
+            placement = await self._request_from(coordinator, service, demand, check)
             if placement is not None:
                 return placement
         return None
 
     async def _request_from(
-        self, coordinator: str, service: str, demand: Demand
+        self,
+        coordinator: str,
+        service: str,
+        demand: Demand,
+        check: Callable[[], None],
     ) -> Placement | None:
         """Return the placement granted by a coordinator, None if it grants none.
 
         Raises
         ------
         RequestError
-            The coordinator refused the request.
+            The coordinator refused the request, or `check` did.
         """
         self._number += 1
         number = self._number
         pending = _PendingRequest(asyncio.get_running_loop().create_future())
         self._pending[number] = pending
         try:
-            reply = await self._poll(coordinator, service, demand, number, pending)
-        except asyncio.CancelledError:
+            reply = await self._poll(
+                coordinator, service, demand, number, pending, check
+            )
+        except (asyncio.CancelledError, RequestError):
             self._cancel(coordinator, number, pending)
             raise
         finally:
@@ -178,6 +196,7 @@
         demand: Demand,
         number: int,
         pending: _PendingRequest,
+        check: Callable[[], None],
     ) -> PlaceReply | None:
         """Repeat a request until the final reply; None if the replies stop."""
         unanswered = 0
@@ -191,6 +210,7 @@
             await asyncio.wait({pending.final_reply}, timeout=wait_ms / 1000.0)
             if pending.final_reply.done():
                 return pending.final_reply.result()
+            check()
             unanswered = unanswered + 1 if pending.replies == replies else 0
         return None
 
@@ -283,7 +303,9 @@
             # The coordinator does not know which endpoints paused this gateway.
             paused = itertools.islice(self._notices.paused, _MAX_PAUSED)
             asked = dataclasses.replace(demand, avoided=demand.avoided.union(paused))
-            placement = await self._client.request_placement(self._service, asked)
+            placement = await self._client.request_placement(
+                self._service, asked, self._queue.check_notices
+            )
             if placement is not None:
                 return placement
         return await self._queue.place(demand)
--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -259,7 +259,7 @@
         )
         call = make_call()
         task = asyncio.create_task(
-            client.request_placement(SERVICE, demand_of(call, 0.0))
+            client.request_placement(SERVICE, demand_of(call, 0.0), lambda: None)
         )
         await settle()
         task.cancel()
--- a/libs/gateway/tests/test_endpoint_notices.py
+++ b/libs/gateway/tests/test_endpoint_notices.py
@@ -5,7 +5,14 @@
 
 import pytest
 from fleet_model import ModelGateway
-from gateway_builders import SERVICE, GatewayComponents, make_call, make_endpoint
+from gateway_builders import (
+    SERVICE,
+    GatewayComponents,
+    begin,
+    make_call,
+    make_endpoint,
+    make_route,
+)
 
 from bulrushbend.core.clock import ManualClock
 from bulrushbend.core.events import EventKind
@@ -287,18 +294,43 @@
     assert (await tasks[1]).endpoint == "e1"
 
 
-async def test_coordinator_does_not_choose_what_paused_the_asking_gateway():
-    # Guards against a round trip for each request, and a grant that cannot be used.
+LONG = make_route(objective_ms=10_000)
+
+
+def make_pair(*endpoints):
+    """Return a gateway and the coordinator that it asks."""
     clock, fleet = ManualClock(), {}
     for number in (1, 2):
-        gateway = ModelGateway(number, ("e1", "e2"), clock, fleet)
+        gateway = ModelGateway(number, endpoints, clock, fleet)
         fleet[gateway.name] = gateway
     for gateway in fleet.values():
         others = {name: name for name in fleet if name != gateway.name}
         gateway.coordinators.set_peers(others)
-    asking = next(g for g in fleet.values() if g.coordinators.choose(SERVICE))
+    pair = sorted(fleet.values(), key=lambda g: g.coordinators.choose(SERVICE) is None)
+    return tuple(pair)
+
+
+async def test_coordinator_does_not_choose_what_paused_the_asking_gateway():
+    # Guards against a round trip for each request, and a grant that cannot be used.
+    asking, _ = make_pair("e1", "e2")
     asking.components.notices.record_pause(make_endpoint("e1"), 2_000.0)
     for _ in range(4):
-        demand = demand_of(make_call(tokens=100), clock.now_ms())
+        demand = demand_of(make_call(tokens=100), 0.0)
         placement = await asking.placement.place(demand)
         assert (placement.endpoint, bool(placement.coordinator)) == ("e2", True)
+
+
+async def test_request_at_a_coordinator_is_refused_when_its_endpoints_pause():
+    # Guards against callers that wait elsewhere for what their gateway may not use.
+    asking, coordinator = make_pair("e1")
+    begin(coordinator.loads, "e1", "other", 9_000, 0)
+    demand = demand_of(make_call(tokens=5_000, route=LONG), 0.0)
+    waiting = asyncio.create_task(asking.placement.place(demand))
+    await asyncio.sleep(0.05)
+    asking.components.notices.record_pause(make_endpoint("e1"), 2_000.0)
+    async with asyncio.timeout(1.0):
+        with pytest.raises(RequestError) as raised:
+            await waiting
+    assert raised.value.code == "endpoints-paused"
+    await asyncio.sleep(0.01)
+    assert coordinator.components.queue.waiting == 0
