Quarantine a request after two crashes at once if it was at both

Cause: two crashes within 200 ms count as one fault, and three at once were needed before.

Change: two crashes within the interval suffice, if the request was the only one at both and no other endpoint crashed meanwhile.

The interval protects sound requests of which many copies run, such as a lookup that is at both endpoints of a lost VM. Other copies of it are in progress elsewhere then, and the first complete response releases it in the whole fleet; copies of a request that crashes endpoints never complete. So the test that a pair of crashes counts once was wrong; it is replaced by one that such a lookup is released and stays so.

The test of crashes at once has two of them now and fails before.

--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -19,12 +19,12 @@
 
 # Crashes after which a request is quarantined, by whether it is the only candidate of
 # all of them. Endpoints that share a fault, such as a lost rack, crash within the
-# interval and count as one crash, unless the request was at so many and at all of them:
-# copies that are sent at the same time crash several endpoints at once.
+# interval and count as one crash, unless the request was at all of them: copies that
+# are sent at the same time crash several endpoints at once. A sound request with copies
+# at several endpoints is released soon, when one of its other copies ends.
 _MIN_CRASHES = 2
 _MIN_CRASHES_IF_AMBIGUOUS = 3
 _SAME_FAULT_INTERVAL_MS = 200.0
-_MIN_CRASHES_AT_ONCE = 3
 # An endpoint needs longer to restart, so reports about it within this time concern the
 # same crash.
 _SAME_CRASH_INTERVAL_MS = 2_000.0
@@ -391,7 +391,7 @@
     for began_ms in supporting_times:
         end_ms = began_ms + _SAME_FAULT_INTERVAL_MS
         number = sum(began_ms <= at_ms < end_ms for at_ms in supporting_times)
-        if number >= _MIN_CRASHES_AT_ONCE and number == sum(
+        if number >= _MIN_CRASHES and number == sum(
             began_ms <= at_ms < end_ms for at_ms in times
         ):
             return True
