State the rest of a quarantine in refusals of the coordinator too

What callers saw: a request that is quarantined for a minute got 503 with a Retry-After of at most half of its deadline, if the coordinator refused it instead of its own gateway, and came back in vain.

Cause: the bound on Retry-After, meant for endpoints without room, applied to all refusals of a coordinator.

Change: the rest of a quarantine is stated as it is, as in the refusals of the gateway itself.

The new test fails for both kinds of quarantine before.

--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -169,7 +169,8 @@
                 raise outcome_unknown_error(
                     "may-have-run", "an earlier try may have run"
                 ) from error
-            if error.retry_after_ms is not None:
+            is_quarantined = error.code in (QUARANTINED, REQUEST_QUARANTINED)
+            if error.retry_after_ms is not None and not is_quarantined:
                 max_retry_after_ms = _MAX_RETRY_AFTER_SHARE * call.remaining_ms(
                     self._clock.now_ms()
                 )
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -22,7 +22,7 @@
 from bulrushbend.core.manifest import RouteKind
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.budgets import RetryBudgets
-from bulrushbend.gateway.call import RequestError
+from bulrushbend.gateway.call import RequestError, quarantine_error
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
@@ -873,3 +873,16 @@
         requests.record_crash("x1", fixture.clock.now_ms(), [(identity, "s1")])
         await fixture.serve(route=ONCE)
         assert requests.is_candidate(identity) is is_candidate
+
+
+@pytest.mark.parametrize("code", ["prompt-quarantined", "request-quarantined"])
+async def test_refusal_of_the_coordinator_states_the_rest_of_a_quarantine(code):
+    # Guards against callers that come back again and again while they are refused.
+    class Coordinator:
+        async def place(self, demand):
+            raise quarantine_error(55_000.0, code)
+
+    async with running_dispatcher([RESPONSE]) as fixture:
+        fixture.dispatcher._placement_for = lambda service: Coordinator()
+        error = await fixture.serve_error()
+        assert (error.code, error.retry_after_ms) == (code, 55_000.0)
