--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -23,7 +23,7 @@
 from bulrushbend.core.manifest import RouteKind
 from bulrushbend.gateway.attempt import AttemptContext, Verdict
 from bulrushbend.gateway.budgets import RetryBudgets
-from bulrushbend.gateway.call import Placement, RequestError
+from bulrushbend.gateway.call import Placement, RequestError, quarantine_error
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
@@ -1111,3 +1111,16 @@
         ]
         assert deadlines[0] > 14_000
         assert deadlines[1] <= 5_000
+
+
+@pytest.mark.parametrize("code", ["prompt-quarantined", "request-quarantined"])
+async def test_refusal_of_the_coordinator_states_the_rest_of_a_quarantine(code):
+    # Guards against callers that come back again and again while they are refused.
+    class Coordinator:
+        async def place(self, demand):
+            raise quarantine_error(55_000.0, code)
+
+    async with running_dispatcher([RESPONSE]) as fixture:
+        fixture.dispatcher._placement_for = lambda service: Coordinator()
+        error = await fixture.serve_error()
+        assert (error.code, error.retry_after_ms) == (code, 55_000.0)
