--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -201,10 +201,11 @@
         self._stack.callback(server.close)
 
     def _start_http(self) -> None:
-        """Start the HTTP server, and stop the replica between its stop and its end.
+        """Start the HTTP server, and register how it and the replica are stopped.
 
-        Calls that the leader answers may end before the replica stops. Its stop ends
-        the others with an error, which is sent before the connections are closed.
+        The server stops accepting connections first. Calls that another leader answers
+        may then end. The stop of the replica ends the others with an error, which is
+        sent before the connections are closed.
         """
         routes = operational_routes(lambda: self.is_ready)
         publisher = HighestVersionPublisher(self._replica, self._clock)
--- a/libs/control/src/bulrushbend/control/server.py
+++ b/libs/control/src/bulrushbend/control/server.py
@@ -1,6 +1,8 @@
 """gRPC server whose end closes the connections of its clients."""
 
 import weakref
+from collections.abc import Collection
+from typing import Any
 
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
@@ -11,10 +13,15 @@
 
     The server of grpclib leaves them open: an ended stream gets no trailers, and new
     calls on them reach the old services.
+
+    Parameters
+    ----------
+    services : collection of grpclib services
+        Services of the server.
     """
 
-    def __init__(self, handlers):
-        super().__init__(handlers)
+    def __init__(self, services: Collection[Any]):
+        super().__init__(services)
         self._protocols: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
 
     def _protocol_factory(self) -> H2Protocol:
