Give the pause for callers of the stand-in a name of its own

Cause: the new attribute of the engine for the pause that it asks for had the name of the existing one for the time between its events. Tests that set the latter made it turn callers away, and an engine that turned callers away sent its running streams slowly. It is now turn_away_s.

--- a/tests/adapter/soak.py
+++ b/tests/adapter/soak.py
@@ -283,9 +283,9 @@
     async def _turn_away(self) -> None:
         engine = self._notice_random.choice(self.machines.engines)
         self.faults.append(f"turns away {engine.name}")
-        engine.pause_s = self._notice_random.uniform(*PAUSE_S)
+        engine.turn_away_s = self._notice_random.uniform(*PAUSE_S)
         await asyncio.sleep(self._notice_random.uniform(*TURNING_AWAY_S))
-        engine.pause_s = 0.0
+        engine.turn_away_s = 0.0
 
     async def _fall_silent(self) -> None:
         engine = self._engine_random.choice(self._model_engines)
--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -124,7 +124,7 @@
         Time from the start of a run until the first byte of the response.
     is_leaving : bool
         Whether all responses state that the engine is leaving.
-    pause_s : float
+    turn_away_s : float
         Time for which callers are turned away that send a request, 0 for none.
     pauses : list of Pause
         All requests that were turned away with a pause.
@@ -155,7 +155,7 @@
         self.down_s = 2.0
         self.silences = []
         self.is_leaving = False
-        self.pause_s = 0.0
+        self.turn_away_s = 0.0
         self.pauses = []
         self.started_ms = None
         self.on_listening = lambda is_listening: None
@@ -240,11 +240,11 @@
         if headers.get("Expect-Instance") != engine.instance:
             self.set_status(421)
             return
-        if engine.pause_s:
-            pause = Pause(now_s, request_id, engine.instance, engine.pause_s)
+        if engine.turn_away_s:
+            pause = Pause(now_s, request_id, engine.instance, engine.turn_away_s)
             engine.pauses.append(pause)
-            self.set_header("Retry-After", f"{engine.pause_s:g}")
-        if engine.refuses or engine.pause_s:
+            self.set_header("Retry-After", f"{engine.turn_away_s:g}")
+        if engine.refuses or engine.turn_away_s:
             self.set_status(503)
             self.set_header("Not-Executed", "1")
             return
--- a/tests/adapter/test_endpoint_notices.py
+++ b/tests/adapter/test_endpoint_notices.py
@@ -119,9 +119,9 @@
             await send_generations(machines, "a", 1, [first])
             return engine.pauses
 
-        engine.pause_s = 3.0
+        engine.turn_away_s = 3.0
         await machines.wait_until(is_turned_away, "the first gateway is turned away")
-        engine.pause_s = 0.0
+        engine.turn_away_s = 0.0
         end_s = engine.pauses[-1].at_s + 3.0
         while asyncio.get_running_loop().time() < end_s - 0.3:
             failures = await send_generations(machines, "b", 2, [first])
@@ -142,7 +142,7 @@
     async with deployment(tmp_path, model_engines=3) as machines:
         turning_away = machines.engines[:2]
         for engine in turning_away:
-            engine.pause_s = 3.0
+            engine.turn_away_s = 3.0
         loop = asyncio.get_running_loop()
         end_s = loop.time() + 2.5
 
@@ -195,7 +195,7 @@
     async with deployment(tmp_path) as machines:
         host = machines.hosts[0]
         app = machines.engines[2]
-        app.pause_s = 2.0
+        app.turn_away_s = 2.0
         for request_id in ("a1", "b1", "b2"):
             status, headers, _ = await send_booking(machines, host, request_id)
             assert status == 503
