Do not pass on a response whose body was dropped

A caller could get a complete 200 without its body (found by review, shown by a test): a silent request that may be repeated reserves another endpoint, and the whole response arrives in the iteration of the event loop in which the reservation wakes. The exchange is aborted, which drops the received chunks, but its response counted as complete, so forwarding returned without an error.

An exchange that was aborted raises its failure when its response is to be forwarded, so the request moves to the endpoint that was reserved. The test failed before: the body was empty.

--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -28,7 +28,7 @@
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
 from bulrushbend.gateway.quarantine import Suspect
-from bulrushbend.wire.exchange import Exchange
+from bulrushbend.wire.exchange import Exchange, _ResponseReader
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -1124,3 +1124,33 @@
         fixture.dispatcher._placement_for = lambda service: Coordinator()
         error = await fixture.serve_error()
         assert (error.code, error.retry_after_ms) == (code, 55_000.0)
+
+
+async def test_response_that_ends_as_its_request_moves_is_not_passed_on_empty(
+    monkeypatch,
+):
+    # Guards against a complete response without the body that the endpoint sent.
+    script = [0.6, plain_response(b"done")]
+    async with running_dispatcher([script], [script]) as fixture:
+        has_response = asyncio.Event()
+        data_received = _ResponseReader.data_received
+
+        def receive(reader, data):
+            data_received(reader, data)
+            has_response.set()
+
+        class LatePlacement(ScriptedPlacement):
+            async def place(self, demand):
+                if demand.avoided:
+                    await has_response.wait()
+                return await super().place(demand)
+
+        monkeypatch.setattr(_ResponseReader, "data_received", receive)
+        placement = LatePlacement(fixture.components.loads, "e0", "e1")
+        fixture.dispatcher._placement_for = lambda service: placement
+        route = make_route(
+            kind=RouteKind.IDEMPOTENT, most_endpoints=2, objective_ms=100
+        )
+        result = await fixture.serve(route=route)
+        assert (result.verdict, fixture.sink.body) == (Verdict.ANSWERED, b"done")
+        assert fixture.is_idle
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -413,6 +413,9 @@
         PeerProtocolError
             The rest of the response is not valid HTTP.
         """
+        if self._failure is not None:
+            # The chunks were dropped, even if the response is complete.
+            raise self._failure
         self._reader.set_consumer(consumer)
         await self._wait_for(self._reader.body_done)
 
