Judge requests anew when a part of their prompts is released

Crashes that a quarantined part explains are no evidence about requests. When the part was released as sound, its crashes were not looked at again, so the request that had caused them crashed one more endpoint before it was quarantined. Found by review; the test failed before: no quarantine at either gateway.

--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -115,7 +115,7 @@
         """Record that the response to a request began and went on."""
         if not call.details.shared_parts:
             return
-        self._broadcast_released(self._quarantine.record_sound(call.shared_digests))
+        self._broadcast_released(self._record_sound(call.shared_digests))
 
     def record_complete(self, call: Call) -> None:
         """Record that an endpoint responded to a request completely."""
@@ -198,7 +198,7 @@
             described = self._describe_known()
             for known in _build_notes(described) if described else ():
                 self._send_to([sender], known)
-        released = self._quarantine.record_sound(note.sound)
+        released = self._record_sound(note.sound)
         self._broadcast_released(self._reported.intersection(released))
         for endpoint in note.replaced:
             self._health.record_crash(endpoint)
@@ -344,6 +344,14 @@
             self._request_quarantine.evaluate()
         return is_new, completed
 
+    def _record_sound(self, digests: Iterable[str]) -> list[str]:
+        """Record sound parts, and return the suspected ones, which are released."""
+        released = self._quarantine.record_sound(digests)
+        if released:
+            # Crashes that they explained are evidence about requests again.
+            self._request_quarantine.evaluate()
+        return released
+
     def _broadcast_released(self, digests: Collection[str]) -> None:
         """Tell all gateways that responses with suspected parts began."""
         if digests:
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -295,3 +295,22 @@
     for components in fleet.components.values():
         assert components.quarantine.remaining_ms(["bad"]) > 0.0
         assert components.request_quarantine.remaining_ms(victim.identity) == 0.0
+
+
+async def test_request_whose_part_is_released_as_sound_is_quarantined_itself():
+    # Guards against a request that crashes one more endpoint after such a release.
+    fleet = Fleet("g1", "g2")
+    for components in fleet.components.values():
+        components.quarantine.record_sound(["aa"])
+    for number in range(2):
+        for call in (make_copy(f"r{number}"), make_prompt_call(f"s{number}")):
+            endpoint = crashed_endpoint(f"e{number}")
+            await fleet.reports["g1"].examine(endpoint, call, False)
+        await asyncio.sleep(0.25)
+    for components in fleet.components.values():
+        assert components.quarantine.remaining_ms(["bad"]) > 0.0
+    fleet.reports["g2"].record_sound(make_prompt_call("s3"))
+    for components in fleet.components.values():
+        assert components.quarantine.remaining_ms(["bad"]) == 0.0
+        requests = components.request_quarantine
+        assert requests.remaining_ms(make_copy("r3").identity) > 0.0
