Tell a gateway that asks of all known crashes

A gateway that starts or thaws was told of the eight newest crashes only, as the others are that know the older ones. With eight quarantined requests it learned of four, and sent the others on. Found by review; the test failed before.

--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -195,7 +195,7 @@
         """
         now_ms = self._clock.now_ms()
         if note.is_request:
-            described = self._describe_known()
+            described = self._describe_known(is_complete=True)
             for known in _build_notes(described) if described else ():
                 self._send_to([sender], known)
         released = self._record_sound(note.sound)
@@ -275,16 +275,17 @@
             call.identity, except_endpoint=endpoint.id
         )
 
-    def _describe_known(self) -> list[EndpointCrash]:
-        """Return messages about the crashes to repeat."""
+    def _describe_known(self, is_complete: bool = False) -> list[EndpointCrash]:
+        """Return messages about all known crashes, or about those to repeat."""
+        first = 0 if is_complete else -_MAX_REPEATED_CRASHES
         now_ms = self._clock.now_ms()
         described = [
             _describe(
                 crash.endpoint, now_ms - crash.crashed_ms, crash.suspects.values()
             )
-            for crash in self._quarantine.crashes[-_MAX_REPEATED_CRASHES:]
+            for crash in self._quarantine.crashes[first:]
         ]
-        for crash in self._request_quarantine.crashes[-_MAX_REPEATED_CRASHES:]:
+        for crash in self._request_quarantine.crashes[first:]:
             suspects = [
                 Suspect(request_id, (), identity)
                 for identity, requests in crash.candidates.items()
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -314,3 +314,22 @@
         assert components.quarantine.remaining_ms(["bad"]) == 0.0
         requests = components.request_quarantine
         assert requests.remaining_ms(make_copy("r3").identity) > 0.0
+
+
+async def test_gateway_that_starts_learns_of_all_quarantined_requests():
+    # Guards against a request that each new gateway sends as others crashed later.
+    fleet = Fleet("g1", "g2")
+    requests = fleet.components["g1"].request_quarantine
+    now_ms = fleet.components["g1"].clock.now_ms()
+    identities = [f"identity-{number}" for number in range(8)]
+    for number, identity in enumerate(identities):
+        for copy in range(2):
+            crashed_ms = now_ms - 20_000.0 + 2_500.0 * number + 1_000.0 * copy
+            crashed = [(identity, f"r{number}-{copy}")]
+            requests.record_crash(f"e{number}-{copy}", crashed_ms, crashed)
+    assert requests.active == len(identities)
+    task = asyncio.create_task(fleet.reports["g2"].run())
+    await asyncio.sleep(0.1)
+    task.cancel()
+    learned = fleet.components["g2"].request_quarantine
+    assert [i for i in identities if learned.remaining_ms(i) == 0.0] == []
