Place a withheld request where a pause has ended

A request that was not sent to an endpoint because of a pause avoided it from then on, and was refused with no-capacity beside an idle endpoint whose pause had ended. Paused endpoints are excluded from a placement anyway. Found by review; the test failed before.

--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -164,7 +164,9 @@
             if result.verdict is Verdict.ANSWERED:
                 return result
             if result.verdict is Verdict.WITHHELD:
-                withheld.add(placement.endpoint)
+                # A paused endpoint may be used when its pause ends meanwhile.
+                if placement.endpoint not in self._context.notices.paused:
+                    withheld.add(placement.endpoint)
                 placement = None
                 continue
             call.tried.add(placement.endpoint)
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -1154,3 +1154,25 @@
         result = await fixture.serve(route=route)
         assert (result.verdict, fixture.sink.body) == (Verdict.ANSWERED, b"done")
         assert fixture.is_idle
+
+
+async def test_request_withheld_for_a_pause_is_sent_when_the_pause_has_ended(
+    monkeypatch,
+):
+    # Guards against a request that is refused beside an idle endpoint.
+    async with running_dispatcher(RESPONSE_ONLY, RESPONSE_ONLY) as fixture:
+        fixture.components.begin("e1", tokens=9_000)
+        connect = Exchange.connect
+        pauses_ms = [100.0]
+
+        async def pause_meanwhile(address, timeouts):
+            exchange = await connect(address, timeouts)
+            endpoint = fixture.components.source.endpoints[0]
+            if pauses_ms:
+                fixture.components.notices.record_pause(endpoint, pauses_ms.pop())
+            return exchange
+
+        monkeypatch.setattr(Exchange, "connect", pause_meanwhile)
+        result = await fixture.serve(route=ONCE, tokens=5_000)
+        assert result.verdict is Verdict.ANSWERED
+        assert [len(e.requests) for e in fixture.endpoints] == [1, 0]
