Count a crash before the others as one of a lost rack

Two crashes at once quarantine a request if no other endpoint crashes in the interval. Only crashes after its first one were considered, so a popular lookup was refused for a minute when the first endpoint of a lost rack did not run it. Found by review; the test failed before. If the crash without it is the last, the quarantine still stays until a copy completes.

--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -385,14 +385,17 @@
 def _explains_all_at_once(
     crashes: Sequence[CandidateCrash], supporting: Sequence[CandidateCrash]
 ) -> bool:
-    """Return whether enough of the crashes happened at once, and no others then."""
+    """Return whether enough of the crashes happened at once, and no others then.
+
+    Others count within the interval before the first of them, too.
+    """
     supporting_times = [crash.crashed_ms for crash in supporting]
     times = [crash.crashed_ms for crash in crashes]
     for began_ms in supporting_times:
         end_ms = began_ms + _SAME_FAULT_INTERVAL_MS
         number = sum(began_ms <= at_ms < end_ms for at_ms in supporting_times)
         if number >= _MIN_CRASHES and number == sum(
-            began_ms <= at_ms < end_ms for at_ms in times
+            began_ms - _SAME_FAULT_INTERVAL_MS < at_ms < end_ms for at_ms in times
         ):
             return True
     return False
--- a/libs/gateway/tests/test_request_quarantine.py
+++ b/libs/gateway/tests/test_request_quarantine.py
@@ -222,3 +222,13 @@
     assert fixture.quarantine.active <= 256
     await fixture.clock.advance(7_200_000.0)
     assert not fixture.quarantine.has_candidates
+
+
+async def test_popular_request_is_not_quarantined_when_a_rack_is_lost(fixture):
+    # Guards against a crash that does not count since it was the first of several.
+    for number, names in enumerate(
+        ({"other": "s0"}, {"lookup": "s1"}, {"lookup": "s2"})
+    ):
+        fixture.crash(f"e{number}", **names)
+        await fixture.clock.advance(20.0)
+    assert not fixture.quarantined("lookup", "other")
