Answer calls on open connections before a control replica stops

An operator's call on an open connection was cut in a planned stop after it had begun: the drain lasted 20 ms and the first moment without a call, and no response announced the end of its connection.

The responses of a drain close their connections, and 300 ms are left for calls that arrive meanwhile. Connections of a replica whose store fails are still closed without notice.

--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -61,8 +62,8 @@
 # for those in progress when the replica stops.
 _DRAIN_MS = PUBLISH_TIMEOUT_MS + 500
 CALL_TIMEOUT_MS = 500
-# Time in which the handlers of the connections that were accepted last begin.
-_ACCEPT_MS = 20
+# Time in which the calls on open connections arrive, whose responses close them.
+_LATE_CALLS_GRACE_MS = 300
 
 
 class ControlDaemon:
@@ -155,7 +156,7 @@
             return
         self._events.write(EventKind.PROCESS_DRAINING)
         self._stop_listening()
-        await self._clock.sleep_ms(_ACCEPT_MS)
+        await self._clock.sleep_ms(_LATE_CALLS_GRACE_MS)
         await self._publisher.wait_idle(_DRAIN_MS)
 
     async def stop(self) -> None:
@@ -240,7 +241,7 @@
         listeners = listen_http(server, self._settings.http_bind)
         self._stack.callback(server.stop)
         self._publisher = publisher
-        self._stop_listening = lambda: stop_http(server, listeners)
+        self._stop_listening = lambda: _stop_accepting(server, listeners)
 
     def _start_voter_repair(self, voters: int) -> None:
         name = self._settings.name
@@ -307,6 +308,12 @@
     )
 
 
+def _stop_accepting(server: HTTPServer, listeners: list[socket.socket]) -> None:
+    """Accept no more connections, and close each one after its next response."""
+    stop_http(server, listeners)
+    server.conn_params.no_keep_alive = True
+
+
 async def run_control(
     settings: ControlSettings,
     *,
--- a/libs/control/tests/test_daemon.py
+++ b/libs/control/tests/test_daemon.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import itertools
 
 import pytest
 from control_builders import (
     control_settings,
     key_request,
+    operator_routes,
     publish_request,
     router_member,
     router_settings,
@@ -246,3 +248,32 @@
     (tmp_path / "c1" / "vote").write_bytes(b"damaged")
     with pytest.raises(CorruptLogError, match="vote file is damaged"):
         await ControlDaemon(settings).start()
+
+
+async def test_planned_stop_answers_calls_on_open_connections(tmp_path):
+    """Guards against operators whose connection ends without an answer."""
+    (settings,) = control_settings(tmp_path, **FAST)
+    daemon = ControlDaemon(settings, bootstrap=True, operator_routes=operator_routes)
+    await daemon.start()
+    await wait_until(lambda: daemon.is_ready)
+    host, port = settings.http_address.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+
+    async def stop():
+        await asyncio.sleep(0.05)
+        await daemon.drain()
+        await daemon.stop()
+
+    stopping = asyncio.create_task(stop())
+    head = b""
+    for version in itertools.count(1):
+        body = b"%d" % version
+        writer.write(b"POST /publish HTTP/1.1\r\nHost: c1\r\nContent-Length: ")
+        writer.write(b"%d\r\n\r\n%s" % (len(body), body))
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"Connection: close" in head:
+            break
+        await reader.readexactly(len(body))
+    writer.close()
+    await stopping
+    assert head.startswith(b"HTTP/1.1 200 ")
