Answer a request whose task was cancelled by another than its connection

A CancelledError that does not come from the end of the connection left it open without an answer, and its later requests unread. No place raises one today. Found by review; the test failed before.

--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -424,21 +424,26 @@
             await self._handler.handle_request(
                 request.start_line, request.headers, request.body, sink
             )
-        except asyncio.CancelledError:
-            raise
+        except asyncio.CancelledError as error:
+            if self._task.cancelling():
+                raise
+            # Something that the request waited for was cancelled.
+            self._end_failed_response(request, sink, error)
         except Exception as error:
-            _log.error(
-                "%s request failed with unexpected error: %r; answering with status %d",
-                request.start_line.method,
-                error,
-                INTERNAL_ERROR.status,
-            )
-            self._end_failed_response(request, sink)
+            self._end_failed_response(request, sink, error)
         self._sink = None
         self._handle_next()
 
-    def _end_failed_response(self, request: _Request, sink: ConnectionSink) -> None:
+    def _end_failed_response(
+        self, request: _Request, sink: ConnectionSink, error: BaseException
+    ) -> None:
         """Send an error, or end the response as incomplete if it has begun."""
+        _log.error(
+            "%s request failed with unexpected error: %r; answering with status %d",
+            request.start_line.method,
+            error,
+            INTERNAL_ERROR.status,
+        )
         if sink.started:
             sink.abort_response()
             return
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -438,6 +438,21 @@
     assert response.endswith(b"internal-error")
 
 
+async def test_cancellation_of_what_a_request_waits_for_is_answered():
+    # Guards against a connection whose requests are never answered any more.
+    handler = EchoHandler()
+
+    async def wait_for_cancelled_work(start_line, headers, body, sink):
+        work = asyncio.get_running_loop().create_future()
+        work.cancel()
+        await work
+
+    handler.respond = wait_for_cancelled_work
+    async with serving(handler) as (_, port):
+        response = await send_request(port, get("/1"), get("/2"))
+    assert response.count(b"HTTP/1.1 502 ") == 2
+
+
 async def test_connection_in_the_listen_backlog_is_answered_after_the_stop():
     # Guards against a planned stop that resets requests which were just sent.
     loop = asyncio.get_running_loop()
