Keep a response that was complete before an unexpected error

An unexpected error after the end of a response reset the connection, with the response and the requests behind it. No such error is known. Found by review; the test failed before.

--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -437,13 +437,16 @@
     def _end_failed_response(
         self, request: _Request, sink: ConnectionSink, error: BaseException
     ) -> None:
-        """Send an error, or end the response as incomplete if it has begun."""
+        """Send an error, or end a response that has begun as incomplete."""
         _log.error(
-            "%s request failed with unexpected error: %r; answering with status %d",
+            "%s request failed with unexpected error: %r; answering with status %d "
+            "unless its response has begun",
             request.start_line.method,
             error,
             INTERNAL_ERROR.status,
         )
+        if sink.is_finished:
+            return
         if sink.started:
             sink.abort_response()
             return
--- a/libs/gateway/src/bulrushbend/gateway/sink.py
+++ b/libs/gateway/src/bulrushbend/gateway/sink.py
@@ -89,6 +89,7 @@
         self._is_chunked = False
         self._has_body = True
         self._started = False
+        self._is_finished = False
         self._is_buffer_full = False
         self._pause: FlowControlCallback | None = None
         self._resume: FlowControlCallback | None = None
@@ -98,6 +99,11 @@
         """Whether any bytes were sent to the caller."""
         return self._started
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether the complete response was sent."""
+        return self._is_finished
+
     def close_after_response(self) -> None:
         """Close the connection unless a request follows the response.
 
@@ -133,6 +139,7 @@
             self.write(b"")
         elif self._is_chunked and self._has_body:
             self._transport.write(b"0\r\n\r\n")
+        self._is_finished = True
         if self._close_connection:
             self._transport.close()
 
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -453,6 +453,20 @@
     assert response.count(b"HTTP/1.1 502 ") == 2
 
 
+async def test_error_after_a_complete_response_does_not_reset_the_connection():
+    # Guards against an answer, and pipelined requests, that a later error takes away.
+    handler = EchoHandler()
+
+    async def fail_after_response(start_line, headers, body, sink):
+        await handler.echo(start_line, headers, body, sink)
+        raise ValueError("an error of the test")
+
+    handler.respond = fail_after_response
+    async with serving(handler) as (_, port):
+        response = await send_request(port, get("/1") + get("/2"))
+    assert response.count(b"HTTP/1.1 200 ") == 2
+
+
 async def test_connection_in_the_listen_backlog_is_answered_after_the_stop():
     # Guards against a planned stop that resets requests which were just sent.
     loop = asyncio.get_running_loop()
