--- a/libs/gateway/tests/test_coordinators.py
+++ b/libs/gateway/tests/test_coordinators.py
@@ -359,3 +359,33 @@
 
 async def fail_to_place(demand):
     raise KeyError(demand.request_id)
+
+
+async def test_paused_endpoint_is_used_by_a_waiting_request_after_its_pause():
+    # Guards against a request that waits at a coordinator beside an idle endpoint.
+    pair = Pair()
+    endpoint = pair.requester.components.source.endpoints[0]
+    pair.requester.components.notices.record_pause(endpoint, 100.0)
+    pair.occupy("e2")
+    placing = asyncio.create_task(pair.place(tokens=5_000))
+    for _ in range(30):
+        await pair.clock.advance(20.0)
+        pair.coordinator.components.queue.place_waiting()
+        await asyncio.sleep(0.01)
+    assert placing.done()
+    assert (await placing).endpoint == "e1"
+
+
+async def test_request_is_refused_at_once_if_no_endpoint_is_left_at_both_gateways():
+    # Guards against callers that wait although one endpoint leaves and one pauses.
+    pair = Pair()
+    first = pair.requester.components.source.endpoints[0]
+    second = pair.coordinator.components.source.endpoints[1]
+    pair.requester.components.notices.record_pause(first, 60_000.0)
+    pair.coordinator.components.notices.record_leaving(second, "response")
+    placing = asyncio.create_task(pair.place(tokens=5_000))
+    for _ in range(15):
+        await pair.clock.advance(20.0)
+        await asyncio.sleep(0.01)
+    assert placing.done()
+    placing.cancel()
--- a/libs/gateway/tests/test_request_quarantine.py
+++ b/libs/gateway/tests/test_request_quarantine.py
@@ -224,11 +224,22 @@
     assert not fixture.quarantine.has_candidates
 
 
-async def test_popular_request_is_not_quarantined_when_a_rack_is_lost(fixture):
-    # Guards against a crash that does not count since it was the first of several.
-    for number, names in enumerate(
-        ({"other": "s0"}, {"lookup": "s1"}, {"lookup": "s2"})
-    ):
-        fixture.crash(f"e{number}", **names)
+@pytest.mark.parametrize("order", [(2, 0, 1), (0, 1, 2)], ids=["first", "last"])
+async def test_popular_request_is_not_quarantined_when_a_rack_is_lost(fixture, order):
+    # Guards against a verdict that depends on when the crash without it is reported.
+    crashes = [{"lookup": "s1"}, {"lookup": "s2"}, {"other": "s3"}]
+    for number in order:
+        fixture.crash(f"e{number}", **crashes[number])
         await fixture.clock.advance(20.0)
     assert not fixture.quarantined("lookup", "other")
+
+
+async def test_popular_request_is_not_quarantined_beside_a_crash_of_an_idle_endpoint(
+    fixture,
+):
+    # Guards against a lost rack of which one endpoint had no candidates.
+    fixture.crash("e0")
+    fixture.crash("e1", lookup="s1")
+    await fixture.clock.advance(20.0)
+    fixture.crash("e2", lookup="s2")
+    assert not fixture.quarantined("lookup")
--- a/libs/store/tests/test_stores.py
+++ b/libs/store/tests/test_stores.py
@@ -117,3 +117,16 @@
     files.folder_bytes = 2000
     with contextlib.ExitStack() as stack:
         open_stores(tmp_path, stack, files).log.append([Entry(1, 1, b"a" * 500)])
+
+
+def test_log_opens_on_a_disk_with_less_room_than_its_size(tmp_path):
+    """Guards against replicas that cannot be restarted although appends still fit."""
+    files = FaultyFileSystem()
+    files.folder_bytes = 2000
+    with contextlib.ExitStack() as stack:
+        stores = open_stores(tmp_path, stack, files)
+        stores.votes.save(Vote(1, "", "founding"))
+        stores.log.append([Entry(1, 1, b"a" * 1200)])
+    with contextlib.ExitStack() as stack:
+        stores = open_stores(tmp_path, stack, files)
+        stores.log.append([Entry(2, 1, b"b")])
