--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -266,6 +266,7 @@
             return
         run = (headers["Attempt-Id"], headers.get("Tenant"), self.request.uri)
         engine.runs.append(run)
+        instance = engine.instance
         await asyncio.sleep(engine.response_delay_s())
         self.set_header("Attempt-Id", headers["Attempt-Id"])
         self.set_header("Instance-Seal", f"{engine.instance}.seal")
@@ -273,7 +274,9 @@
             self.set_header("Leaked-Key", "1")
         if "Model" not in headers:
             if self.request.body in engine.deadly_bodies:
-                engine.crash()
+                # Another copy may have crashed the engine meanwhile.
+                if engine.instance == instance:
+                    engine.crash()
                 return
             self.write(self.request.body + b" at " + engine.name.encode())
             return
