Measure how long a manifest takes to come into force at each process

Cause of the gap: no log line or metric had both the moment at which a process could know a newer version and the moment at which it was in force, so that a slow push, a stream that is silent and a process that is busy looked alike.

Change: the event manifest-in-force has announced_ms, the time since any replica announced a newer version, and age_ms, the time since the sending replica knew one. The former is also a histogram.

--- a/libs/control/src/bulrushbend/control/watcher.py
+++ b/libs/control/src/bulrushbend/control/watcher.py
@@ -287,6 +287,7 @@
         state.manifest.CopyFrom(document)
         self._sent_version = document.version
         self._sent_age_ms = self._manifest_age.superseded_for_ms(self._peer_version)
+        state.manifest_age_ms = int(self._sent_age_ms)
 
 
 def preferred_replica(member: str, voters: tuple[str, ...]) -> str:
--- a/libs/process/src/bulrushbend/process/active_manifest.py
+++ b/libs/process/src/bulrushbend/process/active_manifest.py
@@ -1,7 +1,7 @@
 """The manifest in force in one process; its version never decreases."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from bulrushbend.core.errors import ManifestError
 from bulrushbend.core.events import EventKind, EventLog
@@ -62,7 +62,12 @@
         return self._document
 
     def adopt_if_newer(
-        self, document: ManifestDocument, *, peer: str, confirmed: bool = False
+        self,
+        document: ManifestDocument,
+        *,
+        peer: str,
+        confirmed: bool = False,
+        **delays: float,
     ) -> bool:
         """Adopt a manifest if it is newer than the one in force.
 
@@ -75,6 +80,8 @@
         confirmed : bool, default=False
             Whether a majority of the control replicas confirmed that it is the newest
             accepted manifest. Required for the first one.
+        **delays : float
+            Fields of the event ``manifest-in-force`` in milliseconds.
 
         Returns
         -------
@@ -96,10 +103,12 @@
                 error,
             )
             return False
-        self._adopt(manifest, peer)
+        self._adopt(manifest, peer, delays)
         return True
 
-    def _adopt(self, manifest: Manifest, peer: str) -> None:
+    def _adopt(
+        self, manifest: Manifest, peer: str, delays: Mapping[str, float]
+    ) -> None:
         self._current = manifest
         self._document = pack_manifest(manifest)
         self._events.write(
@@ -107,6 +116,7 @@
             version=manifest.version,
             digest=manifest.digest,
             peer=peer,
+            **delays,
         )
         _log.info("manifest version %d from %s is in force", manifest.version, peer)
         self._adopted.set()
--- a/libs/process/src/bulrushbend/process/fleet_client.py
+++ b/libs/process/src/bulrushbend/process/fleet_client.py
@@ -8,6 +8,7 @@
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
+from prometheus_client import Histogram
 from pydantic import ValidationError
 
 from bulrushbend.core.clock import Clock
@@ -29,6 +30,12 @@
 
 _log = get_logger("process.watch")
 
+MANIFEST_DELAY = Histogram(
+    "bulrushbend_manifest_delay_seconds",
+    "Time from the first announcement of a newer manifest to the manifest in force.",
+    buckets=(0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0),
+)
+
 MemberListener = Callable[[dict[str, Member]], None]
 # Interval of the status detail in reports. Status pages need no finer resolution, and
 # the detail is sent to every replica.
@@ -85,6 +92,8 @@
         self._listeners: list[MemberListener] = []
         self._channels: dict[str, Channel] = {}
         self._control_bytes = 0
+        self._announced: dict[str, int] = {}
+        self._behind_since_ms: float | None = None
         self._configured_replicas = settings.control
         self._advertised_replicas: dict[str, tuple[PeerAddress, ...]] = {}
         self._replicas_changed = asyncio.Event()
@@ -235,6 +244,7 @@
             finally:
                 channel.close()
                 self._connected.discard(replica.name)
+                self._announced.pop(replica.name, None)
                 self._merge_views()
             await self._clock.sleep_ms(random.uniform(0.5, 1.0) * 1000)
 
@@ -285,10 +295,9 @@
         if replica_name not in self._connected:
             self._connected.add(replica_name)
             self._events.write(EventKind.LINK_UP, peer=replica_name)
+        self._handle_announcement(replica_name, state.manifest_version)
         if state.HasField("manifest"):
-            self._in_force.adopt_if_newer(
-                state.manifest, peer=replica_name, confirmed=state.confirmed
-            )
+            self._adopt(replica_name, state)
         is_newest = state.manifest_version <= self._in_force.version
         if self._lease is not None and state.lease_stamp and is_newest:
             self._lease.renew(state.lease_stamp)
@@ -307,6 +316,27 @@
         if state.members_are_complete or state.changed or state.removed:
             self._merge_views()
 
+    def _handle_announcement(self, replica_name: str, version: int) -> None:
+        """Record the version of a replica, and since when this process is behind."""
+        self._announced[replica_name] = version
+        if version > self._in_force.version and self._behind_since_ms is None:
+            self._behind_since_ms = self._clock.now_ms()
+
+    def _adopt(self, replica_name: str, state: FleetState) -> None:
+        now_ms = self._clock.now_ms()
+        since_ms = now_ms if self._behind_since_ms is None else self._behind_since_ms
+        adopted = self._in_force.adopt_if_newer(
+            state.manifest,
+            peer=replica_name,
+            confirmed=state.confirmed,
+            announced_ms=round(now_ms - since_ms, 1),
+            age_ms=state.manifest_age_ms,
+        )
+        if adopted:
+            MANIFEST_DELAY.observe((now_ms - since_ms) / 1000.0)
+            is_behind = max(self._announced.values()) > self._in_force.version
+            self._behind_since_ms = now_ms if is_behind else None
+
     def _merge_views(self) -> None:
         """Merge the views of the connected replicas, or of all if none is connected."""
         names = [name for name in self._views if name in self._connected]
