Ask another replica for a manifest that the preferred one does not send

Cause: one replica, chosen by name, sends a manifest at once. The others wait 750 ms and then for the next report. If the preferred one hangs, is reopened or knows nothing newer, that wait is the delay of each version; the next step that is missed, a lost message, takes 2,000 ms.

In the test, where reports come each 3 s and the disk of the preferred replica hangs, the manifest was not in force after 2 s.

Change: every replica announces its version in each message, as before. A process that has heard of a newer one for 150 ms without getting it asks the replicas that announced it, one after another, each 250 ms. The push by the others after 750 ms stays for processes of an earlier release.

--- a/libs/control/src/bulrushbend/control/watcher.py
+++ b/libs/control/src/bulrushbend/control/watcher.py
@@ -145,6 +145,7 @@
         self._wake = asyncio.Event()
         self._peer_version = 0
         self._confirmation_requested = False
+        self._manifest_requested = False
         self._sent_version = 0
         self._sent_age_ms = 0.0
 
@@ -195,6 +196,7 @@
             self._requested_stamp = report.lease_stamp
             self._stamp_requested.set()
         self._confirmation_requested = report.confirm
+        self._manifest_requested = report.request_manifest
         if self._needs_manifest():
             self._wake.set()
 
@@ -237,6 +239,8 @@
         version = self._replica.state.manifest_version
         if not self._member.name or version <= self._peer_version:
             return False
+        if self._manifest_requested:
+            return True
         age_ms = self._manifest_age.superseded_for_ms(self._peer_version)
         if version == self._sent_version:
             # Reports sent before the manifest arrived still carry the old version.
@@ -277,6 +281,7 @@
 
     async def _add_manifest(self, state: FleetState) -> None:
         """Add the manifest, confirmed through the leader if the peer requested it."""
+        self._manifest_requested = False
         if self._confirmation_requested:
             try:
                 await self._replica.read_index(CONFIRM_TIMEOUT_MS)
--- a/libs/control/tests/test_daemon.py
+++ b/libs/control/tests/test_daemon.py
@@ -6,6 +6,7 @@
 
 import pytest
 from control_builders import (
+    Disk,
     control_settings,
     key_request,
     operator_routes,
@@ -15,6 +16,7 @@
 )
 
 from bulrushbend.control.daemon import ControlDaemon
+from bulrushbend.control.watcher import preferred_replica
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import CorruptLogError, NoQuorumError, SettingsError
 from bulrushbend.core.events import MemoryEventLog
@@ -29,6 +31,8 @@
 
 FAST = {"election_timeout_ms": 200, "append_interval_ms": 40, "member_timeout_ms": 600}
 NAMES = ("c1", "c2", "c3")
+# Time from the acceptance of a manifest until it must be in force.
+IN_FORCE_S = 2.0
 
 
 class Fleet:
@@ -39,11 +43,15 @@
         self.settings = {item.name: item for item in settings}
         self.control = settings[0].control
         self.daemons = {}
+        self.disks = {name: Disk() for name in names}
         self.events = {name: MemoryEventLog() for name in names}
 
     async def start(self, name):
         daemon = ControlDaemon(
-            self.settings[name], bootstrap=True, events=self.events[name]
+            self.settings[name],
+            bootstrap=True,
+            files=self.disks[name],
+            events=self.events[name],
         )
         await daemon.start()
         self.daemons[name] = daemon
@@ -142,6 +150,28 @@
                 await wait_until(lambda w=in_force, v=version: w.version == v, 2.0)
 
 
+async def test_manifest_is_in_force_in_time_while_the_preferred_replica_hangs(tmp_path):
+    """Guards against a process that waits for a replica that knows nothing newer."""
+    async with Fleet(tmp_path, member_timeout_ms=9000) as fleet:
+        hanging = next(name for name in NAMES if name != fleet.leader)
+        name = next(
+            name
+            for name in map("r{}".format, itertools.count())
+            if preferred_replica(name, NAMES) == hanging
+        )
+        async with fleet.watch(name, heartbeat_ms=3000) as (watch, in_force):
+            await wait_until(lambda: watch.connected_count == len(NAMES))
+            leader = fleet.daemons[fleet.leader].service
+            await leader.publish(publish_request(1))
+            await wait_until(lambda: in_force.version == 1)
+            fleet.disks[hanging].answers.clear()
+            try:
+                await leader.publish(publish_request(2))
+                await wait_until(lambda: in_force.version == 2, IN_FORCE_S)
+            finally:
+                fleet.disks[hanging].answers.set()
+
+
 async def test_restarted_process_adopts_no_manifest_from_a_stale_replica(tmp_path):
     """Guards against a process that reverts to a version older than its last one."""
     async with Fleet(tmp_path) as fleet:
--- a/libs/process/src/bulrushbend/process/fleet_client.py
+++ b/libs/process/src/bulrushbend/process/fleet_client.py
@@ -19,6 +19,7 @@
 from bulrushbend.core.validation import format_validation_error
 from bulrushbend.process.active_manifest import ActiveManifest
 from bulrushbend.process.lease import ManifestLease
+from bulrushbend.process.manifest_requests import ManifestRequests
 from bulrushbend.wire.fleet_grpc import FleetStub
 from bulrushbend.wire.fleet_pb2 import (
     ControlNode,
@@ -92,7 +93,10 @@
         self._listeners: list[MemberListener] = []
         self._channels: dict[str, Channel] = {}
         self._control_bytes = 0
-        self._announced: dict[str, int] = {}
+        self._manifest_requests = ManifestRequests(in_force, clock, self._ask)
+        # Names of the replicas to ask for their manifest, and what wakes the senders.
+        self._asked: set[str] = set()
+        self._report_wakers: dict[str, asyncio.Event] = {}
         self._behind_since_ms: float | None = None
         self._configured_replicas = settings.control
         self._advertised_replicas: dict[str, tuple[PeerAddress, ...]] = {}
@@ -130,6 +134,7 @@
     async def run(self) -> None:
         """Watch all control replicas until cancelled."""
         tasks: dict[PeerAddress, asyncio.Task[None]] = {}
+        requests = asyncio.create_task(self._manifest_requests.run())
         try:
             while True:
                 self._replicas_changed.clear()
@@ -138,8 +143,9 @@
                     tasks.pop(replica).cancel()
                 for replica in wanted - tasks.keys():
                     tasks[replica] = asyncio.create_task(self._watch_replica(replica))
-                await self._wait_for_replica_change(tasks.values())
+                await self._wait_for_replica_change([requests, *tasks.values()])
         finally:
+            requests.cancel()
             for task in tasks.values():
                 task.cancel()
             for channel in self._channels.values():
@@ -244,7 +250,7 @@
             finally:
                 channel.close()
                 self._connected.discard(replica.name)
-                self._announced.pop(replica.name, None)
+                self._manifest_requests.remove(replica.name)
                 self._merge_views()
             await self._clock.sleep_ms(random.uniform(0.5, 1.0) * 1000)
 
@@ -255,7 +261,10 @@
                     FleetStub(channel).Watch.open()
                 )
                 await stream.send_request()
-            sender = asyncio.create_task(self._send_reports(stream))
+            waker = self._report_wakers[replica.name] = asyncio.Event()
+            sender = asyncio.create_task(
+                self._send_reports(replica.name, stream, waker)
+            )
             stack.callback(sender.cancel)
             silence_s = self._settings.silence_between_regions_ms / 1000.0
             while not sender.done():
@@ -266,7 +275,9 @@
                 self._handle_state(replica.name, state)
         raise ConnectionError("sending reports to the control replica ended")
 
-    async def _send_reports(self, stream: Any) -> None:
+    async def _send_reports(
+        self, replica_name: str, stream: Any, waker: asyncio.Event
+    ) -> None:
         sent_member = Member()
         next_detail_ms = self._clock.now_ms()
         while True:
@@ -274,7 +285,9 @@
                 manifest_version=self._in_force.version,
                 confirm=self._in_force.current is None,
                 leaving=self._leaving,
+                request_manifest=replica_name in self._asked,
             )
+            self._asked.discard(replica_name)
             if self._lease is not None:
                 report.lease_stamp = self._lease.stamp()
             if sent_member != self._member:
@@ -288,7 +301,15 @@
                 report.detail.CopyFrom(self._collect_detail())
             self._control_bytes += report.ByteSize()
             await stream.send_message(report)
-            await self._clock.sleep_ms(self._settings.heartbeat_ms)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._settings.heartbeat_ms / 1000.0):
+                    await waker.wait()
+            waker.clear()
+
+    def _ask(self, replica_name: str) -> None:
+        """Ask a replica for the manifest that it announced."""
+        self._asked.add(replica_name)
+        self._report_wakers[replica_name].set()
 
     def _handle_state(self, replica_name: str, state: FleetState) -> None:
         self._control_bytes += state.ByteSize()
@@ -318,8 +339,8 @@
 
     def _handle_announcement(self, replica_name: str, version: int) -> None:
         """Record the version of a replica, and since when this process is behind."""
-        self._announced[replica_name] = version
-        if version > self._in_force.version and self._behind_since_ms is None:
+        self._manifest_requests.handle_announcement(replica_name, version)
+        if self._manifest_requests.is_behind and self._behind_since_ms is None:
             self._behind_since_ms = self._clock.now_ms()
 
     def _adopt(self, replica_name: str, state: FleetState) -> None:
@@ -334,7 +355,7 @@
         )
         if adopted:
             MANIFEST_DELAY.observe((now_ms - since_ms) / 1000.0)
-            is_behind = max(self._announced.values()) > self._in_force.version
+            is_behind = self._manifest_requests.is_behind
             self._behind_since_ms = now_ms if is_behind else None
 
     def _merge_views(self) -> None:
