Send a process one manifest at a time, the newest when it has adopted the last

Cause: a control replica sent each version at once, whether or not the process had adopted the one before. Where changes come faster than a process adopts them, the versions queue up in its connection and each is decoded although the next one supersedes it.

In the test, a process that has not adopted version 1 was sent versions 2 to 10 as well.

Change: a replica sends no further manifest until the process has reported the last one, which it does at once. The wait before a manifest is sent again counts from its sending; it counted from the age of another version if the process had got that one elsewhere.

--- a/libs/control/src/bulrushbend/control/service.py
+++ b/libs/control/src/bulrushbend/control/service.py
@@ -88,6 +88,7 @@
             self._membership,
             self._options,
             self._read_index_batcher,
+            self._clock,
         )
         self._watchers.add(watcher)
         try:
--- a/libs/control/src/bulrushbend/control/watcher.py
+++ b/libs/control/src/bulrushbend/control/watcher.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from bulrushbend.control.membership import Membership
+from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import NoQuorumError
 from bulrushbend.store.base import BaseReplica
 from bulrushbend.store.configuration import Node
@@ -23,8 +24,8 @@
 # costs the leader a round trip to a majority. The delay is small compared with the
 # lease of a member, which lasts seconds.
 CONFIRM_BATCH_DELAY_MS = 100
-# A peer that still reports the old version by then may have lost the manifest with a
-# connection; it is sent again.
+# A peer that still reports an older version by then may have rejected the manifest; it
+# is sent again.
 MANIFEST_RESEND_DELAY_MS = 2000
 
 
@@ -118,6 +119,8 @@
         Settings.
     read_index_batcher : ReadIndexBatcher
         Confirmed reads for the leases of members.
+    clock : Clock
+        Source of time.
     """
 
     def __init__(
@@ -128,7 +131,9 @@
         membership: Membership,
         options: WatchOptions,
         read_index_batcher: ReadIndexBatcher,
+        clock: Clock,
     ):
+        self._clock = clock
         self._stream = stream
         self._read_index_batcher = read_index_batcher
         self._requested_stamp = 0
@@ -147,7 +152,7 @@
         self._confirmation_requested = False
         self._manifest_requested = False
         self._sent_version = 0
-        self._sent_age_ms = 0.0
+        self._sent_ms = 0.0
 
     def wake(self) -> None:
         """Wake up the sender to check for changes."""
@@ -241,10 +246,11 @@
             return False
         if self._manifest_requested:
             return True
+        if self._sent_version > self._peer_version:
+            # The peer has not adopted the last one yet. Further ones would queue up
+            # there, each superseded by the next.
+            return self._clock.now_ms() - self._sent_ms >= MANIFEST_RESEND_DELAY_MS
         age_ms = self._manifest_age.superseded_for_ms(self._peer_version)
-        if version == self._sent_version:
-            # Reports sent before the manifest arrived still carry the old version.
-            return age_ms - self._sent_age_ms >= MANIFEST_RESEND_DELAY_MS
         if age_ms >= self._options.push_grace_ms:
             return True
         voters = self._replica.status().voters
@@ -291,8 +297,9 @@
         document = self._replica.state.manifest
         state.manifest.CopyFrom(document)
         self._sent_version = document.version
-        self._sent_age_ms = self._manifest_age.superseded_for_ms(self._peer_version)
-        state.manifest_age_ms = int(self._sent_age_ms)
+        self._sent_ms = self._clock.now_ms()
+        age_ms = self._manifest_age.superseded_for_ms(self._peer_version)
+        state.manifest_age_ms = int(age_ms)
 
 
 def preferred_replica(member: str, voters: tuple[str, ...]) -> str:
--- a/libs/control/tests/test_daemon.py
+++ b/libs/control/tests/test_daemon.py
@@ -14,16 +14,20 @@
     router_member,
     router_settings,
 )
+from grpclib.client import Channel
 
 from bulrushbend.control.daemon import ControlDaemon
 from bulrushbend.control.watcher import preferred_replica
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import CorruptLogError, NoQuorumError, SettingsError
 from bulrushbend.core.events import MemoryEventLog
+from bulrushbend.core.settings import split_address
 from bulrushbend.process.active_manifest import ActiveManifest
 from bulrushbend.process.fleet_client import FleetClient
+from bulrushbend.wire.fleet_grpc import FleetStub
 from bulrushbend.wire.fleet_pb2 import (
     KeyReply,
+    MemberReport,
     PublishReply,
     StatusDetail,
     StatusRequest,
@@ -172,6 +176,38 @@
                 fleet.disks[hanging].answers.set()
 
 
+async def test_busy_process_gets_one_manifest_at_a_time(
+    tmp_path,
+):
+    """Guards against manifests that queue up at a process that adopts them slowly."""
+    async with (
+        Fleet(tmp_path, ("c1",), member_timeout_ms=9000) as fleet,
+        Channel(*split_address(fleet.control[0].address)) as channel,
+        FleetStub(channel).Watch.open() as stream,
+    ):
+        received = []
+
+        async def receive():
+            async for state in stream:
+                if state.HasField("manifest"):
+                    received.append(state.manifest.version)
+
+        await stream.send_message(MemberReport(member=router_member()))
+        reader = asyncio.create_task(receive())
+        service = fleet.daemons["c1"].service
+        await service.publish(publish_request(1))
+        await wait_until(lambda: received == [1])
+        for version in range(2, 11):
+            await service.publish(publish_request(version))
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        assert received == [1]
+        await stream.send_message(MemberReport(manifest_version=1))
+        await wait_until(lambda: received == [1, 10])
+        await stream.end()
+        await reader
+
+
 async def test_restarted_process_adopts_no_manifest_from_a_stale_replica(tmp_path):
     """Guards against a process that reverts to a version older than its last one."""
     async with Fleet(tmp_path) as fleet:
--- a/libs/process/src/bulrushbend/process/fleet_client.py
+++ b/libs/process/src/bulrushbend/process/fleet_client.py
@@ -278,6 +278,7 @@
     async def _send_reports(
         self, replica_name: str, stream: Any, waker: asyncio.Event
     ) -> None:
+        """Send a report at each heartbeat and when `waker` is set."""
         sent_member = Member()
         next_detail_ms = self._clock.now_ms()
         while True:
@@ -357,6 +358,8 @@
             MANIFEST_DELAY.observe((now_ms - since_ms) / 1000.0)
             is_behind = self._manifest_requests.is_behind
             self._behind_since_ms = now_ms if is_behind else None
+        # A replica sends the next manifest once it knows that this one was adopted.
+        self._report_wakers[replica_name].set()
 
     def _merge_views(self) -> None:
         """Merge the views of the connected replicas, or of all if none is connected."""
