--- a/libs/process/src/bulrushbend/process/fleet_client.py
+++ b/libs/process/src/bulrushbend/process/fleet_client.py
@@ -41,6 +41,10 @@
 # Interval of the status detail in reports. Status pages need no finer resolution, and
 # the detail is sent to every replica.
 DETAIL_INTERVAL_MS = 1000.0
+# Delay before a lost connection is opened again, and after further failures. Both are
+# random, so that not all processes connect in the same moment.
+_RECONNECT_DELAY_MS = (0.0, 100.0)
+_RETRY_DELAY_MS = (500.0, 1000.0)
 # Errors that mean the connection to a control replica is lost or unusable.
 CONNECTION_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
@@ -226,6 +230,7 @@
         while True:
             host, port = split_address(replica.address)
             channel = Channel(host, port)
+            started_ms = self._clock.now_ms()
             try:
                 await self._run_watch_stream(replica, channel)
             except CONNECTION_ERRORS as error:
@@ -249,10 +254,15 @@
                 )
             finally:
                 channel.close()
+                was_connected = replica.name in self._connected
                 self._connected.discard(replica.name)
                 self._manifest_requests.remove(replica.name)
                 self._merge_views()
-            await self._clock.sleep_ms(random.uniform(0.5, 1.0) * 1000)
+            lasted = self._clock.now_ms() - started_ms >= _RETRY_DELAY_MS[1]
+            delay_ms = (
+                _RECONNECT_DELAY_MS if was_connected and lasted else _RETRY_DELAY_MS
+            )
+            await self._clock.sleep_ms(random.uniform(*delay_ms))
 
     async def _run_watch_stream(self, replica: PeerAddress, channel: Channel) -> None:
         async with contextlib.AsyncExitStack() as stack:
--- a/tests/adapter/machines.py
+++ b/tests/adapter/machines.py
@@ -17,7 +17,7 @@
 
 _PROCESS_ID = os.getpid()
 # Addresses depend on the process id, so that two runs on one machine do not conflict.
-_ADDRESS_PREFIX = f"127.{100 + _PROCESS_ID // 250 % 100}.{_PROCESS_ID % 250}"
+ADDRESS_PREFIX = f"127.{100 + _PROCESS_ID // 250 % 100}.{_PROCESS_ID % 250}"
 _TIMEOUTS = ExchangeTimeouts(1000.0, 8000.0, 8000.0)
 PORTS = {"front": 8783, "ready": 8780, "control": 8785}
 
@@ -55,28 +55,28 @@
     ):
         self.folder = folder
         self._grace_s = grace_s
-        self.hosts = [f"{_ADDRESS_PREFIX}.{10 + number}" for number in range(size)]
+        self.hosts = [f"{ADDRESS_PREFIX}.{10 + number}" for number in range(size)]
         self.engines = [
             Engine(
                 f"i-{number}",
                 "llm",
-                f"{_ADDRESS_PREFIX}.{100 + number}",
+                f"{ADDRESS_PREFIX}.{100 + number}",
                 8080,
                 seed=seed,
             )
             for number in range(model_engines)
         ]
         self.engines.append(
-            Engine("i-app", "app", f"{_ADDRESS_PREFIX}.110", 8080, slots=app_slots)
+            Engine("i-app", "app", f"{ADDRESS_PREFIX}.110", 8080, slots=app_slots)
         )
         self.links = Network(lambda client_port, server_port: "") if has_links else None
         if self.links is not None:
             for number, engine in enumerate(self.engines):
-                listen = f"{_ADDRESS_PREFIX}.{150 + number}:8080"
+                listen = f"{ADDRESS_PREFIX}.{150 + number}:8080"
                 self.links.forward(engine.name, listen, engine.address)
                 engine.listed_address = listen
                 engine.on_listening = partial(self.links.set_listening, engine.name)
-        self.cloud = Cloud(f"{_ADDRESS_PREFIX}.200", 8781, self.engines)
+        self.cloud = Cloud(f"{ADDRESS_PREFIX}.200", 8781, self.engines)
         self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}
 
     async def start(
@@ -218,7 +218,7 @@
     """Whether any address of the loopback range can be bound, as on Linux."""
     with socket.socket() as probe:
         try:
-            probe.bind((f"{_ADDRESS_PREFIX}.10", 0))
+            probe.bind((f"{ADDRESS_PREFIX}.10", 0))
         except OSError:
             return False
     return True
--- a/tests/adapter/platform_builders.py
+++ b/tests/adapter/platform_builders.py
@@ -2,6 +2,8 @@
 
 import json
 
+from bulrushbend.platform.settings import MachineSettings
+
 SETTINGS = """
 node = "edge-papantla-1"
 role = "gateway"
@@ -126,3 +128,23 @@
         {"Token-Usage": 5000 * "9"},
         {"Prefix-Hash": "a:1,b"},
     ]
+
+
+def make_machine(ip, seeds, data_dir, **bounds):
+    """Return the settings of a machine that runs a gateway and a control replica."""
+    return MachineSettings.model_validate(
+        {
+            "node": f"edge-{ip}",
+            "ip": ip,
+            "zone": "papantla",
+            "port_range": [7400, 7415],
+            "seeds": [f"{seed}:8785" for seed in seeds],
+            "data_dir": str(data_dir),
+            "listen": {
+                "front": f"{ip}:8783",
+                "ready": f"{ip}:8780",
+                "control": f"{ip}:8785",
+            },
+            "bounds": bounds,
+        }
+    )
