Report a manifest only once it is applied completely

Evidence: in the test the error ended the call, and the second listener did not hear of the version that was reported.

Change: the error of a listener is logged, the others are called, and the version is reported once all have succeeded. Until then control sends the manifest again, and the lease runs out. An older manifest is not adopted meanwhile.

--- a/libs/process/src/bulrushbend/process/active_manifest.py
+++ b/libs/process/src/bulrushbend/process/active_manifest.py
@@ -1,7 +1,8 @@
 """The manifest in force in one process; its version never decreases."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+import traceback
+from collections.abc import Callable
 
 from bulrushbend.core.errors import ManifestError
 from bulrushbend.core.events import EventKind, EventLog
@@ -29,6 +30,7 @@
     def __init__(self, events: EventLog):
         self._events = events
         self._current: Manifest | None = None
+        self._version = 0
         self._document: ManifestDocument | None = None
         self._listeners: list[Callable[[Manifest], None]] = []
         self._adopted = asyncio.Event()
@@ -40,8 +42,8 @@
 
     @property
     def version(self) -> int:
-        """Version of the manifest in force, 0 before the first one."""
-        return self._current.version if self._current else 0
+        """Newest version that was applied completely, 0 before the first one."""
+        return self._version
 
     def add_listener(self, listener: Callable[[Manifest], None]) -> None:
         """Call `listener` with the manifest in force and each later one."""
@@ -86,12 +88,16 @@
         Returns
         -------
         bool
-            True if the manifest was adopted.
+            True if the manifest was adopted. If a listener fails, it is not, so that
+            control sends it again.
         """
         if document.version <= self.version:
             return False
         if self._current is None and not confirmed:
             return False
+        if self._current is not None and document.version < self._current.version:
+            # Older than a manifest that was confirmed but not applied completely.
+            return False
         try:
             manifest = unpack_manifest(document, peer)
         except ManifestError as error:
@@ -103,13 +109,9 @@
                 error,
             )
             return False
-        self._adopt(manifest, peer, delays)
-        return True
-
-    def _adopt(
-        self, manifest: Manifest, peer: str, delays: Mapping[str, float]
-    ) -> None:
-        self._current = manifest
+        if not self._apply(manifest):
+            return False
+        self._version = manifest.version
         self._document = pack_manifest(manifest)
         self._events.write(
             EventKind.MANIFEST_IN_FORCE,
@@ -120,5 +122,22 @@
         )
         _log.info("manifest version %d from %s is in force", manifest.version, peer)
         self._adopted.set()
+        return True
+
+    def _apply(self, manifest: Manifest) -> bool:
+        """Call all listeners; return whether none of them failed."""
+        self._current = manifest
+        succeeded = True
         for listener in self._listeners:
-            listener(manifest)
+            try:
+                listener(manifest)
+            except Exception:
+                succeeded = False
+                _log.error(
+                    "cannot apply manifest version %d; version %d stays the reported "
+                    "one until the next try\n%s",
+                    manifest.version,
+                    self.version,
+                    traceback.format_exc(),
+                )
+        return succeeded
--- a/libs/process/tests/test_active_manifest.py
+++ b/libs/process/tests/test_active_manifest.py
@@ -43,3 +43,24 @@
     in_force.adopt_if_newer(document(5), peer="p", confirmed=True)
     assert in_force.document_for(4).version == 5
     assert in_force.document_for(5) is None
+
+
+def test_version_whose_listener_failed_is_not_reported_and_is_applied_again():
+    """Guards against old routes in force under the number of a new version."""
+    in_force = ActiveManifest(MemoryEventLog())
+    applied = []
+
+    def fail_once(manifest):
+        applied.append(manifest.version)
+        if applied == [1, 4]:
+            raise RuntimeError("no")
+
+    in_force.add_listener(fail_once)
+    others = []
+    in_force.add_listener(lambda manifest: others.append(manifest.version))
+    assert in_force.adopt_if_newer(document(1), peer="c1", confirmed=True)
+    assert not in_force.adopt_if_newer(document(4), peer="c1")
+    assert (in_force.version, others) == (1, [1, 4])
+    assert not in_force.adopt_if_newer(document(3), peer="c2")
+    assert in_force.adopt_if_newer(document(4), peer="c1")
+    assert (in_force.version, applied, others) == (4, [1, 4, 4], [1, 4, 4])
