Know the age of a manifest that was restored at the start of a replica

Evidence: in the test the age stayed 0 ms; it is 900 ms after 900 ms now.

Change: the version that is restored counts from the start of the service.

--- a/libs/control/src/bulrushbend/control/service.py
+++ b/libs/control/src/bulrushbend/control/service.py
@@ -60,6 +60,7 @@
         self._watchers: set[Watcher] = set()
         self._read_index_batcher = ReadIndexBatcher(replica)
         self._version_times: deque[tuple[int, float]] = deque(maxlen=_MAX_VERSION_TIMES)
+        self._record_version()
         replica.listen(self._handle_applied)
 
     @property
@@ -201,12 +202,18 @@
         )
 
     def _handle_applied(self, applied: AppliedEntry) -> None:
-        version = self._replica.state.manifest_version
-        if version > (self._version_times[-1][0] if self._version_times else 0):
-            self._version_times.append((version, self._clock.now_ms()))
+        if self._record_version():
             for watcher in self._watchers:
                 watcher.wake()
 
+    def _record_version(self) -> bool:
+        """Record the time of a new manifest version; return whether it is new."""
+        version = self._replica.state.manifest_version
+        if version <= (self._version_times[-1][0] if self._version_times else 0):
+            return False
+        self._version_times.append((version, self._clock.now_ms()))
+        return True
+
 
 def _record_command(request: KeyRequest, time_ms: int) -> Command:
     return Command(time_ms=time_ms, record_key=request)
--- a/libs/control/tests/test_service.py
+++ b/libs/control/tests/test_service.py
@@ -25,6 +25,19 @@
     assert service.superseded_for_ms(5) == 0
 
 
+async def test_version_restored_at_the_start_has_an_age():
+    # Guards against a restarted replica that sends its manifest to no member that
+    # prefers another replica.
+    clock, replica = ManualClock(), SoloReplica()
+    await FleetService(replica, Membership(clock, 5000), clock).publish(
+        publish_request(3)
+    )
+    service = FleetService(replica, Membership(clock, 5000), clock)
+    await clock.advance(900)
+    assert service.superseded_for_ms(2) == 900
+    assert service.superseded_for_ms(3) == 0
+
+
 class _ReplicaWithoutLeader(SoloReplica):
     async def read_index(self, timeout_ms):
         raise NoQuorumError("no leader is known", step="read index")
