Check the digest of a manifest against its bytes

Cause: a received manifest was decoded, encoded again to compute its digest, and encoded once more to be kept, beside the requests of callers.

Change: the digest is that of the bytes received, which are kept as they are.

--- a/libs/process/src/bulrushbend/process/active_manifest.py
+++ b/libs/process/src/bulrushbend/process/active_manifest.py
@@ -8,7 +8,7 @@
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.core.logs import get_logger
 from bulrushbend.core.manifest import Manifest
-from bulrushbend.wire.documents import pack_manifest, unpack_manifest
+from bulrushbend.wire.documents import unpack_manifest
 from bulrushbend.wire.fleet_pb2 import ManifestDocument
 
 _log = get_logger("process.manifest")
@@ -112,11 +112,12 @@
         if not self._apply(manifest):
             return False
         self._version = manifest.version
-        self._document = pack_manifest(manifest)
+        self._document = ManifestDocument()
+        self._document.CopyFrom(document)
         self._events.write(
             EventKind.MANIFEST_IN_FORCE,
             version=manifest.version,
-            digest=manifest.digest,
+            digest=document.digest,
             peer=peer,
             **delays,
         )
--- a/libs/wire/src/bulrushbend/wire/documents.py
+++ b/libs/wire/src/bulrushbend/wire/documents.py
@@ -1,5 +1,7 @@
 """Conversion between manifests and protobuf messages."""
 
+import hashlib
+
 from bulrushbend.core.errors import ManifestError
 from bulrushbend.core.manifest import Manifest, parse_manifest
 from bulrushbend.wire.fleet_pb2 import ManifestDocument
@@ -30,7 +32,8 @@
         If the content is invalid, or its version or digest differs from the message.
     """
     manifest = parse_manifest(document.content, peer)
-    if manifest.version != document.version or manifest.digest != document.digest:
+    digest = hashlib.sha256(document.content).hexdigest()
+    if manifest.version != document.version or digest != document.digest:
         raise ManifestError(
             "version or digest differs from the content",
             step="manifest",
