Answer 503 for an unknown route while control is out of reach

Cause: a gateway whose lease has run out refused what needs a key, since its manifest may be outdated, but still stated with a 404 that a route does not exist, which callers take as final.

Evidence: in the test a gateway without control for 4 s answered 404.

Change: the 404 needs the lease as well. Without it the answer is 503 with a Retry-After, and the caller goes to another gateway.

--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -441,6 +441,7 @@
         details = self._header_codec.read_details(headers)
         route = self._routes.match(headers.get("Host", ""), start_line.path)
         if route is None:
+            self._require_lease()
             raise RequestError(404, "no-route", "no route for this host and path")
         limit_ms = float(route.time_limit_ms)
         if details.deadline_ms is not None:
@@ -449,11 +450,7 @@
             raise draining_error()
         team = ""
         if not route.public and manifest.teams:
-            if not self._lease.is_valid:
-                message = "the gateway cannot reach control"
-                raise not_run_error(
-                    503, "lease-lost", message, _STARTING_RETRY_AFTER_MS
-                )
+            self._require_lease()
             found = manifest.teams_by_token.get(hash_token(details.token))
             if found is None or not details.token:
                 raise RequestError(401, "bad-token", "the token is not known")
@@ -474,6 +471,12 @@
         self._usage.record_requested(team, call.cost)
         return call
 
+    def _require_lease(self) -> None:
+        """Raise `RequestError` if the manifest in force may be outdated."""
+        if not self._lease.is_valid:
+            message = "the gateway cannot reach control"
+            raise not_run_error(503, "lease-lost", message, _STARTING_RETRY_AFTER_MS)
+
     def _send_error(
         self, request_headers: HTTPHeaders, error: RequestError, sink: ConnectionSink
     ) -> None:
--- a/tests/adapter/test_sessions.py
+++ b/tests/adapter/test_sessions.py
@@ -130,6 +130,18 @@
             assert (status, body) == (200, content)
 
 
+async def test_gateway_without_control_does_not_deny_that_a_route_exists(tmp_path):
+    """Guards against a 404 for a route that was added out of reach."""
+    async with deployment(tmp_path) as machines:
+        for host in machines.hosts:
+            machines.send(signal.SIGSTOP, host, "control")
+        await asyncio.sleep(4.0)
+        status, headers, _ = await machines.call(
+            machines.hosts[0], "front", "GET", "/added/", {"Host": "new.example"}
+        )
+        assert (status, "Retry-After" in headers) == (503, True)
+
+
 async def test_gateway_without_control_stops_serving(tmp_path):
     # Guards against an isolated gateway that accepts revoked keys indefinitely.
     async with deployment(tmp_path) as machines:
