Keep to the request rate that an endpoint states for all gateways together

Cause: nothing read the limit. Each gateway sent what its placement chose.

Nothing in the code read the header.

Change: the limit of an endpoint is accounted for where requests are placed, at the coordinator of the service, also for requests without a prompt, which gateways placed by themselves. An account allows the rate and a burst of one request and half a second's worth. Load reports carry the known limits and the number of requests that each gateway placed, so a coordinator that takes over knows them, and two at the same time charge each other for what they did not grant. Without a coordinator a gateway has an equal share. If all endpoints are limited, a request whose turn comes too late is refused at once with the time until it would come. A limit ends with a response that names none, or with the endpoint's incarnation.

--- a/libs/bench/src/bulrushbend/bench/placement_costs.py
+++ b/libs/bench/src/bulrushbend/bench/placement_costs.py
@@ -15,6 +15,7 @@
 from bulrushbend.gateway.admission import AdmissionQueue
 from bulrushbend.gateway.call import Placement, PromptPart
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_limits import EndpointLimits
 from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
 from bulrushbend.gateway.health import EndpointHealth
@@ -99,14 +100,23 @@
     directory = EndpointDirectory(_ListSource(), clock, events, 1000.0, lambda: 1)
     directory.adopt(found, 0.0)
     prefix_cache = PrefixCacheIndex()
-    loads = LoadView("g0", 1, clock, prefix_cache)
+    rates = EndpointLimits(clock, events, directory.get, lambda service: True)
+    loads = LoadView("g0", 1, clock, prefix_cache, rates)
     notices = EndpointNotices(clock, events, directory.get)
     health = EndpointHealth(clock, events)
     limits = PlacementLimits()
-    placer = Placer(loads, prefix_cache, health, notices, limits, "dc-0")
+    placer = Placer(loads, prefix_cache, health, notices, rates, limits, "dc-0")
     shares = TeamShares(clock)
     queue = AdmissionQueue(
-        _SERVICE, directory, placer, notices, loads, shares, clock, most_waiting=10_000
+        _SERVICE,
+        directory,
+        placer,
+        notices,
+        rates,
+        loads,
+        shares,
+        clock,
+        most_waiting=10_000,
     )
     prompts = [
         (
--- a/libs/core/src/bulrushbend/core/events.py
+++ b/libs/core/src/bulrushbend/core/events.py
@@ -61,6 +61,7 @@
     ENDPOINT_FOUND = "endpoint-found"
     ENDPOINT_LEAVING = "endpoint-leaving"
     ENDPOINT_GONE = "endpoint-gone"
+    ENDPOINT_LIMITED = "endpoint-limited"
     ENDPOINT_PAUSED = "endpoint-paused"
     ENDPOINT_AVOIDED = "endpoint-avoided"
     ENDPOINT_SOUND = "endpoint-sound"
--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -15,6 +15,7 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import Placement, RequestError, not_run_error
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_limits import EndpointLimits
 from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import EndpointDirectory
 from bulrushbend.gateway.loads import LoadView
@@ -76,6 +77,8 @@
         Chooses the endpoint.
     notices : EndpointNotices
         Determines which endpoints want no requests.
+    limits : EndpointLimits
+        Determines how many requests the endpoints may get.
     loads : LoadView
         Records placed requests.
     shares : TeamShares
@@ -92,6 +95,7 @@
         directory: EndpointDirectory,
         placer: Placer,
         notices: EndpointNotices,
+        limits: EndpointLimits,
         loads: LoadView,
         shares: TeamShares,
         clock: Clock,
@@ -101,6 +105,7 @@
         self._directory = directory
         self._placer = placer
         self._notices = notices
+        self._limits = limits
         self._loads = loads
         self._shares = shares
         self._clock = clock
@@ -136,6 +141,7 @@
             raise self._overload_error("queue-full")
         if demand.wait_until_ms <= self._clock.now_ms():
             raise self._overload_error("no-time")
+        self._check_limits(demand)
         future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
         entry = _WaitingRequest(demand, future)
         self._queues_by_team.setdefault(demand.team, []).append(entry)
@@ -158,6 +164,26 @@
         if error is not None:
             raise error
 
+    def _check_limits(self, demand: Demand) -> None:
+        """Raise `RequestError` if the limits leave nothing for a request in time."""
+        excluded = self._notices.excluded(demand.requester) | demand.avoided
+        endpoints = [
+            endpoint
+            for endpoint in self._directory.of_service(self._service)
+            if endpoint.id not in excluded
+        ]
+        wait_ms = self._limits.wait_ms(
+            endpoints, self._service, demand.requester, self.waiting
+        )
+        if wait_ms > demand.wait_until_ms - self._clock.now_ms():
+            message = "all endpoints limit their requests"
+            retry_after_ms = min(_MAX_RETRY_AFTER_MS, wait_ms)
+            raise not_run_error(503, "endpoints-limited", message, retry_after_ms)
+
+    def is_limited(self) -> bool:
+        """Return whether an endpoint of the service limits its requests."""
+        return self._limits.applies_to(self._directory.of_service(self._service))
+
     def place_waiting_soon(self) -> None:
         """Schedule a placement pass; later calls until it runs share the same pass."""
         if self._queues_by_team and not self._is_pass_scheduled:
--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -29,6 +29,7 @@
 from bulrushbend.core.logs import get_logger
 from bulrushbend.gateway.call import Call, Placement
 from bulrushbend.gateway.crash_reports import CrashReports
+from bulrushbend.gateway.endpoint_limits import EndpointLimits
 from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.header_codec import HeaderCodec
@@ -120,6 +121,7 @@
     health: EndpointHealth
     crash_reports: CrashReports
     notices: EndpointNotices
+    limits: EndpointLimits
     leaving_reports: LeavingReports
     clock: Clock
     connect_ms: float
@@ -299,6 +301,8 @@
         # A refusal of another request proves nothing about this one.
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
+        if status != HTTPStatus.MISDIRECTED_REQUEST:
+            self._record_limit(headers)
         if header_codec.proves_not_run(status, headers):
             if status == HTTPStatus.MISDIRECTED_REQUEST:
                 self._context.crash_reports.record_replaced(self._endpoint.id)
@@ -337,6 +341,19 @@
         if pause_ms is not None:
             self._context.notices.record_pause(self._endpoint, pause_ms)
 
+    def _record_limit(self, headers: HTTPHeaders) -> None:
+        """Record the limit that the endpoint states, or that it states none."""
+        try:
+            rate_per_s = self._context.header_codec.read_limit_per_s(headers)
+        except ValueError as error:
+            _log.warning(
+                "response of endpoint %s: %s; keeping the limit that is known",
+                self._endpoint.id,
+                error,
+            )
+            return
+        self._context.limits.record_statement(self._endpoint, rate_per_s)
+
     def _response_headers(self, exchange: Exchange) -> HTTPHeaders:
         headers = self._context.header_codec.caller_headers(exchange.headers)
         length = exchange.headers.get("Content-Length")
--- a/libs/gateway/src/bulrushbend/gateway/coordinators.py
+++ b/libs/gateway/src/bulrushbend/gateway/coordinators.py
@@ -107,6 +107,10 @@
         self._in_use.pop(service, None)
         return None
 
+    def is_first(self, service: str) -> bool:
+        """Return whether this gateway is the first in rank for a service."""
+        return self._ranked(service)[0] == self._name
+
     def addresses_in_use(self) -> set[str]:
         """Return the addresses of the coordinators chosen most recently."""
         found = {self._addresses.get(name) for name in self._in_use.values()}
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -32,6 +32,7 @@
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
+from bulrushbend.gateway.endpoint_limits import EndpointLimits
 from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoint_sharing import EndpointListExchange, reader_rank
 from bulrushbend.gateway.endpoints import EndpointDirectory, EndpointSource
@@ -162,8 +163,18 @@
             lambda: self._data_centre_count,
         )
         self._prefix_cache = PrefixCacheIndex()
+        self._coordinators = Coordinators(
+            identity.name, clock, events, settings.processor
+        )
+        self._endpoint_limits = EndpointLimits(
+            clock, events, self._directory.get, self._coordinators.is_first
+        )
         self._loads = LoadView(
-            identity.name, identity.incarnation, clock, self._prefix_cache
+            identity.name,
+            identity.incarnation,
+            clock,
+            self._prefix_cache,
+            self._endpoint_limits,
         )
         self._health = EndpointHealth(clock, events)
         self._notices = EndpointNotices(clock, events, self._directory.get)
@@ -173,6 +184,7 @@
             self._prefix_cache,
             self._health,
             self._notices,
+            self._endpoint_limits,
             PlacementLimits(),
             settings.data_centre,
         )
@@ -182,9 +194,6 @@
         self._usage = UsageMeter(clock)
         self._server = CallerServer(self, settings.header_timeout_ms, _connection_limit)
         self._queues = ServiceQueues(self._create_queue)
-        self._coordinators = Coordinators(
-            identity.name, clock, events, settings.processor
-        )
         self._peer_protocol = PeerProtocol(
             self._loads, self._coordinators, clock, settings.spread_ms
         )
@@ -243,6 +252,7 @@
             self._health,
             self._crash_reports,
             self._notices,
+            self._endpoint_limits,
             leaving_reports,
             clock,
             settings.connect_ms,
@@ -535,6 +545,7 @@
             self._directory,
             self._placer,
             self._notices,
+            self._endpoint_limits,
             self._loads,
             self._shares,
             self._clock,
@@ -573,6 +584,7 @@
         cores_by_gateway = {member.name: member.processor for member in gateways}
         self._coordinators.set_peers(peers, cores_by_gateway)
         self._budgets.set_gateways(len(peers) + 1)
+        self._endpoint_limits.set_gateways(len(peers) + 1)
         self._update_readers(gateways)
 
     def _update_readers(self, others: Sequence[Member]) -> None:
@@ -591,6 +603,7 @@
             self._prefix_cache.remove(endpoint)
             self._health.remove(endpoint)
         self._notices.update()
+        self._endpoint_limits.update()
         manifest = self._in_force.current
         if manifest is not None:
             for endpoint in self._directory.endpoints:
--- a/libs/gateway/src/bulrushbend/gateway/header_codec.py
+++ b/libs/gateway/src/bulrushbend/gateway/header_codec.py
@@ -28,7 +28,7 @@
 )
 
 
-_SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?|\.[0-9]+")
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?|\.[0-9]+")
 
 
 class HeaderCodec(Protocol):
@@ -86,6 +86,18 @@
         """
         ...
 
+    def read_limit_per_s(self, headers: HTTPHeaders) -> float | None:
+        """Return how many requests a second the endpoint accepts from all gateways.
+
+        None if it does not say so.
+
+        Raises
+        ------
+        ValueError
+            The value cannot be read.
+        """
+        ...
+
     def caller_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers that are passed to the caller with a response."""
         ...
@@ -118,6 +130,23 @@
     return f"{error.retry_after_ms / 1000.0:.3f}"
 
 
+def parse_rate(headers: HTTPHeaders, name: str) -> float | None:
+    """Return the rate in the headers called `name`, None if there is none.
+
+    Of several rates, the lowest one counts.
+
+    Raises
+    ------
+    ValueError
+        A value is not a decimal number, or is too large.
+    """
+    values = [part for value in headers.get_list(name) for part in value.split(",")]
+    rates = [_parse_decimal(value, name) for value in values]
+    if not all(map(math.isfinite, rates)):
+        raise ValueError(f"{name} is too large: {values[0][:40]!r}")
+    return min(rates, default=None)
+
+
 def parse_retry_after(headers: HTTPHeaders) -> float | None:
     """Return the time in Retry-After in milliseconds, None if there is none.
 
@@ -129,15 +158,15 @@
         A value is not a number of seconds, with or without a fraction.
     """
     values = headers.get_list("Retry-After")
-    delays_ms = [_parse_seconds(value) * 1000.0 for value in values]
+    delays_ms = [_parse_decimal(value, "Retry-After") * 1000.0 for value in values]
     if not all(map(math.isfinite, delays_ms)):
         raise ValueError(f"Retry-After is too large: {values[0][:40]!r}")
     return max(delays_ms, default=None)
 
 
-def _parse_seconds(text: str) -> float:
-    if not _SECONDS.fullmatch(text.strip()):
-        raise ValueError(f"Retry-After is no number of seconds: {text[:40]!r}")
+def _parse_decimal(text: str, name: str) -> float:
+    if not _DECIMAL.fullmatch(text.strip()):
+        raise ValueError(f"{name} is no decimal number: {text[:40]!r}")
     return float(text)
 
 
--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -8,6 +8,7 @@
 from bulrushbend.core.clock import Clock
 from bulrushbend.gateway.call import Placement, PromptPart
 from bulrushbend.gateway.demand import Demand
+from bulrushbend.gateway.endpoint_limits import EndpointLimits
 from bulrushbend.gateway.load_totals import Load, LoadTotals
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
 from bulrushbend.gateway.prompt_reports import PromptReports
@@ -67,11 +68,19 @@
         Source of time.
     prefix_cache : PrefixCacheIndex
         Records the shared parts of the prompts that any gateway places.
+    limits : EndpointLimits, optional
+        Counts the placements at endpoints with a limit, here and in the reports.
     """
 
     def __init__(
-        self, name: str, incarnation: int, clock: Clock, prefix_cache: PrefixCacheIndex
+        self,
+        name: str,
+        incarnation: int,
+        clock: Clock,
+        prefix_cache: PrefixCacheIndex,
+        limits: EndpointLimits | None = None,
     ):
+        self._limits = limits
         self._prefix_cache = prefix_cache
         self._prompt_reports = PromptReports()
         self._name = name
@@ -157,6 +166,8 @@
             placement.endpoint, placement.unread_tokens, self._clock.now_ms()
         )
         self._grant_order.append((demand.requester, serial))
+        if self._limits is not None:
+            self._limits.record_granted(placement.endpoint, demand.requester)
         self._totals.add(placement.endpoint, 1, placement.unread_tokens)
         self._notify_change()
         return Placement(
@@ -197,6 +208,8 @@
     def release(self, placement: Placement, requester: str = "") -> None:
         """Remove the load of a placement that is not used."""
         if requester:
+            if self._limits is not None:
+                self._limits.release_grant(placement.endpoint, requester)
             self._remove_grant(requester, placement.serial)
             self._notify_change()
         else:
@@ -242,7 +255,8 @@
             report before the last one, so that a single report may be lost.
         """
         self._sequence += 1
-        endpoints = list(self._own)
+        known_limits = self._limits.known if self._limits is not None else ()
+        endpoints = list({**self._own, **dict.fromkeys(known_limits)})
         if is_partial:
             endpoints = sorted(self._changed_endpoints | self._repeated_endpoints)
         if is_brief:
@@ -293,6 +307,7 @@
         )
         loads_before = known.loads if known is not None else {}
         loads = {e.endpoint: Load(e.running, e.unread_tokens) for e in report.endpoints}
+        self._handle_limits(report)
         if report.is_partial and is_same_incarnation:
             has_decreased = _has_decreased(loads_before, loads, is_partial=True)
             self._update_loads(loads_before, loads)
@@ -329,6 +344,15 @@
                 self._remove_grants(report.gateway, mark.serial)
         return known is None or not report.is_brief or has_decreased
 
+    def _handle_limits(self, report: LoadReport) -> None:
+        if self._limits is None:
+            return
+        for entry in report.endpoints:
+            if entry.HasField("limit"):
+                self._limits.handle_report(
+                    report.gateway, report.incarnation, entry.endpoint, entry.limit
+                )
+
     def _charge_increases(self, before: dict[str, int], now: dict[str, int]) -> None:
         for team, tokens in now.items():
             increase = tokens - before.get(team, 0)
@@ -358,6 +382,7 @@
             endpoint=endpoint,
             running=max(0, load.running),
             unread_tokens=max(0, load.unread_tokens),
+            limit=self._limits.describe(endpoint) if self._limits is not None else None,
         )
 
     def _record_waiting(self, gateway: str, usages: dict[str, float]) -> None:
@@ -389,6 +414,8 @@
         )
 
     def _add_load(self, placement: Placement) -> None:
+        if self._limits is not None:
+            self._limits.record_placed(placement.endpoint)
         load = self._own[placement.endpoint]
         load.running += 1
         load.unread_tokens += placement.unread_tokens
--- a/libs/gateway/src/bulrushbend/gateway/metrics.py
+++ b/libs/gateway/src/bulrushbend/gateway/metrics.py
@@ -30,6 +30,10 @@
     "bulrushbend_gateway_endpoint_pauses_total",
     "Pauses that endpoints asked this gateway for.",
 )
+LIMITED = Gauge(
+    "bulrushbend_gateway_limited_endpoints",
+    "Endpoints that limit the rate of requests from all gateways.",
+)
 QUARANTINED = Gauge(
     "bulrushbend_gateway_quarantined_prompts",
     "Prompt parts that crash endpoints and are refused.",
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -322,7 +322,8 @@
         """Wait until an endpoint is chosen for a request and its load is counted.
 
         Requests without a prompt do not slow one another down at an endpoint. They are
-        placed locally, which saves the round trip to the coordinator.
+        placed locally, which saves the round trip to the coordinator, unless endpoints
+        limit what they get from all gateways together.
 
         Raises
         ------
@@ -330,7 +331,7 @@
             No endpoint can accept the request in time; it was not sent.
         """
         self._queue.check_notices()
-        if demand.has_prompt:
+        if demand.has_prompt or self._queue.is_limited():
             # The coordinator does not know which endpoints paused this gateway.
             paused = itertools.islice(self._notices.paused, _MAX_PAUSED)
             asked = dataclasses.replace(demand, avoided=demand.avoided.union(paused))
--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -12,6 +12,7 @@
 
 from bulrushbend.gateway.demand import Demand
 from bulrushbend.gateway.endpoint_index import EndpointIndex
+from bulrushbend.gateway.endpoint_limits import EndpointLimits
 from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.health import EndpointHealth
@@ -121,6 +122,8 @@
         Determines which endpoints are avoided and which are slow.
     notices : EndpointNotices
         Determines which endpoints want no requests.
+    rates : EndpointLimits
+        Determines which endpoints may get no further request now.
     limits : PlacementLimits
         Bounds on the work at one endpoint.
     data_centre : str
@@ -133,6 +136,7 @@
         prefix_cache: PrefixCacheIndex,
         health: EndpointHealth,
         notices: EndpointNotices,
+        rates: EndpointLimits,
         limits: PlacementLimits,
         data_centre: str,
     ):
@@ -140,6 +144,7 @@
         self._prefix_cache = prefix_cache
         self._health = health
         self._notices = notices
+        self._rates = rates
         self._limits = limits
         self._data_centre = data_centre
         self._indexes: dict[str, EndpointIndex] = {}
@@ -263,12 +268,13 @@
     def _avoided(
         self, demand: Demand, endpoints: Sequence[DiscoveredEndpoint]
     ) -> frozenset[str]:
-        """Return the ids of endpoints that fail or that want no requests.
+        """Return the ids of endpoints that fail or that want no requests now.
 
         The bound on avoided endpoints only holds for those that fail.
         """
         avoided = self._health.avoided(endpoints)
         excluded = self._notices.excluded(demand.requester)
+        excluded |= self._rates.exhausted(endpoints[0].service, demand.requester)
         if avoided and excluded:
             others = [e for e in endpoints if e.id not in excluded]
             avoided = self._health.avoided(others)
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -15,11 +15,13 @@
 from bulrushbend.gateway.call import Call, CallDetails, Placement, PromptPart
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.demand import Demand, demand_of
+from bulrushbend.gateway.endpoint_limits import EndpointLimits
 from bulrushbend.gateway.endpoint_notices import EndpointNotices
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
 from bulrushbend.gateway.header_codec import (
     bearer_token,
     end_to_end_headers,
+    parse_rate,
     parse_retry_after,
     retry_after_value,
 )
@@ -144,7 +146,11 @@
         )
         self.directory._update_list(self.source.endpoints, self.clock.boot_ms())
         self.prefix_cache = PrefixCacheIndex()
-        self.loads = LoadView(name, 1, self.clock, self.prefix_cache)
+        self.is_coordinator = True
+        self.limits = EndpointLimits(
+            self.clock, self.events, self.directory.get, lambda _: self.is_coordinator
+        )
+        self.loads = LoadView(name, 1, self.clock, self.prefix_cache, self.limits)
         self.health = EndpointHealth(self.clock, self.events)
         self.notices = EndpointNotices(self.clock, self.events, self.directory.get)
         self.directory.add_listener(lambda ended: self.notices.update())
@@ -158,6 +164,7 @@
             self.prefix_cache,
             self.health,
             self.notices,
+            self.limits,
             PlacementLimits(unread_tokens),
             "papantla",
         )
@@ -166,6 +173,7 @@
             self.directory,
             self.placer,
             self.notices,
+            self.limits,
             self.loads,
             self.shares,
             self.clock,
@@ -236,6 +244,9 @@
     def read_pause_ms(self, headers):
         return parse_retry_after(headers)
 
+    def read_limit_per_s(self, headers):
+        return parse_rate(headers, "Limit")
+
     def caller_headers(self, headers):
         return end_to_end_headers(headers, frozenset())
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -48,6 +48,7 @@
             self.components.health,
             self.components.make_crash_reports(coordinators, lambda *_: None),
             self.components.notices,
+            self.components.limits,
             self.components.make_leaving_reports(coordinators, lambda *_: None),
             clock,
             300.0,
@@ -1176,3 +1177,17 @@
         result = await fixture.serve(route=ONCE, tokens=5_000)
         assert result.verdict is Verdict.ANSWERED
         assert [len(e.requests) for e in fixture.endpoints] == [1, 0]
+
+
+async def test_limit_holds_until_a_response_names_none():
+    """Guards against a limit that is not noticed, or that never ends."""
+    server = ScriptedEndpoint(
+        [plain_response(Id="r1", Limit="50")],
+        [plain_response(Id="r1", Limit="none")],
+        [plain_response(Id="r1")],
+    )
+    async with server.running():
+        fixture = DispatcherFixture(server)
+        for is_limited in (True, True, False):
+            await fixture.serve()
+            assert fixture.components.queue.is_limited() is is_limited
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -195,6 +195,32 @@
         HEADER_CODEC.read_pause_ms(HTTPHeaders({"Retry-After": value}))
 
 
+@pytest.mark.parametrize(
+    ("values", "rate"),
+    [
+        ([], None),
+        (["7"], 7.0),
+        (["0"], 0.0),
+        (["0.30"], 0.3),
+        (["1000000000"], 1e9),
+        (["8", "2.5"], 2.5),
+    ],
+)
+def test_limit_of_an_endpoint_is_read(values, rate):
+    headers = HTTPHeaders()
+    for value in values:
+        headers.add("Server-Limit", value)
+    assert HEADER_CODEC.read_limit_per_s(headers) == rate
+
+
+@pytest.mark.parametrize(
+    "value", ["-1", "nan", "inf", "", "x", "1e3", "7,y", 400 * "9"]
+)
+def test_limit_that_is_no_number_is_refused(value):
+    with pytest.raises(ValueError, match="Server-Limit"):
+        HEADER_CODEC.read_limit_per_s(HTTPHeaders({"Server-Limit": value}))
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "genuine"),
     [
