--- a/libs/store/src/bulrushbend/store/leadership.py
+++ b/libs/store/src/bulrushbend/store/leadership.py
@@ -3,7 +3,12 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from bulrushbend.core.errors import NoQuorumError, PeerError, StoreFailedError
+from bulrushbend.core.errors import (
+    NoQuorumError,
+    PeerError,
+    PeerTimeoutError,
+    StoreFailedError,
+)
 from bulrushbend.core.logs import get_logger
 from bulrushbend.store.configuration import Node
 from bulrushbend.store.core import ReplicaCore
@@ -22,6 +27,9 @@
 # Limit for the commands in one message, so that sending entries to a follower far
 # behind does not occupy the connection for longer than a heartbeat interval.
 BATCH_BYTES = 1 << 20
+# Time-outs of the transfer of a snapshot: of the first try, since its connection may be
+# silent, and of later ones, which double, since a slow disk or link needs longer.
+FIRST_SNAPSHOT_TIMEOUT_MS = 2_000
 SNAPSHOT_TIMEOUT_MS = 30_000
 
 
@@ -36,6 +44,7 @@
     confirmed_round: int = 0
     sent_commit_index: int = 0
     disk_id: str = ""
+    snapshot_timeout_ms: float = FIRST_SNAPSHOT_TIMEOUT_MS
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -374,9 +383,15 @@
             last_term=snapshot.last.term,
             data=snapshot.data,
         )
-        reply = await self._transport.call(
-            peer.node, "InstallSnapshot", request, SNAPSHOT_TIMEOUT_MS
-        )
+        timeout_ms = peer.snapshot_timeout_ms
+        try:
+            reply = await self._transport.call(
+                peer.node, "InstallSnapshot", request, timeout_ms
+            )
+        except PeerTimeoutError:
+            peer.snapshot_timeout_ms = min(SNAPSHOT_TIMEOUT_MS, 2 * timeout_ms)
+            raise
+        peer.snapshot_timeout_ms = FIRST_SNAPSHOT_TIMEOUT_MS
         if reply.term > self._term:
             self._core.adopt_term(reply.term, f"{peer.node.name} has a higher term")
             return
--- a/libs/store/tests/test_replica.py
+++ b/libs/store/tests/test_replica.py
@@ -22,6 +22,9 @@
 from bulrushbend.wire.control_pb2 import Command
 from bulrushbend.wire.fleet_pb2 import PublishReply, VotersRequest
 
+# Time in which the platform expects a replica that is back to have caught up.
+CATCH_UP_S = 4.0
+
 
 async def change(cluster, kind, name):
     reply = await cluster.leader.change_voters(
@@ -185,6 +188,21 @@
         assert len(seen) <= 50
 
 
+async def test_snapshot_whose_reply_is_lost_is_sent_again_in_time(tmp_path):
+    """Guards against a replica that gets nothing more while a connection is silent."""
+    async with Cluster(tmp_path, snapshot_entries=10) as cluster:
+        behind = cluster.others(cluster.leader_name)[0]
+        await cluster.stop(behind)
+        for version in range(1, 51):
+            await cluster.leader.propose(put_manifest(version), 3000)
+        cluster.network.drop_replies("InstallSnapshot")
+        replica = cluster.start(behind)
+        await wait_until(lambda: replica.state.manifest_version > 0)
+        cluster.network.heal()
+        await cluster.leader.propose(put_manifest(51), 3000)
+        await wait_until(lambda: replica.state.manifest_version == 51, CATCH_UP_S)
+
+
 async def test_log_of_large_commands_does_not_outgrow_the_disk(tmp_path):
     """Guards against a log that is limited by the number of its entries only."""
     limit = 4000
