Use a paused endpoint for a waiting request once its pause has ended

Cause: the requester named its paused endpoints among those to avoid, once, without the end of the pauses.

Change: it names them with the time that is left, and the coordinator leaves them out until then. They stay among the avoided ones too, for coordinators of an earlier release.

--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -167,6 +167,7 @@
     def _check_limits(self, demand: Demand) -> None:
         """Raise `RequestError` if the limits leave nothing for a request in time."""
         excluded = self._notices.excluded(demand.requester) | demand.avoided
+        excluded |= demand.paused(self._clock.now_ms())
         endpoints = [
             endpoint
             for endpoint in self._directory.of_service(self._service)
@@ -253,7 +254,8 @@
 
     def _could_place(self, demand: Demand) -> bool:
         endpoints = self._directory.of_service(self._service)
-        return self._placer.choose(demand, endpoints, remaining_wait=1.0) is not None
+        paused = demand.paused(self._clock.now_ms())
+        return self._placer.choose(demand, endpoints, 1.0, paused) is not None
 
     def _place_one(
         self, queue: list[_WaitingRequest], queued_tokens: float, reserved: set[str]
@@ -296,8 +298,9 @@
         endpoints = self._directory.of_service(self._service)
         if len(reserved) >= max(1, int(_MAX_RESERVED_SHARE * len(endpoints))):
             return
+        left_out = demand.paused(now_ms).union(reserved)
         best = self._placer.find_best(
-            demand, endpoints, demand.remaining_wait(now_ms), frozenset(reserved)
+            demand, endpoints, demand.remaining_wait(now_ms), left_out
         )
         if best is not None:
             reserved.add(best.endpoint.id)
@@ -310,9 +313,14 @@
     def _try_to_place(
         self, demand: Demand, reserved: frozenset[str] = frozenset()
     ) -> Placement | None:
+        now_ms = self._clock.now_ms()
         endpoints = self._directory.of_service(self._service)
-        remaining_wait = demand.remaining_wait(self._clock.now_ms())
-        chosen = self._placer.choose(demand, endpoints, remaining_wait, reserved)
+        chosen = self._placer.choose(
+            demand,
+            endpoints,
+            demand.remaining_wait(now_ms),
+            demand.paused(now_ms) | reserved,
+        )
         if chosen is None:
             return None
         source = chosen.source.address if chosen.source else ""
--- a/libs/gateway/src/bulrushbend/gateway/demand.py
+++ b/libs/gateway/src/bulrushbend/gateway/demand.py
@@ -1,7 +1,8 @@
 """Properties of a request that determine its placement."""
 
 import functools
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from bulrushbend.gateway.call import Call, PromptPart
 
@@ -9,6 +10,8 @@
 # prefill and the network.
 _WAITING_SHARE = 0.7
 
+_NONE: frozenset[str] = frozenset()
+
 
 @dataclass(frozen=True, eq=False)
 class Demand:
@@ -38,6 +41,8 @@
         Data centre of the requester; empty for the one of this gateway.
     identity : str
         Identity of the request, see `Call.identity`.
+    pauses : dict of str to float
+        Times until which endpoints want no requests of the requester, by id.
     """
 
     team: str
@@ -51,6 +56,7 @@
     requester: str = ""
     data_centre: str = ""
     identity: str = ""
+    pauses: Mapping[str, float] = field(default_factory=dict)
 
     @functools.cached_property
     def min_unread_tokens(self) -> int:
@@ -72,6 +78,12 @@
         """Whether the endpoint has a prompt to process."""
         return self.tokens > 1
 
+    def paused(self, now_ms: float) -> frozenset[str]:
+        """Return the ids of the endpoints that want no requests of the requester."""
+        if not self.pauses:
+            return _NONE
+        return frozenset(name for name, end in self.pauses.items() if now_ms < end)
+
     def remaining_wait(self, now_ms: float) -> float:
         """Return the fraction of the waiting time that is left, from 1 to 0."""
         span_ms = max(1.0, self.wait_until_ms - self.wait_start_ms)
--- a/libs/gateway/src/bulrushbend/gateway/endpoint_notices.py
+++ b/libs/gateway/src/bulrushbend/gateway/endpoint_notices.py
@@ -69,6 +69,10 @@
             return -math.inf
         return notice.until_ms
 
+    def end_ms(self, name: str) -> float:
+        """Return the end of the notice in force of the endpoint with an id."""
+        return self._notices[name].until_ms
+
     def record(
         self, endpoint: DiscoveredEndpoint, now_ms: float, until_ms: float = math.inf
     ) -> bool:
@@ -152,6 +156,10 @@
         """Ids of the listed endpoints that want no requests of this gateway now."""
         return self._paused.in_force(self._clock.now_ms())
 
+    def pauses(self) -> dict[str, float]:
+        """Return the ends of the pauses in force by endpoint id."""
+        return {name: self._paused.end_ms(name) for name in self.paused}
+
     def excluded(self, requester: str) -> frozenset[str]:
         """Return the ids of the endpoints that want no requests of a gateway.
 
--- a/libs/gateway/src/bulrushbend/gateway/placement_client.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -43,6 +44,8 @@
 _MAX_COORDINATORS = 2
 # Paused endpoints that a request names; a datagram with them stays under 8 KB.
 _MAX_PAUSED = 256
+# Longest pause that fits in a request.
+_MAX_PAUSE_MS = (1 << 32) - 1
 # Bits of a request number that count the requests of one incarnation.
 _NUMBER_BITS = 24
 # Range of the times in refusals, and the time used instead of one outside of it.
@@ -227,7 +230,13 @@
     def _build_request(
         self, service: str, demand: Demand, number: int
     ) -> GatewayDatagram:
-        wait_ms = max(0.0, demand.wait_until_ms - self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        wait_ms = max(0.0, demand.wait_until_ms - now_ms)
+        pauses = {
+            name: end_ms - now_ms
+            for name, end_ms in demand.pauses.items()
+            if name not in demand.avoided and end_ms > now_ms
+        }
         return GatewayDatagram(
             request=PlaceRequest(
                 gateway=self._name,
@@ -239,11 +248,14 @@
                 cost=demand.cost,
                 digests=[part.digest for part in demand.shared],
                 part_tokens=[part.tokens for part in demand.shared],
-                avoided=sorted(demand.avoided),
+                # A coordinator of an earlier release avoids paused endpoints for good.
+                avoided=sorted(demand.avoided.union(pauses)),
                 wait_ms=int(wait_ms),
                 request_id=demand.request_id,
                 data_centre=self._data_centre,
                 identity=demand.identity,
+                paused=pauses.keys(),
+                pause_ms=[min(_MAX_PAUSE_MS, math.ceil(n)) for n in pauses.values()],
             )
         )
 
@@ -333,8 +345,8 @@
         self._queue.check_notices()
         if demand.has_prompt or self._queue.is_limited():
             # The coordinator does not know which endpoints paused this gateway.
-            paused = itertools.islice(self._notices.paused, _MAX_PAUSED)
-            asked = dataclasses.replace(demand, avoided=demand.avoided.union(paused))
+            pauses = itertools.islice(self._notices.pauses().items(), _MAX_PAUSED)
+            asked = dataclasses.replace(demand, pauses=dict(pauses))
             placement = await self._client.request_placement(
                 self._service, asked, self._queue.check_notices
             )
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -233,11 +233,15 @@
         tokens=min(request.tokens, MAX_TOKENS),
         cost=min(request.cost, MAX_COST),
         shared=tuple(PromptPart(digest, tokens) for digest, tokens in sizes),
-        avoided=frozenset(request.avoided),
+        avoided=frozenset(request.avoided).difference(request.paused),
         wait_start_ms=now_ms,
         wait_until_ms=now_ms + request.wait_ms,
         request_id=request.request_id,
         requester=request.gateway,
         data_centre=request.data_centre,
         identity=request.identity,
+        pauses={
+            name: now_ms + pause_ms
+            for name, pause_ms in zip(request.paused, request.pause_ms, strict=False)
+        },
     )
--- a/libs/gateway/src/bulrushbend/gateway/placer.py
+++ b/libs/gateway/src/bulrushbend/gateway/placer.py
@@ -195,7 +195,8 @@
             Fraction of the request's waiting time that is left, from 1 to 0. The
             smaller it is, the less a cached prefix at a busy endpoint counts.
         reserved : frozenset of str, default=frozenset()
-            Ids of endpoints that are left to other requests.
+            Ids of endpoints that are left to other requests, or that want none of the
+            requester.
         """
         best = self.find_best(demand, endpoints, remaining_wait, reserved)
         return best if best is not None and not best.is_full else None
