Refuse a request at once if each endpoint leaves or pauses its gateway

Cause: the coordinator judged the notices that it knows, which do not include the pauses of the requester.

Change: it judges both, when the request arrives and while it waits.

--- a/libs/gateway/src/bulrushbend/gateway/admission.py
+++ b/libs/gateway/src/bulrushbend/gateway/admission.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from bulrushbend.core.clock import Clock
@@ -54,6 +54,7 @@
 _RETRY_AFTER_PER_WAITING_MS = 40.0
 # Restarted endpoints appear in the endpoint list after about this time.
 _NO_ENDPOINT_RETRY_AFTER_MS = 1_000.0
+_NO_PAUSES: Mapping[str, float] = {}
 # Any gateway but this one, as a requester.
 _ANOTHER = "another gateway"
 
@@ -130,7 +131,9 @@
         """
         if not self._directory.of_service(self._service):
             raise _no_endpoint_error("no endpoint is known")
-        self.check_notices(demand.requester)
+        error = self._notice_error(demand.requester, demand.pauses)
+        if error is not None:
+            raise error
         self._shares.charge(self._loads.pop_charges())
         peer_usage = self._loads.lowest_waiting_usage(self._service)
         if not self._queues_by_team and not self._must_yield(demand.team, peer_usage):
@@ -334,9 +337,9 @@
             for entry in list(queue):
                 demand = entry.demand
                 error = None
-                if not (has_any if demand.requester else has_own):
-                    error = self._notice_error(demand.requester)
-                elif demand.wait_until_ms <= now_ms:
+                if not (has_any if demand.requester else has_own) or demand.pauses:
+                    error = self._notice_error(demand.requester, demand.pauses)
+                if error is None and demand.wait_until_ms <= now_ms:
                     error = self._overload_error("no-capacity")
                 if error is None:
                     continue
@@ -349,12 +352,33 @@
         endpoints = self._directory.of_service(self._service)
         return not endpoints or self._notices.has_usable(endpoints, requester)
 
-    def _notice_error(self, requester: str) -> RequestError | None:
-        """Return the error if no known endpoint wants requests of a gateway."""
-        if self._has_usable(requester):
-            return None
+    def _notice_error(
+        self, requester: str, pauses: Mapping[str, float] = _NO_PAUSES
+    ) -> RequestError | None:
+        """Return the error if no known endpoint wants requests of a gateway.
+
+        Parameters
+        ----------
+        requester : str
+            Name of another gateway, empty for this one.
+        pauses : mapping from str to float
+            Ends of the pauses that endpoints asked the other gateway for.
+        """
+        now_ms = self._clock.now_ms()
         endpoints = self._directory.of_service(self._service)
-        pause_ms = None if requester else self._notices.pause_left_ms(endpoints)
+        paused = {name for name, end_ms in pauses.items() if now_ms < end_ms}
+        others = [endpoint for endpoint in endpoints if endpoint.id not in paused]
+        if not endpoints or self._notices.has_usable(others, requester):
+            return None
+        if requester:
+            ends_ms = [
+                pauses[endpoint.id]
+                for endpoint in endpoints
+                if endpoint.id in paused and endpoint.id not in self._notices.leaving
+            ]
+            pause_ms = min(ends_ms) - now_ms if ends_ms else None
+        else:
+            pause_ms = self._notices.pause_left_ms(endpoints)
         if pause_ms is None:
             return _no_endpoint_error("all known endpoints are leaving")
         message = "all endpoints asked this gateway for a pause"
