Ask for the next manifest without waiting for the end of the last request

Cause: a process that asked a replica waited 250 ms even if the manifest came at once, and counted the 150 ms for the next one from then.

Change: the wait ends with the adoption.

--- a/libs/control/tests/test_daemon.py
+++ b/libs/control/tests/test_daemon.py
@@ -170,8 +170,11 @@
             await wait_until(lambda: in_force.version == 1)
             fleet.disks[hanging].answers.clear()
             try:
-                await leader.publish(publish_request(2))
-                await wait_until(lambda: in_force.version == 2, IN_FORCE_S)
+                for version in (2, 3, 4):
+                    await leader.publish(publish_request(version))
+                    await wait_until(
+                        lambda v=version: in_force.version == v, IN_FORCE_S
+                    )
             finally:
                 fleet.disks[hanging].answers.set()
 
--- a/libs/process/src/bulrushbend/process/fleet_client.py
+++ b/libs/process/src/bulrushbend/process/fleet_client.py
@@ -365,6 +365,7 @@
             age_ms=state.manifest_age_ms,
         )
         if adopted:
+            self._manifest_requests.handle_adoption()
             MANIFEST_DELAY.observe((now_ms - since_ms) / 1000.0)
             is_behind = self._manifest_requests.is_behind
             self._behind_since_ms = now_ms if is_behind else None
--- a/libs/process/src/bulrushbend/process/manifest_requests.py
+++ b/libs/process/src/bulrushbend/process/manifest_requests.py
@@ -1,6 +1,7 @@
 """Requests for manifests that control replicas announced but did not send."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from bulrushbend.core.clock import Clock
@@ -38,6 +39,7 @@
         self._announced: dict[str, int] = {}
         self._asked_ms: dict[str, float] = {}
         self._changed = asyncio.Event()
+        self._adopted = asyncio.Event()
 
     @property
     def is_behind(self) -> bool:
@@ -54,6 +56,10 @@
         if self.is_behind:
             self._changed.set()
 
+    def handle_adoption(self) -> None:
+        """Handle that a manifest from any replica was adopted."""
+        self._adopted.set()
+
     def remove(self, replica: str) -> None:
         """Forget a replica whose connection is lost."""
         self._announced.pop(replica, None)
@@ -76,5 +82,8 @@
                 return
             source = min(sources, key=lambda name: self._asked_ms.get(name, 0.0))
             self._asked_ms[source] = self._clock.now_ms()
+            self._adopted.clear()
             self._request(source)
-            await self._clock.sleep_ms(REQUEST_INTERVAL_MS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REQUEST_INTERVAL_MS / 1000.0):
+                    await self._adopted.wait()
