--- a/tests/adapter/standin_platform.py
+++ b/tests/adapter/standin_platform.py
@@ -131,6 +131,8 @@
         Longest additional time, which is drawn for each run.
     is_leaving : bool
         Whether all responses state that the engine is leaving.
+    limit_per_s : float or None
+        Rate of requests that all responses state as accepted; None for none.
     turn_away_s : float
         Time for which callers are turned away that send a request, 0 for none.
     pauses : list of Pause
@@ -163,6 +165,7 @@
         self.down_s = 2.0
         self.silences = []
         self.is_leaving = False
+        self.limit_per_s = None
         self.turn_away_s = 0.0
         self.pauses = []
         self.started_ms = None
@@ -253,6 +256,8 @@
         )
         if engine.is_leaving:
             self.set_header("Server-Leaving", "1")
+        if engine.limit_per_s is not None:
+            self.set_header("Server-Limit", f"{engine.limit_per_s:g}")
         if headers.get("Expect-Instance") != engine.instance:
             self.set_status(421)
             return
