Count the crash of an idle endpoint as one of a lost rack

Cause: a crash without candidates was not kept, so that the others looked like all crashes of that moment.

Change: it is kept as evidence. Where there are too many crashes, those without candidates go first.

--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -223,10 +223,8 @@
             if request_id not in copies and len(copies) < _MAX_COPIES:
                 copies.add(request_id)
                 has_changed = has_changed or self._is_relevant(identity)
-        if known is None and crash.candidates:
-            self._crashes.append(crash)
-            self._crashes.sort(key=lambda entry: entry.crashed_ms)
-            self._drop_oldest(len(self._crashes) - _MAX_CRASHES)
+        if known is None:
+            self._add_crash(crash)
         if has_changed:
             self.evaluate()
         return completed
@@ -264,6 +262,17 @@
         """Return whether a candidate may be a cause for which the evidence suffices."""
         return self._counts[identity] >= _MIN_CRASHES or identity in self._quarantines
 
+    def _add_crash(self, crash: CandidateCrash) -> None:
+        """Add a crash; one without candidates shows that endpoints share a fault."""
+        self._crashes.append(crash)
+        self._crashes.sort(key=lambda entry: entry.crashed_ms)
+        if len(self._crashes) > _MAX_CRASHES:
+            empty = (entry for entry in self._crashes if not entry.candidates)
+            oldest_empty = next(empty, None)
+            if oldest_empty is not None:
+                self._crashes.remove(oldest_empty)
+        self._drop_oldest(len(self._crashes) - _MAX_CRASHES)
+
     def _drop_oldest(self, number: int) -> None:
         for crash in self._crashes[: max(0, number)]:
             self._counts.subtract(crash.candidates.keys())
