Release a popular request when a crash without it is reported late

Cause: it was quarantined as the only request of all endpoints that crashed at one moment. A crash of that moment that is reported after the verdict did not change it.

Change: such a crash ends a quarantine that rests on the moment alone. A quarantine whose crashes are not all kept any more stays.

--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -68,12 +68,25 @@
     faults: int
     requests: frozenset[str]
     last_ms: float
+    is_simultaneous: bool
 
 
 @dataclass
 class _Quarantine:
+    """Quarantine of a request, in force or past.
+
+    Attributes
+    ----------
+    until_ms, duration_ms : float
+        End and duration.
+    is_simultaneous : bool
+        Whether the only evidence is that all endpoints that crashed at one moment ran
+        the request.
+    """
+
     until_ms: float
     duration_ms: float
+    is_simultaneous: bool = False
 
 
 class RequestQuarantine:
@@ -225,6 +238,8 @@
                 has_changed = has_changed or self._is_relevant(identity)
         if known is None:
             self._add_crash(crash)
+        if known is None:
+            self._release_unproven(crash)
         if has_changed:
             self.evaluate()
         return completed
@@ -258,6 +273,25 @@
             if not any(identity in crash.candidates for crash in unexplained):
                 self._end(identity)
 
+    def _release_unproven(self, crash: CandidateCrash) -> None:
+        """Release requests that did not cause a crash at the moment of their crashes.
+
+        Parameters
+        ----------
+        crash : CandidateCrash
+            The crash that was added last.
+        """
+        for identity, entry in list(self._quarantines.items()):
+            if not entry.is_simultaneous or identity in crash.candidates:
+                continue
+            supporting = [c for c in self._crashes if identity in c.candidates]
+            if (
+                len(supporting) >= _MIN_CRASHES
+                and _count_faults(supporting, identity) < _MIN_CRASHES
+                and not _explains_all_at_once(self._crashes, supporting)
+            ):
+                self._end(identity)
+
     def _is_relevant(self, identity: str) -> bool:
         """Return whether a candidate may be a cause for which the evidence suffices."""
         return self._counts[identity] >= _MIN_CRASHES or identity in self._quarantines
@@ -331,6 +365,7 @@
                         faults,
                         frozenset(requests),
                         supporting[-1].crashed_ms,
+                        is_proven and faults < _MIN_CRASHES,
                     )
                 )
         return causes
@@ -344,7 +379,9 @@
             if past is not None:
                 duration_ms = min(_MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
             until_ms = cause.last_ms + duration_ms
-            self._quarantines[identity] = _Quarantine(until_ms, duration_ms)
+            self._quarantines[identity] = _Quarantine(
+                until_ms, duration_ms, cause.is_simultaneous
+            )
             self._quarantines.move_to_end(identity)
             if len(self._quarantines) > _MAX_QUARANTINES:
                 self._quarantines.popitem(last=False)
--- a/libs/gateway/tests/test_request_quarantine.py
+++ b/libs/gateway/tests/test_request_quarantine.py
@@ -243,3 +243,16 @@
     await fixture.clock.advance(20.0)
     fixture.crash("e2", lookup="s2")
     assert not fixture.quarantined("lookup")
+
+
+async def test_cause_of_simultaneous_crashes_needs_one_crash_after_its_quarantine(
+    fixture,
+):
+    # Guards against a release by a crash that is long after the evidence.
+    fixture.crash("e0", bad="r1")
+    fixture.crash("e1", bad="r2")
+    assert fixture.quarantined("bad")
+    await fixture.clock.advance(61_000.0)
+    fixture.crash("e2", other="s1")
+    fixture.crash("e0", bad="r3")
+    assert fixture.quarantined("bad")
