Ask less and less often for a manifest that does not arrive

What callers saw: nothing.

Change: the interval doubles from 250 ms to 2 s while the version stays the same.

--- a/libs/process/src/bulrushbend/process/manifest_requests.py
+++ b/libs/process/src/bulrushbend/process/manifest_requests.py
@@ -10,8 +10,10 @@
 # Time that the preferred replica has to send a manifest that any replica announced.
 # The others also announce it within a few milliseconds.
 PUSH_GRACE_MS = 150.0
-# Time after which the next replica is asked for a manifest that did not arrive.
+# Time after which the next replica is asked for a manifest that did not arrive. It
+# doubles with each request, since a manifest that the process rejects is sent in vain.
 REQUEST_INTERVAL_MS = 250.0
+MAX_REQUEST_INTERVAL_MS = 2_000.0
 
 
 class ManifestRequests:
@@ -76,6 +78,7 @@
                 await self._request_until_adopted(version)
 
     async def _request_until_adopted(self, version: int) -> None:
+        interval_ms = REQUEST_INTERVAL_MS
         while self._in_force.version < version:
             sources = [n for n, known in self._announced.items() if known >= version]
             if not sources:
@@ -85,5 +88,6 @@
             self._adopted.clear()
             self._request(source)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(REQUEST_INTERVAL_MS / 1000.0):
+                async with asyncio.timeout(interval_ms / 1000.0):
                     await self._adopted.wait()
+            interval_ms = min(MAX_REQUEST_INTERVAL_MS, 2 * interval_ms)
