--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -505,7 +505,16 @@
 class Deployment:
     """Three machines with a gateway and a control replica each, and the stand-ins."""
 
-    def __init__(self, case: Path, engines: int, machines: int = 3):
+    def __init__(
+        self,
+        case: Path,
+        engines: int,
+        machines: int = 3,
+        zones: tuple[str, ...] = ("papantla",),
+        tolerance: str = "machines = 1\nzones = 0",
+    ):
+        self._tolerance = tolerance
+        self._zones = zones
         self.record = Record(case / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         prefix = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
@@ -513,6 +522,10 @@
         self.port_range = [base, base + 15]
         self.ports = {"front": base + 30, "ready": base + 31, "control": base + 32}
         self.hosts = [f"{prefix}.{10 + number}" for number in range(machines)]
+        self.zone_of = {
+            host: zones[number % len(zones)] for number, host in enumerate(self.hosts)
+        }
+        self._next_host = (f"{prefix}.{number}" for number in range(10 + machines, 99))
         self.engines = [
             Engine(
                 number, f"{prefix}.{100 + number}", base + 40, "flor-llm", self.record
@@ -570,6 +583,29 @@
             )
         self.record.write("start", host=host, role=role)
 
+    async def kill(self, host: str) -> None:
+        """Kill the processes of a machine for good."""
+        self.record.write("kill", host=host, zone=self.zone_of[host])
+        self.hosts.remove(host)
+        for role in ("control", "gateway"):
+            process = self.processes.pop((host, role))
+            process.kill()
+            await process.wait()
+
+    async def add(self, zone: str) -> str:
+        """Add a machine at a new address with an empty disk."""
+        host = next(self._next_host)
+        self.zone_of[host] = zone
+        self.hosts.append(host)
+        for role in ("control", "gateway"):
+            await self.start(host, role)
+        return host
+
+    async def read(self, host: str) -> tuple[int, bytes]:
+        """Read the configuration at a machine."""
+        path = "/bulrushbend/Config.Read"
+        return await call(host, self.ports["control"], "GET", path)
+
     async def configure(self, document: dict[str, object]) -> None:
         """Send the first configuration, and wait until all gateways are ready."""
         content = json.dumps(document).encode()
@@ -601,7 +637,9 @@
             await asyncio.sleep(0.1)
 
     def _settings(self, host: str, role: str, bootstrap: bool) -> str:
-        seeds = ",".join(f'"{seed}:{self.ports["control"]}"' for seed in self.hosts)
+        known = self.hosts[-3:]
+        seeds = ",".join(f'"{seed}:{self.ports["control"]}"' for seed in known)
+        zones = "\n".join(f'{zone} = "totonacapan"' for zone in self._zones)
         listen = "\n".join(f'{n} = "{host}:{port}"' for n, port in self.ports.items())
         return f"""
 node = "edge-{host}"
@@ -609,7 +647,7 @@
 machine_class = "edge"
 serves = ["edge","control_plane"]
 ip = "{host}"
-zone = "papantla"
+zone = "{self.zone_of[host]}"
 region = "totonacapan"
 port_range = [{self.port_range[0]},{self.port_range[1]}]
 seeds = [{seeds}]
@@ -621,7 +659,7 @@
 heartbeat_ms = 1200
 config_mode = "highest"
 [zones]
-papantla = "totonacapan"
+{zones}
 [listen]
 {listen}
 [limits]
@@ -632,8 +670,7 @@
 link_mbps = 1000.0
 disk_mb = 64
 [fault_tolerance]
-machines = 1
-zones = 0
+{self._tolerance}
 regions = 0
 [bounds]{BOUNDS}
 [cloud]
