Add a case: one entry that is cut short hides the list of engines

A quotation mark or bracket that an entry leaves open makes the whole list unreadable; gateways that start meanwhile never get ready.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -319,6 +319,8 @@
 
     def __init__(self, host: str, port: int, engines: list[Engine]):
         self.address = f"{host}:{port}"
+        # Encoded entries of another writer, listed between those of the engines.
+        self.other_entries: list[bytes] = []
         self._host, self._port = host, port
         self._engines = engines
         self._server: asyncio.Server | None = None
@@ -335,8 +337,10 @@
     async def _serve(self, reader, writer) -> None:
         try:
             await read_head(reader)
-            entries = [e.listed for e in self._engines if e.listed is not None]
-            body = json.dumps({"instances": entries, "next": None}).encode()
+            listed = [e.listed for e in self._engines if e.listed is not None]
+            entries = [json.dumps(entry).encode() for entry in listed]
+            entries[1:1] = self.other_entries
+            body = b'{"instances":[' + b",".join(entries) + b'],"next":null}'
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                 b"Content-Length: %d\r\nConnection: close\r\n\r\n" % len(body) + body
