--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -58,11 +58,6 @@
     """The deployment could not be brought up, so the case says nothing."""
 
 
-def is_troubled() -> bool:
-    """Whether the script runs with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Lines of what was sent, answered and run, with the time since the start."""
 
