Suspect prompt parts by what followed a crash, not by what came before

Cause: a part counted as proven sound for 60 s after any response began with it, so crashes in that time had no suspects; nor did a part whose engine crashed after the second event, as the second chunk was proof. Corrections by other gateways and complete responses to whole requests carried no time, so older answers cleared them of later crashes. The end of a quarantine was a time, the same for every request.

Change: a response proves its parts sound as of the time at which it began, and only once it went on for 300 ms or ended. Notes carry ages. Parts with responses in the minute before a crash stay suspects of a second rank (established): crashes that another part explains do not count, there must be a second without a response between two crashes, and the rarest part is chosen. Their first quarantine takes 10 s. After any quarantine, of parts and of whole requests, one request at a time is sent until a response begins. A part that explains several crashes within 200 ms is sent one at a time too.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -58,6 +58,9 @@
 # Time from the first chunk of a response within which a crash may be caused by its
 # request: an endpoint that crashes may send the first events before.
 _EARLY_RESPONSE_MS = 50.0
+# Time for which a response has to go on to show that no part of its prompt crashes the
+# endpoint, unless it ends before.
+_PROOF_MS = 300.0
 # Assumed prefill rate of an endpoint. The users' engines state 64 tokens per
 # millisecond; a busy one is slower, as it also generates tokens.
 PREFILL_TOKENS_PER_MS = 50.0
@@ -181,6 +184,8 @@
         self._has_headers = False
         self._has_body = False
         self._has_event = False
+        # Whether the response went on after its first event.
+        self._has_progressed = False
         self._is_success = False
         self._is_sound = False
         self._was_silent = False
@@ -254,6 +259,7 @@
                     self._is_sound,
                     self._may_have_crashed_endpoint(),
                     self._started_ms,
+                    is_early=self._has_progressed,
                 )
             successor = None if is_suspect else self._successor
             return AttemptResult(
@@ -314,9 +320,13 @@
         if not self._sink.started:
             self._sink.start(status, self._response_headers(exchange))
         await self._forward_body(exchange)
+        if not self._has_body:
+            self._first_chunk_ms = self._context.clock.now_ms()
         self._record_sound()
         if self._is_success:
-            self._context.crash_reports.record_complete(self._call)
+            self._context.crash_reports.record_complete(
+                self._call, self._first_chunk_ms
+            )
         self._context.health.record_answer(self._endpoint.id)
         return AttemptResult(Verdict.ANSWERED, status=status)
 
@@ -388,7 +398,9 @@
             self._call.record_pause(gap_ms)
             self._gaps_ms.append(gap_ms)
         if self._has_event:
-            self._record_sound()
+            self._has_progressed = True
+            if now_ms - self._first_chunk_ms >= _PROOF_MS:
+                self._record_sound()
         self._last_chunk_ms = now_ms
         if self._tail is not None:
             self._tail.feed(chunk)
@@ -466,12 +478,13 @@
         """
         if not self._is_sound and self._is_success:
             self._is_sound = True
-            self._context.crash_reports.record_sound(self._call)
+            self._context.crash_reports.record_sound(self._call, self._first_chunk_ms)
 
     def _may_have_crashed_endpoint(self) -> bool:
         """Return whether a crash now may be caused by the request."""
         begun_ms = self._context.clock.now_ms() - self._first_chunk_ms
-        return not self._is_sound or begun_ms < _EARLY_RESPONSE_MS
+        has_progressed = self._has_progressed and self._is_success
+        return not has_progressed or begun_ms < _EARLY_RESPONSE_MS
 
     def _record_first_event(self) -> None:
         tokens = self._queued_tokens + self._placement.unread_tokens
--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -7,8 +7,9 @@
 """
 
 import asyncio
+import itertools
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from bulrushbend.core.clock import Clock
@@ -49,13 +50,33 @@
 _MAX_SUSPECTS = 16
 # Time for which complete responses to suspected requests are collected into one note.
 _COMPLETED_DELAY_MS = 100.0
+# Age of a response that an earlier version states without one.
+_UNKNOWN_AGE_MS = 30_000
 
 
 @dataclass(frozen=True)
 class _Candidate:
+    """A request whose connection ended.
+
+    Attributes
+    ----------
+    call : Call
+        The request.
+    has_begun : bool
+        Whether the response shows that no part of the prompt is the cause.
+    started_ms : float
+        Time at which the request was sent to the endpoint.
+    is_early : bool
+        Whether the response had begun, but too recently to show that.
+    may_be_cause : bool
+        Whether the request itself may be the cause of a crash.
+    """
+
     call: Call
     has_begun: bool
     started_ms: float
+    is_early: bool = False
+    may_be_cause: bool = True
 
 
 class CrashReports:
@@ -111,16 +132,26 @@
         # Suspected requests with complete responses that the others do not know of yet.
         self._completed: set[str] = set()
 
-    def record_sound(self, call: Call) -> None:
-        """Record that the response to a request began and went on."""
+    def record_sound(self, call: Call, began_ms: float | None = None) -> None:
+        """Record that the response to a request began at a time and went on.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        began_ms : float, optional
+            Monotonic time at which the response began; now by default.
+        """
         if not call.details.shared_parts:
             return
-        self._broadcast_released(self._record_sound(call.shared_digests))
+        self._broadcast_released(self._record_sound(call.shared_digests, began_ms))
 
-    def record_complete(self, call: Call) -> None:
-        """Record that an endpoint responded to a request completely."""
+    def record_complete(self, call: Call, began_ms: float | None = None) -> None:
+        """Record a complete response of an endpoint, which began at a time."""
         if self._request_quarantine.has_candidates:
-            self._record_completed(call.identity)
+            if began_ms is None:
+                began_ms = self._clock.now_ms()
+            self._record_completed(call.identity, began_ms)
 
     def record_replaced(self, endpoint: str) -> None:
         """Record that another endpoint responds at the address of this one.
@@ -146,6 +177,7 @@
         has_begun: bool,
         may_be_cause: bool = True,
         started_ms: float = 0.0,
+        is_early: bool = False,
     ) -> bool:
         """Examine why the connection of a request ended.
 
@@ -156,11 +188,14 @@
         call : Call
             The request.
         has_begun : bool
-            Whether the endpoint had responded, so no part of the prompt is the cause.
+            Whether the endpoint had responded for long enough to show that no part of
+            the prompt is the cause.
         may_be_cause : bool, default=True
             Whether the request itself may be the cause of a crash.
         started_ms : float, default=0.0
             Time at which the request was sent to the endpoint.
+        is_early : bool, default=False
+            Whether the endpoint had begun to respond, but not for long enough.
 
         Returns
         -------
@@ -176,7 +211,7 @@
             self._candidates[endpoint.id] = []
         if has_begun and not may_be_cause:
             return False
-        candidate = _Candidate(call, has_begun, started_ms)
+        candidate = _Candidate(call, has_begun, started_ms, is_early, may_be_cause)
         self._candidates[endpoint.id].append(candidate)
         if not self._is_suspect(endpoint, candidate):
             return False
@@ -198,20 +233,25 @@
             described = self._describe_known(is_complete=True)
             for known in _build_notes(described) if described else ():
                 self._send_to([sender], known)
-        released = self._record_sound(note.sound)
+        released: list[str] = []
+        for digest, age_ms in _with_ages(note.sound, note.sound_age_ms):
+            began_ms = now_ms - age_ms
+            released += self._record_sound([digest], began_ms, is_observed=False)
         self._broadcast_released(self._reported.intersection(released))
         for endpoint in note.replaced:
             self._health.record_crash(endpoint)
-        for identity in note.completed:
-            self._request_quarantine.record_complete(identity)
-        sound: set[str] = set()
+        for identity, age_ms in _with_ages(note.completed, note.completed_age_ms):
+            began_ms = now_ms - age_ms
+            self._request_quarantine.record_complete(identity, began_ms)
+        sound: dict[str, float] = {}
         completed: set[str] = set()
         for crash in note.crashes:
-            digests = {d for suspect in crash.suspects for d in suspect.digests}
-            sound |= digests.difference(self._quarantine.unproven(digests))
             crashed_ms = now_ms - crash.age_ms
+            sound.update(self._correct(crash, crashed_ms))
             suspects = [
-                Suspect(s.request_id, tuple(s.digests), s.identity)
+                Suspect(
+                    s.request_id, tuple(s.digests), s.identity, tuple(s.established)
+                )
                 for s in crash.suspects
             ]
             is_new, answered = self._record_crash(crash.endpoint, crashed_ms, suspects)
@@ -219,9 +259,37 @@
                 self._health.record_crash(crash.endpoint)
             completed.update(answered)
         if sound or completed:
-            correction = CrashNote(sound=sorted(sound), completed=sorted(completed))
+            correction = self._build_correction(sound, completed)
             self._send(sender, GatewayDatagram(crash_note=correction))
 
+    def _correct(self, crash: EndpointCrash, crashed_ms: float) -> dict[str, float]:
+        """Return the reported parts that are less suspected here.
+
+        The values are the times at which responses with them began.
+        """
+        suspected = {d for suspect in crash.suspects for d in suspect.digests}
+        reported = suspected.union(*(s.established for s in crash.suspects))
+        return {
+            digest: began_ms
+            for digest, began_ms in self._quarantine.observed_sound(reported).items()
+            if digest in suspected or began_ms >= crashed_ms
+        }
+
+    def _build_correction(
+        self, sound: Mapping[str, float], completed: Iterable[str]
+    ) -> CrashNote:
+        now_ms = self._clock.now_ms()
+        identities = {
+            identity: self._request_quarantine.completed_ms(identity)
+            for identity in completed
+        }
+        return CrashNote(
+            sound=sound.keys(),
+            sound_age_ms=[_age_ms(now_ms, at_ms) for at_ms in sound.values()],
+            completed=identities.keys(),
+            completed_age_ms=[_age_ms(now_ms, at_ms) for at_ms in identities.values()],
+        )
+
     async def run(self) -> None:
         """Exchange known crashes with some gateways until cancelled."""
         while not self._choose_peers():
@@ -268,11 +336,15 @@
 
     def _is_suspect(self, endpoint: DiscoveredEndpoint, candidate: _Candidate) -> bool:
         call = candidate.call
-        if not candidate.has_begun and self._quarantine.unproven(call.shared_digests):
+        if not candidate.has_begun and self._quarantine.may_have_crashed(
+            call.shared_digests, endpoint.id, candidate.is_early
+        ):
             return True
         requests = self._request_quarantine
-        return requests.has_candidates and requests.is_candidate(
-            call.identity, except_endpoint=endpoint.id
+        return (
+            candidate.may_be_cause
+            and requests.has_candidates
+            and requests.is_candidate(call.identity, except_endpoint=endpoint.id)
         )
 
     def _describe_known(self, is_complete: bool = False) -> list[EndpointCrash]:
@@ -302,11 +374,7 @@
         )
         suspects = []
         for candidate in candidates[:_MAX_SUSPECTS]:
-            call = candidate.call
-            digests = ()
-            if not candidate.has_begun:
-                digests = self._quarantine.unproven(call.shared_digests)
-            suspects.append(Suspect(call.details.request_id, digests, call.identity))
+            suspects.append(self._build_suspect(candidate, crashed_ms))
         is_new, _ = self._record_crash(endpoint, crashed_ms, suspects)
         if not is_new and not suspects:
             return
@@ -316,18 +384,34 @@
             EventKind.ENDPOINT_CRASHED,
             endpoint=endpoint,
             suspects={s.request_id: list(s.digests) for s in suspects},
+            established={s.request_id: list(s.established) for s in suspects},
             identities={s.request_id: s.identity for s in suspects},
         )
         age_ms = self._clock.now_ms() - crashed_ms
         if suspects:
             self._reported &= self._quarantine.suspected
-            self._reported.update(d for suspect in suspects for d in suspect.digests)
+            self._reported.update(d for suspect in suspects for d in suspect.parts)
             addresses = self._coordinators.addresses()
         else:
             addresses = self._coordinators.report_addresses()
         for note in _build_notes([_describe(endpoint, age_ms, suspects)]):
             self._send_to(addresses, note)
 
+    def _build_suspect(self, candidate: _Candidate, crashed_ms: float) -> Suspect:
+        call = candidate.call
+        digests: tuple[str, ...] = ()
+        established: tuple[str, ...] = ()
+        if not candidate.has_begun:
+            digests = self._quarantine.unproven(call.shared_digests)
+            established = tuple(
+                digest
+                for digest in call.shared_digests
+                if digest not in digests
+                and self._quarantine.sound_ms(digest) < crashed_ms
+            )
+        identity = call.identity if candidate.may_be_cause else ""
+        return Suspect(call.details.request_id, digests, identity, established)
+
     def _record_crash(
         self, endpoint: str, crashed_ms: float, suspects: list[Suspect]
     ) -> tuple[bool, list[str]]:
@@ -345,9 +429,14 @@
             self._request_quarantine.evaluate()
         return is_new, completed
 
-    def _record_sound(self, digests: Iterable[str]) -> list[str]:
-        """Record sound parts, and return the suspected ones, which are released."""
-        released = self._quarantine.record_sound(digests)
+    def _record_sound(
+        self,
+        digests: Iterable[str],
+        began_ms: float | None = None,
+        is_observed: bool = True,
+    ) -> list[str]:
+        """Record sound parts, and return those that are less suspected now."""
+        released = self._quarantine.record_sound(digests, began_ms, is_observed)
         if released:
             # Crashes that they explained are evidence about requests again.
             self._request_quarantine.evaluate()
@@ -357,12 +446,13 @@
         """Tell all gateways that responses with suspected parts began."""
         if digests:
             self._reported.difference_update(digests)
-            note = CrashNote(sound=sorted(digests))
+            sound = {digest: self._quarantine.sound_ms(digest) for digest in digests}
+            note = self._build_correction(sound, ())
             self._send_to(self._coordinators.addresses(), note)
 
-    def _record_completed(self, identity: str) -> None:
+    def _record_completed(self, identity: str, began_ms: float) -> None:
         """Tell all gateways of a complete response to a suspected request."""
-        if not self._request_quarantine.record_complete(identity):
+        if not self._request_quarantine.record_complete(identity, began_ms):
             return
         if not self._completed:
             loop = asyncio.get_running_loop()
@@ -370,7 +460,7 @@
         self._completed.add(identity)
 
     def _broadcast_completed(self) -> None:
-        note = CrashNote(completed=sorted(self._completed))
+        note = self._build_correction({}, sorted(self._completed))
         self._completed.clear()
         self._send_to(self._coordinators.addresses(), note)
 
@@ -379,6 +469,18 @@
             self._send(address, GatewayDatagram(crash_note=note))
 
 
+def _age_ms(now_ms: float, at_ms: float) -> int:
+    return max(0, int(now_ms - at_ms))
+
+
+def _with_ages(
+    names: Sequence[str], ages_ms: Sequence[int]
+) -> Iterator[tuple[str, int]]:
+    """Return names in a note with the ages of the responses that it states."""
+    for name, age_ms in itertools.zip_longest(names, ages_ms[: len(names)]):
+        yield name, _UNKNOWN_AGE_MS if age_ms is None else age_ms
+
+
 def _describe(
     endpoint: str, age_ms: float, suspects: Iterable[Suspect]
 ) -> EndpointCrash:
@@ -387,7 +489,10 @@
         age_ms=max(0, int(age_ms)),
         suspects=[
             SuspectPrompt(
-                request_id=s.request_id, digests=s.digests, identity=s.identity
+                request_id=s.request_id,
+                digests=s.digests,
+                identity=s.identity,
+                established=s.established,
             )
             for s in suspects
         ],
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -121,6 +121,8 @@
             raise outcome_unknown_error(reason, message) from None
         finally:
             self._running.discard(running)
+            self._quarantine.end_request(call)
+            self._request_quarantine.end_request(call)
 
     def begin_drain(self, deadline_ms: float) -> None:
         """Refuse the requests that wait for an endpoint and may outlast the drain.
@@ -248,10 +250,10 @@
     def _check_quarantine(self, call: Call) -> None:
         """Raise `RequestError` if a request or its prompt crashes endpoints."""
         code = QUARANTINED
-        remaining_ms = self._quarantine.remaining_ms(call.shared_digests)
+        remaining_ms = self._quarantine.remaining_ms(call.shared_digests, call)
         if remaining_ms <= 0.0 and self._request_quarantine.has_quarantines:
             code = REQUEST_QUARANTINED
-            remaining_ms = self._request_quarantine.remaining_ms(call.identity)
+            remaining_ms = self._request_quarantine.remaining_ms(call.identity, call)
         if remaining_ms <= 0.0:
             return
         error = quarantine_error(remaining_ms, code)
--- a/libs/gateway/src/bulrushbend/gateway/placement_server.py
+++ b/libs/gateway/src/bulrushbend/gateway/placement_server.py
@@ -107,10 +107,10 @@
             self._send_reply(address, declined)
             return
         for code, quarantine_ms in (
-            (QUARANTINED, self._quarantine.remaining_ms(request.digests)),
+            (QUARANTINED, self._quarantine.remaining_ms(request.digests, key)),
             (
                 REQUEST_QUARANTINED,
-                self._request_quarantine.remaining_ms(request.identity),
+                self._request_quarantine.remaining_ms(request.identity, key),
             ),
         ):
             if quarantine_ms > 0.0:
@@ -201,6 +201,9 @@
         self, key: tuple[str, int, int], state: _PlacementState
     ) -> None:
         """Remove a request that has ended; its final reply is kept for a time."""
+        if state.reply is None or state.reply.result != PlaceReply.GRANTED:
+            self._quarantine.end_request(key)
+            self._request_quarantine.end_request(key)
         if state.reply is None:
             del self._placements[key]
             return
--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -4,18 +4,20 @@
 or have none. What its copies have in common is their identity (`Call.identity`).
 
 Each request that an endpoint had just begun to run when it crashed is a candidate for
-the cause. A complete response clears it. A candidate of several crashes is quarantined
-if no other one was present at the same crashes. Candidates that cannot be told apart
-are quarantined together after a further crash. Crashes that a quarantined prompt part
-explains are no evidence about requests.
+the cause. A complete response that began after the crash clears it. A candidate of
+several crashes is quarantined if no other one was present at the same crashes.
+Candidates that cannot be told apart are quarantined together after a further crash.
+Crashes that a quarantined prompt part explains are no evidence about requests. After a
+quarantine one copy at a time is sent, until one of them is answered completely.
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable, Sequence, Set
+from collections.abc import Callable, Hashable, Iterable, Sequence, Set
 from dataclasses import dataclass, field
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.gateway.trials import Trials
 
 # Crashes after which a request is quarantined, by whether it is the only candidate of
 # all of them. Endpoints that share a fault, such as a lost rack, crash within the
@@ -30,7 +32,7 @@
 _SAME_CRASH_INTERVAL_MS = 2_000.0
 # Time for which a crash counts as evidence.
 _EVIDENCE_TTL_MS = 60_000.0
-# Duration of the first quarantine of a request. Afterwards it is sent again, since it
+# Duration of the first quarantine of a request. Afterwards one copy is sent, since it
 # may no longer be the cause. Within the same time a single crash suffices for another
 # quarantine of twice the duration.
 _MIN_QUARANTINE_MS = 60_000.0
@@ -79,6 +81,8 @@
     ----------
     until_ms, duration_ms : float
         End and duration.
+    crashed_ms : float
+        Time of the latest crash that it explains.
     is_simultaneous : bool
         Whether the only evidence is that all endpoints that crashed at one moment ran
         the request.
@@ -86,6 +90,7 @@
 
     until_ms: float
     duration_ms: float
+    crashed_ms: float
     is_simultaneous: bool = False
 
 
@@ -114,10 +119,11 @@
         # Crashes in the order of their times, and their number by candidate.
         self._crashes: list[CandidateCrash] = []
         self._counts: Counter[str] = Counter()
-        # Times of complete responses to requests that were candidates before.
+        # Times at which complete responses to former candidates began.
         self._completed: OrderedDict[str, float] = OrderedDict()
         # Quarantines in force and past ones, which determine the next duration.
         self._quarantines: OrderedDict[str, _Quarantine] = OrderedDict()
+        self._trials = Trials(clock)
 
     @property
     def active(self) -> int:
@@ -146,12 +152,34 @@
         )
         return crashes
 
-    def remaining_ms(self, identity: str) -> float:
-        """Return the time for which a request is quarantined, or 0."""
+    def remaining_ms(self, identity: str, request: Hashable | None = None) -> float:
+        """Return the time for which a request is quarantined, or 0.
+
+        Parameters
+        ----------
+        identity : str
+            Identity of the request.
+        request : hashable, optional
+            The copy that is going to be sent if the result is 0. It begins the trial
+            of a request that was quarantined.
+        """
         entry = self._quarantines.get(identity)
         if entry is None:
             return 0.0
-        return max(0.0, entry.until_ms - self._clock.now_ms())
+        remaining_ms = max(0.0, entry.until_ms - self._clock.now_ms())
+        if remaining_ms <= 0.0 and request is not None:
+            remaining_ms = self._trials.waiting_ms(identity, request)
+            if remaining_ms <= 0.0:
+                self._trials.begin(identity, request)
+        return remaining_ms
+
+    def end_request(self, request: Hashable) -> None:
+        """End the trial of a copy that has ended."""
+        self._trials.end_request(request)
+
+    def completed_ms(self, identity: str) -> float:
+        """Return when the latest complete response began, ``-inf`` if none is known."""
+        return self._completed.get(identity, float("-inf"))
 
     def is_candidate(self, identity: str, except_endpoint: str = "") -> bool:
         """Return whether a request may be the cause of a recent crash.
@@ -171,19 +199,37 @@
             for crash in self._crashes
         )
 
-    def record_complete(self, identity: str) -> bool:
-        """Record a complete response; return whether the request was a candidate."""
+    def record_complete(self, identity: str, began_ms: float | None = None) -> bool:
+        """Record a complete response; return whether the request was a candidate.
+
+        Parameters
+        ----------
+        identity : str
+            Identity of the request.
+        began_ms : float, optional
+            Monotonic time at which the response began; now by default. It is no
+            evidence about later crashes.
+        """
         if identity not in self._quarantines and identity not in self._counts:
             return False
-        for crash in self._crashes:
-            crash.candidates.pop(identity, None)
+        now_ms = self._clock.now_ms()
+        began_ms = now_ms if began_ms is None else began_ms
+        entry = self._quarantines.get(identity)
+        if entry is not None and entry.is_simultaneous:
+            # The copies that ran when the endpoints crashed are evidence as well.
+            began_ms = now_ms
         was_relevant = self._is_relevant(identity)
-        del self._counts[identity]
-        self._completed[identity] = self._clock.now_ms()
+        for crash in self._crashes:
+            if crash.crashed_ms <= began_ms and identity in crash.candidates:
+                del crash.candidates[identity]
+                self._counts[identity] -= 1
+        if not self._counts[identity]:
+            del self._counts[identity]
+        self._completed[identity] = max(began_ms, self.completed_ms(identity))
         self._completed.move_to_end(identity)
         if len(self._completed) > _MAX_COMPLETED:
             self._completed.popitem(last=False)
-        if identity in self._quarantines:
+        if entry is not None and began_ms >= entry.crashed_ms:
             self._end(identity)
         if was_relevant:
             self.evaluate()
@@ -209,7 +255,7 @@
         Returns
         -------
         completed : list of str
-            Identities to which there was a complete response after the crash.
+            Identities with a complete response that began after the crash.
         """
         self._expire()
         if crashed_ms < self._clock.now_ms() - _EVIDENCE_TTL_MS:
@@ -380,9 +426,10 @@
                 duration_ms = min(_MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
             until_ms = cause.last_ms + duration_ms
             self._quarantines[identity] = _Quarantine(
-                until_ms, duration_ms, cause.is_simultaneous
+                until_ms, duration_ms, cause.last_ms, cause.is_simultaneous
             )
             self._quarantines.move_to_end(identity)
+            self._trials.end(identity)
             if len(self._quarantines) > _MAX_QUARANTINES:
                 self._quarantines.popitem(last=False)
             self._events.write(
@@ -395,6 +442,7 @@
 
     def _end(self, identity: str) -> None:
         del self._quarantines[identity]
+        self._trials.end(identity)
         self._events.write(EventKind.REQUEST_RELEASED, identity=identity)
 
     def _expire(self) -> None:
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -990,6 +990,17 @@
         assert crash.suspects["r1"].digests == ("aa", "bb")
 
 
+async def test_crash_soon_after_the_first_events_makes_the_prompt_suspected():
+    # Guards against engines that crash after two events without end (review/2).
+    first = stream_head() + chunk(event(1))
+    script = [first, 0.02, chunk(event(2)), 0.02, "stop", "reset"]
+    async with running_dispatcher([script], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        await fixture.serve(route=RESUMABLE, prefix=PROMPT)
+        (crash,) = fixture.components.quarantine.crashes
+        assert crash.suspects["r1"].digests == ("aa", "bb")
+
+
 async def test_comments_before_a_crash_do_not_prove_a_prompt_sound():
     # Guards against a deadly prompt whose endpoint sent comments while it computed.
     comment = chunk(b": wait\n\n")
--- a/libs/gateway/tests/test_quarantine.py
+++ b/libs/gateway/tests/test_quarantine.py
@@ -196,3 +196,118 @@
     )
     assert not is_new
     assert not fixture.is_quarantined("bad")
+
+
+class EstablishedPartFixture(QuarantineFixture):
+    """A quarantine to which responses with the parts were known before crashes."""
+
+    def __init__(self):
+        super().__init__()
+        for _ in range(5):
+            self.quarantine.record_sound(["first", "bad"])
+        for _ in range(20):
+            self.quarantine.record_sound(["first"])
+
+    async def crash_repeatedly(self, number, **digests_by_request):
+        """Crash endpoints, one a second, a second after the latest response."""
+        for index in range(number):
+            await self.clock.advance(1_000.0)
+            requests = {f"{n}-{index}": d for n, d in digests_by_request.items()}
+            self.crash(f"e{index}", **requests)
+
+
+async def test_part_that_was_answered_before_the_crashes_is_quarantined():
+    # Guards against a part that becomes deadly while it is in use (review/2).
+    fixture = EstablishedPartFixture()
+    await fixture.crash_repeatedly(1, r=["first", "bad"])
+    assert not fixture.is_quarantined("first", "bad")
+    fixture.quarantine.record_sound(["first"])
+    await fixture.crash_repeatedly(2, s=["first", "bad"])
+    assert fixture.is_quarantined("first", "bad")
+    assert not fixture.is_quarantined("first")
+
+
+async def test_part_that_everybody_uses_is_not_chosen_before_a_rarer_one():
+    # Guards against a route that is refused as all of its engines crashed at once.
+    fixture = EstablishedPartFixture()
+    await fixture.crash_repeatedly(3, r=["first", "bad"], v=["first"], w=["first"])
+    assert fixture.is_quarantined("bad")
+    assert not fixture.is_quarantined("first")
+
+
+async def test_part_that_is_answered_between_crashes_is_not_quarantined():
+    # Guards against a part in use that is refused as engines crash for other reasons.
+    fixture = EstablishedPartFixture()
+    for number in range(6):
+        await fixture.crash_repeatedly(1, **{f"r{number}": ["first", "bad"]})
+        await fixture.clock.advance(500.0)
+        fixture.quarantine.record_sound(["first", "bad"])
+    assert not fixture.is_quarantined("first", "bad")
+
+
+async def test_lost_rack_is_no_evidence_against_parts_in_use():
+    fixture = EstablishedPartFixture()
+    for number in range(4):
+        await fixture.clock.advance(150.0)
+        fixture.crash(f"e{number}", **{f"r{number}": ["first", "bad"]})
+    assert not fixture.is_quarantined("first", "bad")
+
+
+async def test_response_that_began_before_a_crash_does_not_release_its_parts():
+    # Guards against long responses from before the trouble that clear a deadly part.
+    fixture = EstablishedPartFixture()
+    began_ms = fixture.clock.now_ms()
+    await fixture.crash_repeatedly(3, r=["bad"])
+    fixture.quarantine.record_sound(["bad"], began_ms)
+    assert fixture.is_quarantined("bad")
+    fixture.quarantine.record_sound(["bad"])
+    assert not fixture.is_quarantined("bad")
+
+
+async def test_crashes_that_another_part_explains_do_not_count():
+    # Guards against a part in use that waits beside a deadly one at each crash.
+    fixture = EstablishedPartFixture()
+    await fixture.crash_repeatedly(4, r=["first", "new"], v=["first", "bad"])
+    assert fixture.is_quarantined("new")
+    assert not fixture.is_quarantined("first", "bad")
+
+
+async def test_one_request_at_a_time_is_sent_after_a_quarantine():
+    # Guards against all requests that come back when a quarantine ends (review/5).
+    fixture = QuarantineFixture()
+    await fixture.crash_twice("bad")
+    await fixture.clock.advance(60_100.0)
+    assert fixture.quarantine.remaining_ms(["bad"], "r1") == 0.0
+    assert fixture.quarantine.remaining_ms(["bad"], "r1") == 0.0
+    assert fixture.quarantine.remaining_ms(["bad", "aa"], "r2") > 0.0
+    assert fixture.quarantine.remaining_ms(["aa"], "r3") == 0.0
+    fixture.quarantine.end_request("r1")
+    assert fixture.quarantine.remaining_ms(["bad"], "r2") == 0.0
+    fixture.crash("e3", r2=["bad", "aa"])
+    assert fixture.quarantine.remaining_ms(["bad"], "r4") > 100_000.0
+    await fixture.clock.advance(121_000.0)
+    assert fixture.quarantine.remaining_ms(["bad"], "r5") == 0.0
+    fixture.quarantine.record_sound(["bad"])
+    assert fixture.quarantine.remaining_ms(["bad"], "r6") == 0.0
+
+
+async def test_trial_without_a_result_ends():
+    # Guards against a part that stays refused as the caller of its trial left.
+    fixture = QuarantineFixture()
+    await fixture.crash_twice("bad")
+    await fixture.clock.advance(60_100.0)
+    assert fixture.quarantine.remaining_ms(["bad"], "r1") == 0.0
+    await fixture.clock.advance(10_100.0)
+    assert fixture.quarantine.remaining_ms(["bad"], "r2") == 0.0
+
+
+async def test_part_at_endpoints_that_crash_together_is_sent_once_at_a_time():
+    # Guards against a burst that crashes all engines twice (soak, seed 3003).
+    fixture = QuarantineFixture()
+    for number in range(2):
+        fixture.crash(f"e{number}", **{f"r{number}": ["bad"]})
+        await fixture.clock.advance(10.0)
+    assert fixture.quarantine.remaining_ms(["bad"], "r3") == 0.0
+    assert fixture.quarantine.remaining_ms(["bad"], "r4") > 0.0
+    fixture.quarantine.record_sound(["bad"])
+    assert fixture.quarantine.remaining_ms(["bad"], "r4") == 0.0
--- a/libs/gateway/tests/test_request_quarantine.py
+++ b/libs/gateway/tests/test_request_quarantine.py
@@ -256,3 +256,29 @@
     fixture.crash("e2", other="s1")
     fixture.crash("e0", bad="r3")
     assert fixture.quarantined("bad")
+
+
+async def test_response_that_began_before_the_crashes_does_not_release_a_request(
+    fixture,
+):
+    # Guards against a correction by a gateway that has seen older responses only.
+    began_ms = fixture.clock.now_ms()
+    for number in range(2):
+        await fixture.clock.advance(1_000.0)
+        fixture.crash(f"e{number}", bad=f"r{number}")
+    fixture.quarantine.record_complete("bad", began_ms)
+    assert fixture.quarantine.remaining_ms("bad") > 0.0
+    fixture.quarantine.record_complete("bad")
+    assert fixture.quarantine.remaining_ms("bad") == 0.0
+
+
+async def test_one_copy_at_a_time_is_sent_after_a_quarantine(fixture):
+    # Guards against copies at all gateways that come back when a quarantine ends.
+    for number in range(2):
+        await fixture.clock.advance(1_000.0)
+        fixture.crash(f"e{number}", bad=f"r{number}")
+    await fixture.clock.advance(60_100.0)
+    assert fixture.quarantine.remaining_ms("bad", "r3") == 0.0
+    assert fixture.quarantine.remaining_ms("bad", "r4") > 0.0
+    fixture.quarantine.end_request("r3")
+    assert fixture.quarantine.remaining_ms("bad", "r4") == 0.0
