Bound what a peer can make a process keep and compute

Cause: bytes were counted in heads only, while the parsers keep a trailer field until it ends; the event framer searched the whole incomplete event for each piece; bodies, unsent responses and incomplete events were bounded for a connection but not together; short chunks and fields take many times their size in memory.

Change: bytes outside of bodies are bounded since the last byte of a body, the number of fields by 256. The framer searches new bytes only and does not split events into lists of lines; an event that is dropped for its size does not count as passed on. Budgets bound the requests (32 MiB, the largest that is being read is rejected with 503), incomplete events (8 MiB) and unsent responses (32 MiB, the slowest reader is disconnected) of a process; reading from an endpoint pauses at 64 KB unsent instead of 256 KB. Pipelined requests are parsed in steps.

--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -27,10 +27,13 @@
 from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.gateway.sink import ResponseSink
+from bulrushbend.wire.buffer_budget import BufferBudget
 from bulrushbend.wire.eventstream import EventFramer
 
 # Maximum number of attempts that did not run and are followed by another one.
 _MAX_REFUSALS = 3
+# Incomplete events of all resumable streams together.
+_MAX_EVENT_BYTES = 1 << 23
 # Remaining time below which no further attempt is made.
 _MIN_TIME_FOR_RETRY_MS = 30.0
 _REFUSED_RETRY_AFTER_MS = 500.0
@@ -90,6 +93,7 @@
         self._events = events
         self._running: set[_RunningCall] = set()
         self._drain_deadline_ms = float("inf")
+        self._event_budget = BufferBudget(_MAX_EVENT_BYTES)
 
     async def serve(self, call: Call, sink: ResponseSink) -> AttemptResult:
         """Run `call` and pass its response to `sink`.
@@ -101,7 +105,7 @@
         """
         self._check_quarantine(call)
         self._budgets.for_service(call.service).record_request()
-        framer = EventFramer() if call.route.resumable else None
+        framer = EventFramer(self._event_budget) if call.route.resumable else None
         time_limit = asyncio.timeout(call.remaining_ms(self._clock.now_ms()) / 1000)
         running = _RunningCall(call, time_limit)
         self._running.add(running)
@@ -121,6 +125,8 @@
             raise outcome_unknown_error(reason, message) from None
         finally:
             self._running.discard(running)
+            if framer is not None:
+                framer.close()
             self._quarantine.end_request(call)
             self._request_quarantine.end_request(call)
 
--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -20,11 +20,18 @@
 from bulrushbend.gateway.call import RequestError
 from bulrushbend.gateway.sink import ConnectionSink
 from bulrushbend.process.listening import accept_pending
+from bulrushbend.wire.buffer_budget import BufferBudget
 
 _log = get_logger("gateway.server")
 _BODY_TOO_LARGE = RequestError(413, "body-too-large", "the body is too large")
 _HEADERS_TOO_LARGE = RequestError(431, "headers-too-large", "the headers are too large")
 _BAD_REQUEST = RequestError(400, "bad-request", "the request is not HTTP/1.1")
+_BUSY = RequestError(
+    503,
+    "requests-too-large",
+    "the requests in progress are too large together; the request was not sent",
+    retry_after_ms=1_000.0,
+)
 _BAD_CODING = RequestError(400, "bad-coding", "the transfer coding is not known")
 # The request may have run.
 INTERNAL_ERROR = RequestError(502, "internal-error", "an error of the gateway")
@@ -42,7 +49,17 @@
 # Pipelined requests of a connection above which reading from it pauses.
 _MAX_PIPELINED_REQUESTS = 4
 # Unsent bytes of a response above which reading from the endpoint pauses.
-_MAX_UNSENT_BYTES = 1 << 18
+_MAX_UNSENT_BYTES = 1 << 16
+# Unsent bytes of all responses above which the slowest caller is disconnected.
+_MAX_TOTAL_UNSENT_BYTES = 1 << 25
+# Requests that are read, wait or run, in all: an endpoint that reads slowly doubles it.
+_MAX_TOTAL_REQUEST_BYTES = 1 << 25
+# Memory used for a request in addition to its body and its fields.
+_REQUEST_OVERHEAD_BYTES = 2_048
+# Fields take much more memory than their bytes.
+_MAX_HEADERS = 256
+# Bytes that are parsed before the number of pipelined requests is checked.
+_MAX_PARSED_BYTES = 2_048
 
 
 class CallerRequestHandler(Protocol):
@@ -109,6 +126,7 @@
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None
         self._accepting: set[asyncio.Task[object]] = set()
+        self._requests = BufferBudget(_MAX_TOTAL_REQUEST_BYTES)
 
     @property
     def has_unfinished_work(self) -> bool:
@@ -190,6 +208,36 @@
             self.remove_connection(longest_idle)
             longest_idle.close()
 
+    def reserve_request(self, size: int) -> bool:
+        """Reserve memory for a part of a request; return whether there is some.
+
+        The largest request that is being read may be rejected for it.
+        """
+        while not self._requests.reserve(size):
+            largest = max(self._connections, key=lambda c: c.unread_bytes)
+            if not largest.unread_bytes:
+                return False
+            largest.reject_for_memory()
+        return True
+
+    def release_request(self, size: int) -> None:
+        """Release the memory that was reserved for a request."""
+        self._requests.release(size)
+
+    def bound_unsent(self) -> None:
+        """Disconnect the slowest callers if unsent responses take too much memory."""
+        unsent = {c: c.unsent_bytes for c in self._connections}
+        total = sum(unsent.values())
+        while total > _MAX_TOTAL_UNSENT_BYTES:
+            slowest = max(unsent, key=unsent.__getitem__)
+            total -= unsent.pop(slowest)
+            _log.warning(
+                "unsent responses take more than %d bytes; disconnecting the caller "
+                "that reads slowest",
+                _MAX_TOTAL_UNSENT_BYTES,
+            )
+            slowest.abort()
+
     def remove_connection(self, connection: "_Connection") -> None:
         """Unregister a connection."""
         self._connections.discard(connection)
@@ -213,6 +261,7 @@
     supports_chunked: bool
     expects_continue: bool
     body: bytes = b""
+    reserved_bytes: int = 0
 
 
 class _Connection(asyncio.Protocol):
@@ -225,10 +274,13 @@
         self._transport: asyncio.Transport | None = None
         self._url = b""
         self._headers = HTTPHeaders()
-        self._header_bytes = 0
+        self._header_count = 0
+        # Bytes of the head, or of chunk sizes and trailers since the last chunk.
+        self._framing_bytes = 0
         self._request: _Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        # Received bytes that are parsed when fewer requests wait.
+        self._unparsed = b""
         self._is_reading = False
         self._pipelined: deque[_Request] = deque()
         self._task: asyncio.Task[None] | None = None
@@ -257,6 +309,16 @@
             )
         )
 
+    @property
+    def unread_bytes(self) -> int:
+        """Memory reserved for the request that is being read."""
+        return 0 if self._request is None else self._request.reserved_bytes
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the caller has not read."""
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
         transport.set_write_buffer_limits(high=_MAX_UNSENT_BYTES)
@@ -268,27 +330,38 @@
         if self._timer is not None:
             self._timer.cancel()
         self._server.remove_connection(self)
+        for request in self._pipelined:
+            self._release(request)
         self._pipelined.clear()
+        self._unparsed = b""
+        self._drop_request()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
         if self._sink is not None:
             self._sink.set_buffer_full(True)
+        self._server.bound_unsent()
 
     def resume_writing(self) -> None:
         if self._sink is not None:
             self._sink.set_buffer_full(False)
 
     def data_received(self, data: bytes) -> None:
-        if self._is_discarding or self._pending_error is not None:
-            return
+        for start in range(0, len(data), _MAX_PARSED_BYTES):
+            if self._is_discarding or self._pending_error is not None:
+                return
+            if self._is_paused:
+                self._unparsed += data[start:]
+                return
+            self._parse(data[start : start + _MAX_PARSED_BYTES])
+
+    def _parse(self, data: bytes) -> None:
         if not self._is_reading:
             self._start_reading()
-        if self._request is None:
-            # Bounds the memory used for headers that never end. Their exact size is
-            # checked when they are complete.
-            self._header_bytes += len(data)
+        # Bounds the memory used for heads and trailers that never end. The exact size
+        # of a head is checked when it is complete.
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -302,10 +375,7 @@
             self._is_discarding = True
         except httptools.HttpParserError:
             self._reject(_BAD_REQUEST)
-        if (
-            self._request is None
-            and self._header_bytes > 2 * self._handler.header_bytes
-        ):
+        if self._framing_bytes > 2 * self._handler.header_bytes:
             self._reject(_HEADERS_TOO_LARGE)
         if len(self._pipelined) >= _MAX_PIPELINED_REQUESTS and not self._is_paused:
             self._is_paused = True
@@ -314,23 +384,26 @@
     def on_message_begin(self) -> None:
         self._url = b""
         self._headers = HTTPHeaders()
+        self._header_count = 0
         self._request = None
         self._body.clear()
-        self._body_bytes = 0
         self._start_reading()
 
     def on_url(self, url: bytes) -> None:
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._request is None:
+        if self._request is not None:
+            return
+        self._header_count += 1
+        if self._header_count <= _MAX_HEADERS:
             self._headers.add(name.decode("latin1"), value.decode("latin1"))
 
     def on_headers_complete(self) -> None:
         headers = self._headers
         method = self._parser.get_method().decode("latin1")
         version = self._parser.get_http_version()
-        self._header_bytes = 0
+        self._framing_bytes = 0
         self._request = _Request(
             RequestStartLine(method, self._url.decode("latin1"), f"HTTP/{version}"),
             headers,
@@ -343,31 +416,31 @@
         coding = headers.get("Transfer-Encoding")
         if version not in _VERSIONS:
             self._reject(_BAD_REQUEST)
-        elif size > self._handler.header_bytes:
+        elif size > self._handler.header_bytes or self._header_count > _MAX_HEADERS:
             self._reject(_HEADERS_TOO_LARGE)
         elif length.isdigit() and int(length) > self._handler.body_bytes:
             self._reject(_BODY_TOO_LARGE)
         elif coding is not None and coding.lower() != "chunked":
             self._reject(_BAD_CODING)
-        elif self._task is None:
+        elif self._reserve(size + _REQUEST_OVERHEAD_BYTES) and self._task is None:
             self._confirm_continue()
 
     def on_body(self, chunk: bytes) -> None:
         if self._pending_error is not None:
             return
         self._last_activity_s = self._loop.time()
-        self._body_bytes += len(chunk)
-        if self._body_bytes > self._handler.body_bytes:
+        self._framing_bytes = 0
+        if len(self._body) + len(chunk) > self._handler.body_bytes:
             self._reject(_BODY_TOO_LARGE)
-            return
-        self._body.append(chunk)
+        elif self._reserve(len(chunk)):
+            self._body += chunk
 
     def on_message_complete(self) -> None:
         if self._pending_error is not None:
             return
         request = self._request
-        request.body = b"".join(self._body)
-        self._body.clear()
+        request.body = bytes(self._body)
+        self._body = bytearray()
         self._request = None
         self._is_reading = False
         self._pipelined.append(request)
@@ -379,6 +452,36 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Reset the connection and end its request in progress."""
+        self._transport.abort()
+
+    def reject_for_memory(self) -> None:
+        """Reject the request that is being read, as all take too much memory."""
+        self._reject(_BUSY)
+
+    def _reserve(self, size: int) -> bool:
+        """Reserve memory for the request that is being read, or reject it."""
+        if self._server.reserve_request(size):
+            # It may have been rejected to make room for itself.
+            if self._request is not None:
+                self._request.reserved_bytes += size
+                return True
+            self._server.release_request(size)
+        self._reject(_BUSY)
+        return False
+
+    def _release(self, request: _Request) -> None:
+        self._server.release_request(request.reserved_bytes)
+        request.reserved_bytes = 0
+
+    def _drop_request(self) -> None:
+        """Drop the request that is being read."""
+        if self._request is not None:
+            self._release(self._request)
+            self._request = None
+        self._body = bytearray()
+
     def _start_reading(self) -> None:
         if not self._is_reading:
             self._is_reading = True
@@ -392,10 +495,14 @@
             return
         if self._pipelined:
             request = self._pipelined.popleft()
+            self._task = self._loop.create_task(self._handle(request))
+            # A task that is cancelled before it starts runs no code of its own.
+            self._task.add_done_callback(lambda _: self._release(request))
             if self._is_paused and len(self._pipelined) < _MAX_PIPELINED_REQUESTS:
                 self._is_paused = False
                 self._transport.resume_reading()
-            self._task = self._loop.create_task(self._handle(request))
+                unparsed, self._unparsed = self._unparsed, b""
+                self.data_received(unparsed)
         elif self._pending_error is not None:
             self._send_pending_error()
         elif self._request is not None:
@@ -460,13 +567,14 @@
     def _should_close(self, is_requested: bool) -> bool:
         """Return whether to close the connection after the response that starts now."""
         is_last = is_requested or self._is_discarding or self._handler.is_draining
-        return is_last and not self._pipelined and self._pending_error is None
+        has_more = self._pipelined or self._unparsed
+        return is_last and not has_more and self._pending_error is None
 
     def _reject(self, error: RequestError) -> None:
         """Reject the request being read, after the responses to earlier requests."""
         if self._pending_error is None:
             self._pending_error = error
-            self._body.clear()
+            self._drop_request()
             if self._task is None:
                 self._send_pending_error()
 
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -7,6 +7,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from bulrushbend.gateway import server as caller_server
 from bulrushbend.gateway.server import CallerServer
 
 END = b"\r\n\r\n"
@@ -520,3 +521,97 @@
         await asyncio.sleep(0.05)
         assert not server.has_unfinished_work
         writer.close()
+
+
+CHUNKED_HEAD = b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "piece", "status"),
+    [
+        (b"GET /a HTTP/1.1\r\nA: ", b"x" * 4_096, b"431"),
+        (b"GET /a HTTP/1.1\r\n", b"a:\r\n" * 1_024, b"431"),
+        (CHUNKED_HEAD + b"0\r\n", b"x" * 4_096, b"431"),
+        (CHUNKED_HEAD + b"1;", b"x" * 4_096, b"431"),
+        (CHUNKED_HEAD, b"400\r\n" + b"x" * 1_024 + b"\r\n", b"413"),
+    ],
+)
+async def test_request_without_end_is_rejected(start, piece, status):
+    # Guards against a caller whose bytes the parser keeps without a bound.
+    handler = EchoHandler()
+    async with serving(handler) as (_, port):
+        response = await send_request(port, start, piece, piece)
+        assert response.startswith(b"HTTP/1.1 " + status)
+        assert (await send_request(port, get("/b"))).startswith(b"HTTP/1.1 200")
+    assert [path for _, path, _ in handler.requests] == ["/b"]
+
+
+async def test_many_pipelined_requests_are_answered_in_order():
+    # Guards against requests that are read at once and exhaust the memory.
+    handler = EchoHandler()
+    async with serving(handler) as (_, port):
+        content = b"".join(get(f"/{number}") for number in range(500))
+        response = await send_request(port, content, pause_s=0.5)
+    assert response.count(b"HTTP/1.1 200") == 500
+    assert [path for _, path, _ in handler.requests] == [f"/{n}" for n in range(500)]
+
+
+async def test_requests_that_are_too_large_together_are_rejected(monkeypatch):
+    # Guards against callers that exhaust the memory with bodies that never end.
+    monkeypatch.setattr(caller_server, "_MAX_TOTAL_REQUEST_BYTES", 20_000)
+    handler = EchoHandler()
+    handler.body_bytes = 8_000
+    head = b"POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 8000\r\n\r\n"
+    async with serving(handler) as (_, port):
+        slow = [
+            asyncio.create_task(
+                send_request(port, head + b"x" * (4_000 + size), pause_s=0.2)
+            )
+            for size in range(6)
+        ]
+        await asyncio.sleep(0.1)
+        body = b"y" * 4_000
+        head = b"POST /fast HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n\r\n"
+        response = await send_request(port, head + body)
+        assert response.endswith(body)
+        refused = [answer for answer in await asyncio.gather(*slow) if answer]
+        assert refused
+        assert all(answer.startswith(b"HTTP/1.1 503") for answer in refused)
+
+
+async def test_memory_of_ended_requests_is_released():
+    # Guards against a server that rejects all requests in the end.
+    handler = EchoHandler()
+    body = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n" + b"x" * 900
+    async with serving(handler) as (server, port):
+        await send_request(port, body + get("/b"))
+        await send_request(port, body[:-10])
+        await send_request(port, body + b"no request\r\n\r\n")
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(body * 20)
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+        assert server._requests.used == 0
+
+
+async def test_slowest_readers_are_disconnected_when_memory_runs_out(monkeypatch):
+    # Guards against hundreds of slow readers that exhaust the memory.
+    monkeypatch.setattr(caller_server, "_MAX_TOTAL_UNSENT_BYTES", 1 << 23)
+    handler = EchoHandler()
+
+    async def send_much(start_line, headers, body, sink):
+        sink.start(200, HTTPHeaders())
+        sink.write(b"x" * (1 << 23 if start_line.path == "/much" else 10))
+        sink.finish()
+
+    handler.respond = send_much
+    async with serving(handler) as (server, port):
+        slow = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
+        for _, writer in slow:
+            writer.write(get("/much"))
+        await asyncio.sleep(0.3)
+        unsent = sum(c.unsent_bytes for c in server._connections)
+        assert unsent <= 1 << 23
+        assert (await send_request(port, get("/b"))).startswith(b"HTTP/1.1 200")
+        for _, writer in slow:
+            writer.transport.abort()
--- a/libs/wire/src/bulrushbend/wire/eventstream.py
+++ b/libs/wire/src/bulrushbend/wire/eventstream.py
@@ -1,15 +1,26 @@
 """Framing of server-sent events."""
 
 import re
+from collections.abc import Sequence
 
 from bulrushbend.core.errors import PeerProtocolError
+from bulrushbend.wire.buffer_budget import BufferBudget
 
 # Bounds the memory used for an endpoint that never ends an event.
 _MAX_EVENT_BYTES = 1 << 20
+# Part of an incomplete event that does not count for the budget of all streams.
+_FREE_EVENT_BYTES = 4_096
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_LINE_END = re.compile(rb"\r\n|\n|\r")
-# Line of a known field, or comment.
-_KNOWN_LINE = re.compile(rb"(?:id|data|event|retry)(?::|$)|:")
+# Bytes before new data with which it may complete the end of an event.
+_MAX_SPLIT_END = 3
+# The lines are searched in place: a list of them can take many times their size.
+_LINE = re.compile(rb"[^\r\n]")
+_LINE_OF_EVENT = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
+_KNOWN_LINE = re.compile(
+    rb"(?:^|[\r\n])(?:(?:id|data|event|retry)(?::|(?=[\r\n])|$)|:)"
+)
+_ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
+_DATA_LINE = re.compile(rb"(?:^|[\r\n])data")
 _BLANK_LINE_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 
 
@@ -35,12 +46,10 @@
 
 def contains_event_end(data: bytes) -> bool:
     """Return whether an event that is not only a comment ends within `data`."""
-    *events, _ = _EVENT_END.split(data)
-    return any(
-        line and not line.startswith(b":")
-        for event in events
-        for line in _LINE_END.split(event)
-    )
+    end = 0
+    for match in _EVENT_END.finditer(data):
+        end = match.end()
+    return _LINE_OF_EVENT.search(data, 0, end) is not None
 
 
 class EventFramer:
@@ -52,10 +61,19 @@
 
     A resumed stream is checked until its first event with an id, which has to follow
     the last id. Decimal ids increase; other ids differ.
+
+    Parameters
+    ----------
+    budget : BufferBudget, optional
+        Bounds the incomplete events of all streams together.
     """
 
-    def __init__(self) -> None:
-        self._partial = b""
+    def __init__(self, budget: BufferBudget | None = None) -> None:
+        self._budget = budget
+        self._reserved = 0
+        self._partial = bytearray()
+        # Bytes of it that contain no end of an event.
+        self._searched = 0
         self._last_id = ""
         self._events_after_id = 0
         self._events_to_skip = 0
@@ -72,42 +90,65 @@
         Raises
         ------
         PeerProtocolError
-            An event is larger than 1 MiB, or a resumed stream does not continue after
+            An event is larger than 1 MiB, the incomplete events of all streams are
+            larger than the budget, or a resumed stream does not continue after
             the last event. No event of `data` counts as passed on then.
         """
         self._partial += data
-        if self._must_continue:
-            self._check_continuation()
-        passed: list[bytes] = []
-        start = 0
-        for match in _EVENT_END.finditer(self._partial):
-            event = self._partial[start : match.end()]
-            start = match.end()
-            if self._is_new(event):
-                passed.append(event)
-        self._partial = self._partial[start:]
-        if len(self._partial) > _MAX_EVENT_BYTES:
+        start = max(0, self._searched - _MAX_SPLIT_END)
+        ends = [match.end() for match in _EVENT_END.finditer(self._partial, start)]
+        complete = ends[-1] if ends else 0
+        self._searched = len(self._partial) - complete
+        if self._searched > _MAX_EVENT_BYTES:
             raise PeerProtocolError("event is larger than 1 MiB", step="event stream")
-        return b"".join(passed)
+        self._reserve(self._searched - _FREE_EVENT_BYTES)
+        if not ends:
+            return b""
+        events = [
+            bytes(self._partial[start:end])
+            for start, end in zip([0, *ends], ends, strict=False)
+        ]
+        del self._partial[:complete]
+        if self._must_continue:
+            self._check_continuation(events)
+        return b"".join([event for event in events if self._is_new(event)])
 
     def finish(self) -> bytes:
         """Return the bytes after the last event, at the regular end of the stream."""
-        rest, self._partial = self._partial, b""
+        rest = bytes(self._partial)
+        self.close()
         return rest
 
+    def close(self) -> None:
+        """Drop the bytes after the last event."""
+        self._partial = bytearray()
+        self._searched = 0
+        self._reserve(0)
+
     def restart(self) -> None:
         """Reset the state for the stream that the endpoint sends after a resume."""
-        self._partial = b""
+        self.close()
         self._events_to_skip = self._events_after_id
         self._must_continue = bool(self._last_id)
 
-    def _check_continuation(self) -> None:
-        start = 0
-        for match in _EVENT_END.finditer(self._partial):
-            event = self._partial[start : match.end()]
-            start = match.end()
-            lines = [line for line in _LINE_END.split(event) if line]
-            if lines and not any(map(_KNOWN_LINE.match, lines)):
+    def _reserve(self, size: int) -> None:
+        """Change the part of the budget that this stream uses."""
+        if self._budget is None or (size <= 0 and not self._reserved):
+            return
+        added = max(0, size) - self._reserved
+        if added > 0 and not self._budget.reserve(added):
+            raise PeerProtocolError(
+                f"incomplete events of all streams are larger than "
+                f"{self._budget.limit} bytes",
+                step="event stream",
+            )
+        if added < 0:
+            self._budget.release(-added)
+        self._reserved += added
+
+    def _check_continuation(self, events: Sequence[bytes]) -> None:
+        for event in events:
+            if _LINE.search(event) and not _KNOWN_LINE.search(event):
                 raise PeerProtocolError(
                     "resumed stream contains no events", step="event stream"
                 )
@@ -140,13 +181,9 @@
 
 def _parse_event(event: bytes) -> tuple[str | None, bool]:
     event_id: str | None = None
-    has_data = False
-    for line in _LINE_END.split(event):
-        if line.startswith(b"id:"):
-            event_id = line[3:].strip().decode("utf-8", "replace")
-        elif line.startswith(b"data"):
-            has_data = True
-    return event_id, has_data
+    for match in _ID_LINE.finditer(event):
+        event_id = match[1].strip().decode("utf-8", "replace")
+    return event_id, _DATA_LINE.search(event) is not None
 
 
 def _follows(event_id: str, last_id: str) -> bool:
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -21,10 +21,14 @@
 )
 from bulrushbend.core.settings import split_address
 
-# Bounds the memory used for a peer whose header section never ends.
+# Bounds the memory used for a peer whose header or trailer section never ends. Fields
+# take much more memory than their bytes.
 _MAX_HEADER_BYTES = 1 << 16
+_MAX_HEADERS = 256
 # Bytes buffered between the socket and a slow reader; reading pauses above this.
 _MAX_BUFFERED_BYTES = 1 << 18
+# Memory used for a buffered chunk in addition to its bytes.
+_CHUNK_OVERHEAD_BYTES = 64
 # Status codes of responses that have no body (RFC 9110, section 6.4.1).
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -83,6 +87,9 @@
         self._loop = loop
         self._parser = httptools.HttpResponseParser(self)
         self._header_bytes = 0
+        self._header_count = 0
+        # Bytes since the last one of the body: chunk sizes, extensions and trailers.
+        self._framing_bytes = 0
         self._has_headers = False
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
@@ -104,6 +111,7 @@
         self.last_received_s = self._loop.time()
         if not self._has_headers:
             self._header_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -121,6 +129,12 @@
             self.fail(
                 self._make_error("the head of the answer has no end", PeerProtocolError)
             )
+        elif self._framing_bytes > _MAX_HEADER_BYTES:
+            self.fail(
+                self._make_error(
+                    "the trailer or a chunk size has no end", PeerProtocolError
+                )
+            )
 
     def connection_lost(self, error: Exception | None) -> None:
         # A body without a length ends when the peer closes the connection. A reset
@@ -133,8 +147,12 @@
         self.fail(self._make_error(f"connection ended {step}", TruncatedResponseError))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._has_headers:
-            self.headers.add(name.decode("latin1"), value.decode("latin1"))
+        if self._has_headers:
+            return
+        self._header_count += 1
+        if self._header_count > _MAX_HEADERS:
+            raise HTTPInputError(f"more than {_MAX_HEADERS} fields")
+        self.headers.add(name.decode("latin1"), value.decode("latin1"))
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
@@ -143,6 +161,7 @@
             return
         self.status = status
         self._has_headers = True
+        self._framing_bytes = 0
         coding = self.headers.get("Transfer-Encoding")
         has_body = not (self.is_head_request or status in STATUSES_WITHOUT_BODY)
         self.ends_with_connection = (
@@ -160,13 +179,14 @@
             self._complete()
 
     def on_body(self, chunk: bytes) -> None:
+        self._framing_bytes = 0
         if self.body_done.done():
             return
         if self._consumer is not None:
             self._consumer(chunk)
             return
         self._chunks.append(chunk)
-        self._buffered_bytes += len(chunk)
+        self._buffered_bytes += len(chunk) + _CHUNK_OVERHEAD_BYTES
         self._notify_waiter()
         if self._buffered_bytes > _MAX_BUFFERED_BYTES:
             self.pause()
@@ -201,7 +221,7 @@
         if not self._chunks:
             return None
         chunk = self._chunks.popleft()
-        self._buffered_bytes -= len(chunk)
+        self._buffered_bytes -= len(chunk) + _CHUNK_OVERHEAD_BYTES
         if self._buffered_bytes <= _MAX_BUFFERED_BYTES // 2:
             self.resume()
         return chunk
--- a/libs/wire/tests/test_eventstream.py
+++ b/libs/wire/tests/test_eventstream.py
@@ -1,8 +1,11 @@
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bulrushbend.core.errors import PeerProtocolError
+from bulrushbend.wire.buffer_budget import BufferBudget
 from bulrushbend.wire.eventstream import EventFramer
 
 EVENTS = [b"id: %d\ndata: token %d\n\n" % (i, i) for i in range(6)]
@@ -77,3 +80,53 @@
     framer.restart()
     rest = b"data: untitled\n\n" + EVENTS[2]
     assert framer.feed(rest) == rest
+
+
+@pytest.mark.parametrize("size", [50, 200, 1_000, 16_384])
+def test_event_without_end_costs_no_more_in_small_pieces(size):
+    # Guards against a stream that takes the processor time of all others.
+    framer = EventFramer()
+    piece = b"x" * size
+    began_s = time.process_time()
+    with pytest.raises(PeerProtocolError):
+        while True:
+            framer.feed(piece)
+    assert time.process_time() - began_s < 1.0
+
+
+@pytest.mark.parametrize("size", range(1, 9))
+@pytest.mark.parametrize("end", [b"\r\n\r\n", b"\n\n", b"\r\r"])
+def test_end_of_an_event_may_be_split(size, end):
+    # Guards against events that are held back as only new bytes are searched.
+    events = [b"id: %d\ndata: token %d" % (n, n) + end for n in range(4)]
+    stream = b"".join(events)
+    framer = EventFramer()
+    passed = [framer.feed(stream[i : i + size]) for i in range(0, len(stream), size)]
+    assert b"".join(passed) == stream
+    assert framer.last_id == "3"
+
+
+def test_incomplete_events_of_all_streams_are_bounded():
+    # Guards against many streams that together exhaust the memory.
+    budget = BufferBudget(100_000)
+    framers = [EventFramer(budget) for _ in range(3)]
+    framers[0].feed(b"x" * 60_000)
+    framers[1].feed(b"data: t\n\n")
+    with pytest.raises(PeerProtocolError):
+        framers[1].feed(b"x" * 60_000)
+    assert framers[2].feed(b"id: 1\n\n") == b"id: 1\n\n"
+    framers[1].close()
+    framers[0].feed(b"\n\n")
+    assert budget.used == 0
+    framers[2].feed(b"x" * 90_000)
+    framers[2].restart()
+    assert budget.used == 0
+
+
+def test_stream_that_is_refused_for_its_size_continues_after_the_last_event():
+    # Guards against an event that counts as passed on although it was dropped.
+    framer = EventFramer()
+    framer.feed(b"id: 1\n\n")
+    with pytest.raises(PeerProtocolError):
+        framer.feed(b"id: 2\n\n" + b"x" * (2 << 20))
+    assert framer.last_id == "1"
--- a/libs/wire/tests/test_exchange.py
+++ b/libs/wire/tests/test_exchange.py
@@ -351,3 +351,42 @@
 
     with asyncio.Runner(loop_factory=loop_factory) as runner:
         runner.run(pause_and_resume())
+
+
+ENDLESS = {
+    "head": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 65_536),
+    "fields": (b"HTTP/1.1 200 OK\r\n", b"".join(b"a%d:\r\n" % n for n in range(300))),
+    "interim responses": (b"", INTERIM * 500),
+    "trailer": (CHUNKED + b"1\r\na\r\n0\r\n", b"x" * 65_536),
+    "chunk extension": (CHUNKED + b"1;", b"x" * 65_536),
+}
+
+
+@pytest.mark.parametrize("part", ENDLESS)
+async def test_bytes_without_end_outside_of_the_body_end_the_exchange(part):
+    # Guards against a peer whose bytes the parser keeps until memory is exhausted.
+    start, piece = ENDLESS[part]
+    sent = 0
+
+    async def handle(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        try:
+            while sent < 1 << 24:
+                writer.write(piece)
+                await writer.drain()
+                sent += len(piece)
+        except ConnectionError:
+            pass
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    timeouts = ExchangeTimeouts(500, 5_000, 5_000)
+    async with server:
+        with pytest.raises(PeerProtocolError):
+            exchange = await Exchange.open(f"{host}:{port}", REQUEST, timeouts)
+            await exchange.body()
+    # What the buffers of the sockets take is sent as well.
+    assert sent < 1 << 23
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -239,3 +239,44 @@
             pages[""] = 200, json.dumps({"instances": entries})
             await source.fetch()
     assert caplog.text.count("skipped the entry id='i-9'") == 2
+
+
+LIST_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 65_536),
+        (LIST_HEAD, b"10000\r\n" + b"x" * 65_536 + b"\r\n"),
+        (LIST_HEAD + b"2\r\n{}\r\n0\r\n", b"x" * 65_536),
+    ],
+)
+async def test_list_without_end_is_given_up(start, piece):
+    # Guards against a platform whose bytes exhaust the memory of every gateway.
+    sent = 0
+
+    async def respond(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        with contextlib.suppress(ConnectionError):
+            while sent < 1 << 25:
+                writer.write(piece)
+                await writer.drain()
+                sent += len(piece)
+        writer.close()
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        with pytest.raises(PeerError):
+            await InstanceList(f"{host}:{port}", 1_000.0).fetch()
+    assert sent < 1 << 24
+
+
+def test_descriptions_of_invalid_entries_are_bounded():
+    # Guards against a list of entries whose descriptions exhaust the memory.
+    entries = ",".join(map(str, range(20_000)))
+    page = decode_page(f'{{"instances": [{entries}], "next": null}}'.encode())
+    assert 0 < len(page.invalid) <= 256
