Read the list of endpoints around an entry that has no end

Cause: an entry that leaves a string or a bracket open made its page unreadable, since where it ends cannot be found; a gateway that has just started has no earlier list.

Change: if the brackets of a page are not paired, its entries are searched for: an object counts that can be decoded and is followed by a comma or the end of an array. The token of the next page is read at either end of the page. At most 1,000 objects may be damaged.

--- a/libs/wire/src/bulrushbend/wire/json_parts.py
+++ b/libs/wire/src/bulrushbend/wire/json_parts.py
@@ -13,6 +13,11 @@
 _NEXT_PART = re.compile(
     rb'(?:[^][{}",]++|' + _STRING + rb")*+(" + _BRACKETS + rb"|,)", re.DOTALL
 )
+# The start of an object in an array, and what follows an element of one.
+_OBJECT_START = re.compile(rb"[\[,]\s*+(?=\{)")
+_ELEMENT_END = re.compile(rb"\s*+[,\]]")
+# Bounds the time spent on content that is damaged throughout.
+_MAX_DAMAGED_OBJECTS = 1_000
 _KEY = re.compile(rb"\s*(" + _STRING + rb")\s*:", re.DOTALL)
 
 
@@ -66,6 +71,55 @@
     return _unique_keys(members)
 
 
+def find_objects(content: bytes, max_bytes: int) -> tuple[list[bytes], list[bytes]]:
+    """Return the elements of a damaged JSON array that are objects, still encoded.
+
+    An element whose quotation marks or brackets are not paired hides where it ends.
+    The search goes on at the next place where an object may start, which can also be a
+    part of the damaged one.
+
+    Parameters
+    ----------
+    content : bytes
+        The array, from its opening bracket.
+    max_bytes : int
+        Maximum size of an object.
+
+    Returns
+    -------
+    found : list of bytes
+        The objects that can be decoded.
+    damaged : list of bytes
+        Starts of those that cannot.
+
+    Raises
+    ------
+    ValueError
+        Too many objects are damaged.
+    """
+    found: list[bytes] = []
+    damaged: list[bytes] = []
+    decoder = json.JSONDecoder()
+    position = 0
+    while match := _OBJECT_START.search(content, position):
+        start = match.end()
+        encoded = content[start : start + max_bytes]
+        try:
+            # One character a byte, so that positions agree.
+            _, size = decoder.raw_decode(encoded.decode("latin-1"))
+        except (ValueError, RecursionError):
+            size = 0
+        if size and _ELEMENT_END.match(content, start + size):
+            found.append(encoded[:size])
+            position = start + size
+            continue
+        damaged.append(encoded)
+        if len(damaged) > _MAX_DAMAGED_OBJECTS:
+            raise ValueError(f"more than {_MAX_DAMAGED_OBJECTS} objects are damaged")
+        position = start
+    return found, damaged
+
+
 def _split(content: bytes, opening: bytes) -> list[bytes]:
     content = content.strip()
     if not content.startswith(opening):
--- a/tests/adapter/test_instances.py
+++ b/tests/adapter/test_instances.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import json
+import time
 
 import pytest
 from hypothesis import given
@@ -90,6 +91,12 @@
     "not JSON": with_field("x", b"nothing"),
     "brackets in a string": with_field("x", b'"\xff]}]}\\"[{,\\\\"'),
     "missing": b"",
+    "cut short in a string": encode(make_instance("i-9"))[:60],
+    "cut short after a bracket": b'{"id":"i-9","x":[',
+    "cut short in a nested object": b'{"id":"i-9","x":{"y":"',
+    "open string": b'"i-9',
+    "open bracket": b"[1",
+    "brackets without an opening": b"}]}",
 }
 
 
@@ -165,6 +172,35 @@
     return 200, json.dumps({"instances": instances, "next": following})
 
 
+@pytest.mark.parametrize("position", [0, 1, 2])
+@pytest.mark.parametrize(
+    "layout",
+    [
+        b'{"next":"p2","instances":[%s]}',
+        b'{"instances":[%s],"next":"p2"}',
+    ],
+)
+async def test_pages_after_one_with_an_entry_that_is_cut_short_are_read(
+    layout, position
+):
+    # Guards against an entry that hides the endpoints of all other pages (review/4).
+    entries = [encode(make_instance(f"i-{number}")) for number in (2, 3)]
+    entries.insert(position, encode(make_instance("i-9"))[:60])
+    first = layout % b",".join(entries)
+    found, calls = await fetch({"": (200, first), "p2": page("i-4")})
+    assert [endpoint.id for endpoint in found] == ["i-2", "i-3", "i-4"]
+    assert calls == 2
+
+
+def test_page_that_is_damaged_throughout_is_given_up():
+    # Guards against a page that takes the processor time of all requests.
+    content = b'{"instances":[%s],"next":null}' % (b'{"a":[{"b":' * 150_000)
+    began_s = time.process_time()
+    with pytest.raises(ValueError, match="damaged"):
+        decode_damaged_page(content)
+    assert time.process_time() - began_s < 3.0
+
+
 async def test_all_pages_are_read():
     # Guards against endpoints that are missed because later pages are not read.
     pages = {"": page("i-1", following="p 2"), "p 2": page("i-2")}
