End a silent stream only when another endpoint has taken it over

A reservation is only the count of a gateway; when the endpoint refused, the response was aborted.

Change: the request is sent to the other endpoint first, with the id of the last event, and the silent exchange ends when that one responds with a stream. Otherwise, or when the silent one goes on meanwhile, the new exchange is closed. It counts as a retry and, unless refused, as a run.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -78,6 +78,22 @@
     BROKEN_OFF = "broken-off"
 
 
+@dataclass(frozen=True)
+class Successor:
+    """The attempt that follows a silent one.
+
+    Attributes
+    ----------
+    placement : Placement
+        Its endpoint, with the load recorded there.
+    exchange : Exchange or None
+        Exchange whose response has begun; None if the request was not sent yet.
+    """
+
+    placement: Placement
+    exchange: Exchange | None = None
+
+
 @dataclass(frozen=True)
 class AttemptResult:
     """Result of an attempt.
@@ -90,8 +106,8 @@
         Why there is no complete response, else empty.
     status : int
         Status code of the endpoint, 0 without a response.
-    successor : Placement or None
-        Endpoint for the next attempt, reserved before this one was ended.
+    successor : Successor or None
+        The next attempt, prepared before this one was ended.
     is_suspect : bool
         Whether the endpoint crashed and the request may be the cause.
     """
@@ -99,7 +115,7 @@
     verdict: Verdict
     reason: str = ""
     status: int = 0
-    successor: Placement | None = None
+    successor: Successor | None = None
     is_suspect: bool = False
 
 
@@ -114,6 +130,10 @@
         """Release a placement that is not used."""
         ...
 
+    def endpoint_of(self, placement: Placement) -> DiscoveredEndpoint | None:
+        """Return the endpoint of a placement, None if it is gone."""
+        ...
+
 
 @dataclass(frozen=True)
 class AttemptContext:
@@ -150,12 +170,16 @@
     successors : SuccessorSource or None
         Reserves the endpoint of the next attempt; None if no attempt may follow this
         one after the request may have run.
+    exchange : Exchange, optional
+        Exchange whose response has begun.
 
     Notes
     -----
     Silence does not end an attempt: the endpoint may be slow, and its response may be
     the only one that the caller can get. A silent attempt ends when another endpoint is
-    reserved for the request.
+    reserved for the request. One whose response has begun ends only when the other
+    endpoint has begun to respond, too: it may refuse the request, and the silent one
+    may go on.
     """
 
     def __init__(
@@ -167,7 +191,9 @@
         sink: ResponseSink,
         framer: EventFramer | None,
         successors: SuccessorSource | None,
+        exchange: Exchange | None = None,
     ):
+        self._exchange = exchange
         self._context = context
         self._call = call
         self._placement = placement
@@ -177,7 +203,7 @@
         self._successors = successors
         self._tail: StreamTail | None = None
         self._is_resumed = framer is not None and sink.started
-        self._successor: Placement | None = None
+        self._successor: Successor | None = None
         self._reservation: asyncio.Task[None] | None = None
         self._is_prefill_ended = False
         self._sent = False
@@ -216,30 +242,36 @@
             if self._successor is not None and (
                 result is None or result.successor is None
             ):
-                self._successors.release(self._successor)
+                self._discard(self._successor)
             self._end_prefill()
             self._context.loads.end(self._endpoint.id)
 
     async def _run(self) -> AttemptResult:
-        if not self._context.notices.may_send(self._endpoint):
-            return self._withhold()
-        timeouts = self._timeouts()
-        try:
-            exchange = await Exchange.connect(self._endpoint.address, timeouts)
-        except ConnectError as error:
-            self._context.health.record_failure(
-                self._endpoint.id, f"connect: {error.message}"
-            )
-            return AttemptResult(Verdict.NOT_RUN, f"connect: {error.message}")
-        if not self._context.notices.may_send(self._endpoint):
-            exchange.close()
+        if not self._context.notices.may_send(self._endpoint) and not self._exchange:
             return self._withhold()
+        exchange = self._exchange
+        if exchange is None:
+            try:
+                exchange = await Exchange.connect(
+                    self._endpoint.address, self._timeouts()
+                )
+            except ConnectError as error:
+                self._context.health.record_failure(
+                    self._endpoint.id, f"connect: {error.message}"
+                )
+                return AttemptResult(Verdict.NOT_RUN, f"connect: {error.message}")
+            if not self._context.notices.may_send(self._endpoint):
+                exchange.close()
+                return self._withhold()
         self._sent = True
         try:
             if self._successors is not None:
                 self._last_progress_ms = self._context.clock.now_ms()
                 self._watch_silence(exchange)
-            await exchange.send(self._request())
+            if self._exchange is None:
+                await exchange.send(
+                    self._request(self._endpoint, self._placement.fetch_from)
+                )
             return await self._handle_response(exchange)
         except PeerError as error:
             self._stop_watching()
@@ -274,11 +306,13 @@
             self._context.leaving_reports.repeat(self._endpoint)
         return AttemptResult(Verdict.WITHHELD, "endpoint wants no requests")
 
-    def _request(self) -> ExchangeRequest:
+    def _request(
+        self, endpoint: DiscoveredEndpoint, fetch_from: str
+    ) -> ExchangeRequest:
         call = self._call
         remaining_ms = call.remaining_ms(self._context.clock.now_ms())
         headers = self._context.header_codec.endpoint_headers(
-            call, self._endpoint, remaining_ms, self._placement.fetch_from
+            call, endpoint, remaining_ms, fetch_from
         )
         return ExchangeRequest(call.method, call.target, headers, call.body)
 
@@ -303,12 +337,12 @@
             self._stop_watching()
         if is_event_stream and exchange.ends_with_connection:
             self._tail = StreamTail()
-        self._record_notices(status, headers)
+        self._record_notices(self._endpoint, status, headers)
         # A refusal of another request proves nothing about this one.
         if not header_codec.is_genuine(self._call, status, headers):
             return AttemptResult(Verdict.MAY_HAVE_RUN, "answer of another", status)
         if status != HTTPStatus.MISDIRECTED_REQUEST:
-            self._record_limit(headers)
+            self._record_limit(self._endpoint, headers)
         if header_codec.proves_not_run(status, headers):
             if status == HTTPStatus.MISDIRECTED_REQUEST:
                 self._context.crash_reports.record_replaced(self._endpoint.id)
@@ -330,10 +364,12 @@
         self._context.health.record_answer(self._endpoint.id)
         return AttemptResult(Verdict.ANSWERED, status=status)
 
-    def _record_notices(self, status: int, headers: HTTPHeaders) -> None:
-        """Record what the endpoint states about itself in its response."""
+    def _record_notices(
+        self, endpoint: DiscoveredEndpoint, status: int, headers: HTTPHeaders
+    ) -> None:
+        """Record what an endpoint states about itself in its response."""
         if self._context.header_codec.states_leaving(headers):
-            self._context.leaving_reports.record_leaving(self._endpoint)
+            self._context.leaving_reports.record_leaving(endpoint)
         if status != HTTPStatus.SERVICE_UNAVAILABLE:
             return
         try:
@@ -341,28 +377,26 @@
         except ValueError as error:
             _log.warning(
                 "response of endpoint %s: %s; avoiding it for its backoff instead",
-                self._endpoint.id,
+                endpoint.id,
                 error,
             )
-            self._context.health.record_failure(
-                self._endpoint.id, "unreadable Retry-After"
-            )
+            self._context.health.record_failure(endpoint.id, "unreadable Retry-After")
             return
         if pause_ms is not None:
-            self._context.notices.record_pause(self._endpoint, pause_ms)
+            self._context.notices.record_pause(endpoint, pause_ms)
 
-    def _record_limit(self, headers: HTTPHeaders) -> None:
-        """Record the limit that the endpoint states, or that it states none."""
+    def _record_limit(self, endpoint: DiscoveredEndpoint, headers: HTTPHeaders) -> None:
+        """Record the limit that an endpoint states, or that it states none."""
         try:
             rate_per_s = self._context.header_codec.read_limit_per_s(headers)
         except ValueError as error:
             _log.warning(
                 "response of endpoint %s: %s; keeping the limit that is known",
-                self._endpoint.id,
+                endpoint.id,
                 error,
             )
             return
-        self._context.limits.record_statement(self._endpoint, rate_per_s)
+        self._context.limits.record_statement(endpoint, rate_per_s)
 
     def _response_headers(self, exchange: Exchange) -> HTTPHeaders:
         headers = self._context.header_codec.caller_headers(exchange.headers)
@@ -442,9 +476,14 @@
         )
 
     async def _move(self, exchange: Exchange) -> None:
-        """End the exchange once another endpoint is reserved for the request."""
+        """End the exchange once another endpoint can take over the request."""
+        successor: Successor | None = None
         try:
-            self._successor = await self._successors.reserve()
+            placement = await self._successors.reserve()
+            if placement is not None and self._sink.started:
+                successor = await self._open_successor(placement)
+            elif placement is not None:
+                successor = Successor(placement)
         except Exception as error:
             _log.error(
                 "reserving another endpoint for request %s failed with unexpected "
@@ -453,11 +492,75 @@
                 error,
             )
         self._reservation = None
-        if self._successor is not None:
+        if successor is not None:
+            self._successor = successor
             step = "body" if self._has_headers else "headers"
             message = "no progress within the silence limit"
             exchange.abort(PeerTimeoutError(message, step=step, peer=exchange.peer))
 
+    async def _open_successor(self, placement: Placement) -> Successor | None:
+        """Send the request to another endpoint; return None if it does not respond.
+
+        Whatever the reason, the request is not sent there again.
+        """
+        endpoint = self._successors.endpoint_of(placement)
+        if endpoint is None or not self._context.notices.may_send(endpoint):
+            self._successors.release(placement)
+            return None
+        self._call.tried.add(endpoint.id)
+        try:
+            exchange = await Exchange.connect(endpoint.address, self._timeouts())
+        except BaseException as error:
+            self._successors.release(placement)
+            if not isinstance(error, ConnectError):
+                raise
+            self._context.health.record_failure(
+                endpoint.id, f"connect: {error.message}"
+            )
+            return None
+        successor = Successor(placement, exchange)
+        is_accepted = may_have_run = False
+        try:
+            self._call.last_event_id = self._framer.last_id
+            may_have_run = True
+            await exchange.send(self._request(endpoint, placement.fetch_from))
+            may_have_run = not self._context.header_codec.proves_not_run(
+                exchange.status, exchange.headers
+            )
+            is_accepted = self._has_accepted(endpoint, exchange)
+        except PeerError as error:
+            self._context.health.record_failure(
+                endpoint.id, f"{error.step}: {error.message}"
+            )
+        finally:
+            if not is_accepted:
+                self._discard(successor, may_have_run)
+        return successor if is_accepted else None
+
+    def _has_accepted(self, endpoint: DiscoveredEndpoint, exchange: Exchange) -> bool:
+        """Return whether the other endpoint goes on with the response."""
+        status, headers = exchange.status, exchange.headers
+        self._record_notices(endpoint, status, headers)
+        codec = self._context.header_codec
+        if not codec.is_genuine(self._call, status, headers):
+            return False
+        if status != HTTPStatus.MISDIRECTED_REQUEST:
+            self._record_limit(endpoint, headers)
+        elif codec.proves_not_run(status, headers):
+            self._context.crash_reports.record_replaced(endpoint.id)
+        return _is_event_stream(exchange)
+
+    def _discard(self, successor: Successor, may_have_run: bool = True) -> None:
+        """Release what a successor that is not used holds."""
+        if successor.exchange is None:
+            self._successors.release(successor.placement)
+            return
+        # The retry stays counted, as the request has reached the endpoint.
+        self._context.loads.release(successor.placement)
+        successor.exchange.close()
+        if may_have_run:
+            self._call.uncertain_attempts += 1
+
     def _record_progress(self) -> None:
         self._last_progress_ms = self._context.clock.now_ms()
         if self._reservation is not None:
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -9,7 +9,13 @@
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
 from bulrushbend.gateway import metrics
-from bulrushbend.gateway.attempt import Attempt, AttemptContext, AttemptResult, Verdict
+from bulrushbend.gateway.attempt import (
+    Attempt,
+    AttemptContext,
+    AttemptResult,
+    Successor,
+    Verdict,
+)
 from bulrushbend.gateway.budgets import RetryBudgets
 from bulrushbend.gateway.call import (
     QUARANTINED,
@@ -23,7 +29,7 @@
     quarantine_error,
 )
 from bulrushbend.gateway.demand import Demand, demand_of
-from bulrushbend.gateway.endpoints import EndpointDirectory
+from bulrushbend.gateway.endpoints import DiscoveredEndpoint, EndpointDirectory
 from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.gateway.sink import ResponseSink
@@ -160,13 +166,14 @@
         call = running.call
         refusals = 0
         withheld: set[str] = set()
-        placement: Placement | None = None
+        successor: Successor | None = None
         while True:
-            if placement is None:
+            if successor is None:
                 self._check_drain(call)
-                placement = await self._place(call, withheld)
+                successor = Successor(await self._place(call, withheld))
+            placement = successor.placement
             running.is_sent = True
-            result = await self._attempt(call, placement, sink, framer)
+            result = await self._attempt(call, successor, sink, framer)
             running.is_sent = False
             self._log_failure(call, placement, result)
             if result.verdict is Verdict.ANSWERED:
@@ -175,7 +182,7 @@
                 # A paused endpoint may be used when its pause ends meanwhile.
                 if placement.endpoint not in self._context.notices.paused:
                     withheld.add(placement.endpoint)
-                placement = None
+                successor = None
                 continue
             call.tried.add(placement.endpoint)
             if result.verdict is Verdict.NOT_RUN:
@@ -188,7 +195,7 @@
                 result.is_suspect or not self._may_retry(call, result, refusals)
             ):
                 return self._end_without_response(call, result, sink)
-            placement = result.successor
+            successor = result.successor
             metrics.RETRIES.labels(call.service).inc()
             if framer is not None:
                 framer.restart()
@@ -219,10 +226,11 @@
     async def _attempt(
         self,
         call: Call,
-        placement: Placement,
+        successor: Successor,
         sink: ResponseSink,
         framer: EventFramer | None,
     ) -> AttemptResult:
+        placement = successor.placement
         call.endpoint = placement.endpoint
         call.record_placement(self._clock.now_ms())
         call.coordinator = placement.coordinator
@@ -231,10 +239,10 @@
             self._check_quarantine(call)
             self._check_drain(call)
         except RequestError:
-            self._context.loads.release(placement)
+            self._release(successor)
             raise
         if endpoint is None:
-            self._context.loads.release(placement)
+            self._release(successor)
             return AttemptResult(Verdict.NOT_RUN, "endpoint gone")
         successors: _Successors | None = None
         if call.route.allows_retry and (
@@ -247,12 +255,26 @@
                 self._placement_for(call.service),
                 self._budgets.for_service(call.service),
                 self._context,
+                self._directory,
             )
         attempt = Attempt(
-            self._context, call, placement, endpoint, sink, framer, successors
+            self._context,
+            call,
+            placement,
+            endpoint,
+            sink,
+            framer,
+            successors,
+            successor.exchange,
         )
         return await attempt.run()
 
+    def _release(self, successor: Successor) -> None:
+        """Release an attempt that is not made."""
+        self._context.loads.release(successor.placement)
+        if successor.exchange is not None:
+            successor.exchange.close()
+
     def _check_quarantine(self, call: Call) -> None:
         """Raise `RequestError` if a request or its prompt crashes endpoints."""
         code = QUARANTINED
@@ -363,7 +385,9 @@
         placement: ServicePlacement,
         budget: RetryBudget,
         context: AttemptContext,
+        directory: EndpointDirectory,
     ):
+        self._directory = directory
         self._call = call
         self._sink = sink
         self._framer = framer
@@ -393,6 +417,10 @@
             self._budget.release()
             raise
 
+    def endpoint_of(self, placement: Placement) -> DiscoveredEndpoint | None:
+        """Return the endpoint of a placement, None if it is gone."""
+        return self._directory.get(placement.endpoint)
+
     def release(self, placement: Placement) -> None:
         """Release a placement that is not used, and its retry."""
         self._context.loads.release(placement)
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -783,6 +783,30 @@
         assert fixture.is_idle
 
 
+@pytest.mark.parametrize(
+    "other",
+    [
+        plain_response(b"", "503 Busy", Not_Run="1"),
+        plain_response(b"", "500 Error"),
+        plain_response(b"", "421 Misdirected"),
+        plain_response(b"no stream"),
+        "reset",
+        "hang",
+    ],
+    ids=["full", "error", "replaced", "no stream", "reset", "silent"],
+)
+async def test_silent_stream_is_not_cut_for_an_endpoint_that_does_not_take_it(other):
+    # Guards against a sound stream that is given up for a refusal (review/3).
+    first = [stream_head() + chunk(event(1)), 2.6, chunk(event(2)) + END_OF_CHUNKS]
+    async with running_dispatcher([first], [[other]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2)
+        assert runs(fixture) == 2
+        assert fixture.is_idle
+
+
 async def test_silent_stream_moves_after_an_unexpected_error_of_a_reservation():
     # Guards against a silent stream that stays where it is after one failed placement.
     first = [stream_head() + chunk(event(1)), "hang"]
