Hand the known crashes to gateways that start, and on a stop

Cause: what is known of crashes is in memory and goes to three gateways a second; a gateway that starts asks three others once, which may have started just before it.

Change: a gateway tells each new one all crashes that it knows, within a second, and all of them when it begins to stop. Gateways that are killed at the same moment still forget.

--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -230,9 +230,7 @@
         """
         now_ms = self._clock.now_ms()
         if note.is_request:
-            described = self._describe_known(is_complete=True)
-            for known in _build_notes(described) if described else ():
-                self._send_to([sender], known)
+            self._send_known([sender], is_complete=True)
         released: list[str] = []
         for digest, age_ms in _with_ages(note.sound, note.sound_age_ms):
             began_ms = now_ms - age_ms
@@ -295,6 +293,7 @@
         while not self._choose_peers():
             await self._clock.sleep_ms(_START_INTERVAL_MS)
         self._ask()
+        known_peers = self._coordinators.addresses()
         while True:
             due_ms = self._clock.now_ms() + _REPEAT_INTERVAL_MS
             await self._clock.sleep_ms(_REPEAT_INTERVAL_MS)
@@ -302,11 +301,23 @@
                 self._ask()
             metrics.QUARANTINED.set(self._quarantine.active)
             metrics.QUARANTINED_REQUESTS.set(self._request_quarantine.active)
-            described = self._describe_known()
-            if described:
-                recipients = self._choose_peers()
-                for note in _build_notes(described):
-                    self._send_to(recipients, note)
+            peers = self._coordinators.addresses()
+            # A gateway that has just started may have asked others that know nothing.
+            self._send_known(peers - known_peers, is_complete=True)
+            known_peers = peers
+            self._send_known(self._choose_peers())
+
+    def hand_over(self) -> None:
+        """Tell all gateways the known crashes before this one stops."""
+        self._send_known(self._coordinators.addresses(), is_complete=True)
+
+    def _send_known(
+        self, recipients: Collection[str], is_complete: bool = False
+    ) -> None:
+        """Send all known crashes, or those to repeat."""
+        described = self._describe_known(is_complete) if recipients else ()
+        for note in _build_notes(described) if described else ():
+            self._send_to(recipients, note)
 
     def _choose_peers(self) -> list[str]:
         addresses = sorted(self._coordinators.addresses())
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -411,6 +411,7 @@
         notice_ms = min(self._settings.drain_notice_ms, _MAX_NOTICE_SHARE * drain_ms)
         self._drain_deadline_ms = self._clock.now_ms() + drain_ms
         self._dispatcher.begin_drain(self._drain_deadline_ms)
+        self._crash_reports.hand_over()
         self._placement_server.decline_waiting()
         try:
             await self._clock.sleep_ms(notice_ms)
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -333,3 +333,50 @@
     task.cancel()
     learned = fleet.components["g2"].request_quarantine
     assert [i for i in identities if learned.remaining_ms(i) == 0.0] == []
+
+
+async def test_gateway_that_starts_later_learns_of_known_crashes(monkeypatch):
+    # Guards against evidence that is lost as all gateways restart (soak, seed 7010).
+    monkeypatch.setattr(crash_reports, "_REPEAT_INTERVAL_MS", 50.0)
+    monkeypatch.setattr(crash_reports, "_REPEAT_RECIPIENTS", 1)
+    names = [f"g{number}" for number in range(8)]
+    fleet = Fleet(*names)
+    everybody = fleet.coordinators[0]
+    everybody.set_peers({name: name for name in names[1:7]})
+    task = asyncio.create_task(fleet.reports["g0"].run())
+    await asyncio.sleep(0.02)
+    identity = make_copy("r1").identity
+    record_two_crashes(fleet.components["g0"], identity)
+    everybody.set_peers({name: name for name in names[1:]})
+    await asyncio.sleep(0.06)
+    task.cancel()
+    assert fleet.components["g7"].request_quarantine.remaining_ms(identity) > 0.0
+
+
+async def test_gateway_that_stops_hands_over_what_it_knows():
+    # Guards against evidence of a gateway that stops before it repeats it.
+    fleet = Fleet("g1", "g2", "g3")
+    identity = make_copy("r1").identity
+    record_two_crashes(fleet.components["g1"], identity)
+    fleet.reports["g1"].hand_over()
+    for name in ("g2", "g3"):
+        requests = fleet.components[name].request_quarantine
+        assert requests.remaining_ms(identity) > 0.0
+
+
+async def test_correction_of_older_responses_does_not_release_a_part():
+    # Guards against gateways that clear a part of crashes that came later (review/2).
+    fleet = Fleet("g1", "g2")
+    for components in fleet.components.values():
+        components.quarantine.record_sound(["aa", "bad"])
+    await asyncio.sleep(0.05)
+    for number in range(2):
+        endpoint = crashed_endpoint(f"e{number}")
+        call = make_prompt_call(f"r{number}")
+        await fleet.reports["g1"].examine(endpoint, call, False)
+        await end_probes(fleet.reports["g1"])
+        for components in fleet.components.values():
+            for crash in components.quarantine.crashes:
+                crash.crashed_ms -= 10.0 if number else 20.0
+    for components in fleet.components.values():
+        assert len(components.quarantine.crashes) == 2
--- a/tests/adapter/test_silent_connections.py
+++ b/tests/adapter/test_silent_connections.py
@@ -111,3 +111,34 @@
                 assert lease.is_valid
     finally:
         await asyncio.to_thread(network.close)
+
+
+async def test_changes_are_in_force_in_time_after_connections_went_silent_twice(
+    tmp_path,
+):
+    """Guards against connections whose successors go silent as well.
+
+    The links between the replicas go silent, too, and changes follow each other.
+    """
+    network = Network(lambda client_port, server_port: "")
+    loop = asyncio.get_running_loop()
+    try:
+        async with run_control(tmp_path, network) as daemons:
+            await publish(daemons, 1)
+            machine = make_machine(f"{ADDRESS_PREFIX}.20", ANNOUNCED, tmp_path / "g")
+            async with watch(machine, MemoryEventLog()) as (in_force, lease):
+                await wait_until(lambda: lease.is_valid, 8.0)
+                for version, pause_s in ((2, 0.1), (3, 1.7), (4, 0.3), (5, 0.05)):
+                    for name in ANNOUNCED:
+                        await asyncio.to_thread(network.silence_open, name)
+                    silent_s = loop.time()
+                    await asyncio.sleep(pause_s)
+                    await publish(daemons, version)
+                    due_s = max(silent_s + CONTACT_S, loop.time() + CONFIG_APPLY_S)
+                    await wait_until(
+                        lambda version=version: in_force.version == version,
+                        due_s - loop.time(),
+                    )
+                assert lease.is_valid
+    finally:
+        await asyncio.to_thread(network.close)
