--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -19,6 +19,7 @@
 """
 
 import dataclasses
+import functools
 from collections import OrderedDict
 from collections.abc import Collection, Hashable, Iterable, Sequence, Set
 from dataclasses import dataclass, field
@@ -75,7 +76,7 @@
     identity: str = ""
     established: tuple[str, ...] = ()
 
-    @property
+    @functools.cached_property
     def parts(self) -> frozenset[str]:
         """All parts that may have caused the crash."""
         return frozenset(self.digests + self.established)
@@ -399,10 +400,13 @@
     ) -> list[frozenset[str]]:
         """Quarantine the established parts that explain crashes; return them."""
         causes: list[frozenset[str]] = []
-        while cause := max(
-            self._established_causes(crashes),
-            key=self._established_strength,
-            default=None,
+        candidates = self._established_candidates(crashes)
+        while candidates and (
+            cause := max(
+                self._established_causes(crashes, candidates),
+                key=self._established_strength,
+                default=None,
+            )
         ):
             causes.append(cause.parts)
             self._impose(cause)
@@ -453,15 +457,33 @@
                 self._restricted.add(parts)
         return causes
 
-    def _established_causes(self, crashes: Sequence[EndpointCrash]) -> list[_Cause]:
+    def _established_candidates(self, crashes: Sequence[EndpointCrash]) -> set[str]:
+        """Return the established parts at crashes that are no single fault."""
+        first_ms: dict[str, float] = {}
+        candidates = set().union(
+            *(parts for parts, past in self._quarantines.items() if past.is_established)
+        )
+        for crash in crashes:
+            latest_first_ms = crash.crashed_ms - _ESTABLISHED_FAULT_INTERVAL_MS
+            for suspect in crash.suspects.values():
+                for digest in suspect.established:
+                    if first_ms.setdefault(digest, crash.crashed_ms) <= latest_first_ms:
+                        candidates.add(digest)
+        return candidates
+
+    def _established_causes(
+        self, crashes: Sequence[EndpointCrash], candidates: Set[str]
+    ) -> list[_Cause]:
         """Return the possible causes among the established parts."""
         suspects = [
             (crash.crashed_ms, suspect)
             for crash in crashes
             for suspect in crash.suspects.values()
+            if not candidates.isdisjoint(suspect.established)
         ]
+        prompts = [candidates.intersection(s.established) for _, s in suspects]
         causes = []
-        for parts, numbers in _group_parts([s.established for _, s in suspects]):
+        for parts, numbers in _group_parts(prompts):
             times_ms = [suspects[number][0] for number in numbers]
             faults = _count_faults(times_ms, _ESTABLISHED_FAULT_INTERVAL_MS)
             different = {suspects[n][1].source for n in numbers}
@@ -569,9 +591,9 @@
     return tuple(entry for entry in digests if entry != digest)
 
 
-def _is_explained(crash: EndpointCrash, causes: Iterable[frozenset[str]]) -> bool:
+def _is_explained(crash: EndpointCrash, causes: Collection[frozenset[str]]) -> bool:
     """Return whether a suspect of a crash has all parts of a cause."""
-    return any(
+    return bool(causes) and any(
         cause <= suspect.parts
         for suspect in crash.suspects.values()
         for cause in causes
