Let a stream that pauses repeatedly reach no further endpoint

A stream that pauses, is opened at a second endpoint and goes on at the first was opened at a third one at its next pause, where its route permits two.

Change: a successor is reserved only while the route permits another run. Trials of a request that is refused for another reason end at once.

Evidence: test_stream_that_pauses_repeatedly_reaches_no_further_endpoint saw three requests before and sees two.

--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -109,7 +109,11 @@
         RequestError
             No endpoint completed the request, and nothing was sent to the caller.
         """
-        self._check_quarantine(call)
+        try:
+            self._check_quarantine(call)
+        except RequestError:
+            self._end_trials(call)
+            raise
         self._budgets.for_service(call.service).record_request()
         framer = EventFramer(self._event_budget) if call.route.resumable else None
         time_limit = asyncio.timeout(call.remaining_ms(self._clock.now_ms()) / 1000)
@@ -133,8 +137,7 @@
             self._running.discard(running)
             if framer is not None:
                 framer.close()
-            self._quarantine.end_request(call)
-            self._request_quarantine.end_request(call)
+            self._end_trials(call)
 
     def begin_drain(self, deadline_ms: float) -> None:
         """Refuse the requests that wait for an endpoint and may outlast the drain.
@@ -289,6 +292,11 @@
             raise outcome_unknown_error(error.code, error.message)
         raise error
 
+    def _end_trials(self, call: Call) -> None:
+        """End the trials that a request has begun, whatever they showed."""
+        self._quarantine.end_request(call)
+        self._request_quarantine.end_request(call)
+
     def _check_drain(self, call: Call) -> None:
         """Raise `RequestError` if a request that did not run may outlast the drain."""
         if call.limit_ms <= self._drain_deadline_ms:
@@ -399,6 +407,9 @@
         """Return a placement at another endpoint, None if no retry is possible."""
         if self._sink.started and not _can_resume(self._framer):
             return None
+        # Another endpoint may have run the request since the attempt began.
+        if self._call.uncertain_attempts + 1 >= self._call.route.most_endpoints:
+            return None
         now_ms = self._context.clock.now_ms()
         if self._call.remaining_ms(now_ms) < _MIN_TIME_FOR_RETRY_MS:
             return None
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -807,6 +807,23 @@
         assert fixture.is_idle
 
 
+async def test_stream_that_pauses_repeatedly_reaches_no_further_endpoint():
+    # Guards against a request that runs at more endpoints than its route permits.
+    first = [stream_head() + chunk(event(1))]
+    for number in (2, 3):
+        first += [3.0, chunk(event(number))]
+    first.append(END_OF_CHUNKS)
+    other = [["hang"]]
+    async with running_dispatcher([first], other, other) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        fixture.components.health.record_failure("e2", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2) + event(3)
+        assert runs(fixture) == 2
+        assert fixture.is_idle
+
+
 async def test_silent_stream_moves_after_an_unexpected_error_of_a_reservation():
     # Guards against a silent stream that stays where it is after one failed placement.
     first = [stream_head() + chunk(event(1)), "hang"]
