--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -513,9 +513,10 @@
         self.record.add("all machines are ready")
 
     def _write_settings(self, host: str, role: str, bootstrap: bool) -> Path:
-        zone = ZONES[self.hosts.index(host) % len(ZONES)]
+        row, column = divmod(self.hosts.index(host), len(ZONES))
+        zone = ZONES[column]
         settings = {
-            "node": f"edge-{zone}-1",
+            "node": f"edge-{zone}-{row + 1}",
             "role": role,
             "machine_class": "edge",
             "serves": ["edge"] if role == "gateway" else ["control_plane"],
