--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -448,6 +448,23 @@
         assert fixture.sink.body == b"done"
 
 
+async def test_booking_that_ran_is_not_repeated_for_an_extra_refusal():
+    # Guards against a booking that runs twice, as a refusal follows its response.
+    extra = plain_response() + plain_response(b"", "421 Misdirected", Id="r0")
+    async with running_dispatcher([[extra]], [[extra]]) as fixture:
+        result = await fixture.serve(route=ONCE)
+        assert (result.verdict, result.status) == (Verdict.ANSWERED, 200)
+        assert runs(fixture) == 1
+
+
+async def test_failure_is_not_forwarded_with_the_status_of_an_extra_response():
+    # Guards against a 200 with the body of a failure.
+    extra = plain_response(b"failed", "500 Error") + plain_response(b"stranger")
+    async with running_dispatcher([[extra]]) as fixture:
+        await fixture.serve(route=ONCE)
+        assert (fixture.sink.status, fixture.sink.body) == (500, b"failed")
+
+
 async def test_truncated_response_is_not_reported_complete():
     cut = plain_response(b"0123456789")[:-4]
     async with running_dispatcher([[cut, "close"]]) as fixture:
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -64,11 +64,15 @@
     idle_ms: float = 60_000.0
 
 
+class _ExtraResponseError(Exception):
+    """The peer has sent another response behind a complete one."""
+
+
 class _ResponseReader(asyncio.Protocol):
     """Reads one response from a connection.
 
-    Chunks of the body go to the consumer as they arrive. Without a consumer they are
-    buffered.
+    Bytes that follow the response belong to no request and are dropped. Chunks of the
+    body go to the consumer as they arrive. Without a consumer they are buffered.
     """
 
     def __init__(self, peer: str):
@@ -115,7 +119,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
-            # Raised by an invalid header or by the consumer of the chunks.
+            # Raised by an invalid header, by the consumer of the chunks, or at the
+            # start of an extra response, when the failure has no effect any more.
             cause = error.__context__ or error
             if isinstance(cause, HTTPInputError):
                 cause = self._make_error(f"bad header: {cause}", PeerProtocolError)
@@ -146,6 +151,11 @@
             step = "before the headers"
         self.fail(self._make_error(f"connection ended {step}", TruncatedResponseError))
 
+    def on_message_begin(self) -> None:
+        if self._has_headers:
+            # Stops the parser, which would go on to the end of the received data.
+            raise _ExtraResponseError
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._has_headers:
             return
--- a/libs/wire/tests/test_exchange.py
+++ b/libs/wire/tests/test_exchange.py
@@ -238,6 +238,62 @@
         assert await exchange.body() == b"ab"
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+@pytest.mark.parametrize("method", ["POST", "HEAD"])
+@pytest.mark.parametrize(
+    "extra",
+    [
+        b"HTTP/1.1 421 Misdirected\r\nE: x\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 503 Busy\r\nE: x\r\nNot-Executed: 1\r\n\r\nrefused",
+        b"HTTP/1.1 200 OK\r\nE: x\r\nContent-Length: 5\r\n\r\nextra",
+        b"HTTP/1.1 204 No Content\r\nE: x\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\nE: x\r\n\r\n",
+        b"HTTP/1.1 99 Odd\r\nE: x\r\n\r\n",
+        b"SSH-2.0-OpenSSH_9.6\r\n",
+    ],
+)
+@pytest.mark.parametrize(
+    ("status", "head", "body"),
+    [
+        (200, b"OK\r\nA: b\r\nContent-Length: 2\r\n\r\n", b"ab"),
+        (500, b"Error\r\nA: b\r\nContent-Length: 2\r\n\r\n", b"ab"),
+        (200, b"OK\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n", b"ab"),
+        (204, b"No Content\r\nA: b\r\n\r\n", b""),
+        (304, b"Not Modified\r\nA: b\r\n\r\n", b""),
+    ],
+)
+async def test_extra_response_does_not_replace_a_complete_one(
+    status, head, body, extra, method, pause_s
+):
+    # Guards against a request that ran and is repeated for the status of the extra one.
+    framed = b"2\r\nab\r\n0\r\n\r\n" if b"chunked" in head else body
+    response = b"HTTP/1.1 %d " % status + head
+    if method == "POST":
+        response += framed
+    else:
+        body = b""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if pause_s:
+            writer.write(response)
+            await asyncio.sleep(pause_s)
+            writer.write(extra)
+        else:
+            writer.write(response + extra)
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        request = ExchangeRequest(method, "/x")
+        exchange = await Exchange.open(f"{host}:{port}", request, TIMEOUTS)
+        await asyncio.sleep(2 * pause_s)
+        assert exchange.status == status
+        assert (exchange.headers.get("A"), exchange.headers.get("E")) == ("b", None)
+        assert await exchange.body() == body
+
+
 async def test_interim_responses_are_skipped():
     # Guards against 100 Continue being returned as the final response.
     interim = b"HTTP/1.1 100 Continue\r\nA: b\r\n\r\n"
