Send no request on a connection that its peer has used already

Callers saw: an extra response that arrives before the request is written was taken for its response; one with the id of another request made a booking that had not been sent end as "may have run" (502), and one without an id was its answer. A connection that the endpoint closes at once (above its limit of connections) ended in the same way.

Cause: Exchange.send wrote the request without looking at what had arrived since the connection was established.

Change: send raises ConnectError when there is data, or the end of the connection; the request has not been sent then, so the attempt counts as not run and the request goes to another endpoint. A stream that another endpoint should take over no longer counts such an endpoint as one that may have run it.

--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -256,10 +256,7 @@
                     self._endpoint.address, self._timeouts()
                 )
             except ConnectError as error:
-                self._context.health.record_failure(
-                    self._endpoint.id, f"connect: {error.message}"
-                )
-                return AttemptResult(Verdict.NOT_RUN, f"connect: {error.message}")
+                return self._handle_connect_error(error)
             if not self._context.notices.may_send(self._endpoint):
                 exchange.close()
                 return self._withhold()
@@ -273,6 +270,9 @@
                     self._request(self._endpoint, self._placement.fetch_from)
                 )
             return await self._handle_response(exchange)
+        except ConnectError as error:
+            self._stop_watching()
+            return self._handle_connect_error(error)
         except PeerError as error:
             self._stop_watching()
             if self._successor is None:
@@ -300,6 +300,12 @@
         finally:
             exchange.close()
 
+    def _handle_connect_error(self, error: ConnectError) -> AttemptResult:
+        """Return the result of a request that was not sent."""
+        reason = f"connect: {error.message}"
+        self._context.health.record_failure(self._endpoint.id, reason)
+        return AttemptResult(Verdict.NOT_RUN, reason)
+
     def _withhold(self) -> AttemptResult:
         """Return the result of a request that the endpoint does not want."""
         if self._placement.coordinator:
@@ -529,6 +535,7 @@
             )
             is_accepted = self._has_accepted(endpoint, exchange)
         except PeerError as error:
+            may_have_run = not isinstance(error, ConnectError)
             self._context.health.record_failure(
                 endpoint.id, f"{error.step}: {error.message}"
             )
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -465,6 +465,27 @@
         assert (fixture.sink.status, fixture.sink.body) == (500, b"failed")
 
 
+async def test_booking_is_sent_elsewhere_after_a_response_before_its_request(
+    monkeypatch,
+):
+    # Guards against a booking that is given up, or refused with a status of another.
+    connect = Exchange.connect
+
+    async def connect_to_early_responder(address, timeouts):
+        exchange = await connect(address, timeouts)
+        if address == fixture.endpoints[0].address:
+            exchange._reader.data_received(plain_response(b"", "408 Timeout"))
+        return exchange
+
+    monkeypatch.setattr(Exchange, "connect", connect_to_early_responder)
+    async with running_dispatcher([RESPONSE], [RESPONSE]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=ONCE)
+        assert result.verdict is Verdict.ANSWERED
+        assert [len(e.requests) for e in fixture.endpoints] == [0, 1]
+        assert fixture.is_idle
+
+
 async def test_truncated_response_is_not_reported_complete():
     cut = plain_response(b"0123456789")[:-4]
     async with running_dispatcher([[cut, "close"]]) as fixture:
--- a/libs/wire/src/bulrushbend/wire/exchange.py
+++ b/libs/wire/src/bulrushbend/wire/exchange.py
@@ -101,6 +101,11 @@
         self._waiter: asyncio.Future[None] | None = None
         self._is_paused = False
 
+    @property
+    def was_used(self) -> bool:
+        """Whether the peer has sent data or ended the connection."""
+        return self._header_bytes > 0 or self.headers_done.done()
+
     @property
     def is_paused(self) -> bool:
         """Whether reading from the connection is paused."""
@@ -329,7 +334,8 @@
         Raises
         ------
         ConnectError
-            No connection was established, so nothing was sent.
+            No connection was established, or the peer used it first, so nothing was
+            sent.
         PeerTimeoutError
             The headers did not arrive within `ExchangeTimeouts.first_byte_ms`.
         TruncatedResponseError
@@ -390,6 +396,9 @@
 
         Raises
         ------
+        ConnectError
+            The peer sent data or ended the connection before the request was sent, so
+            nothing was sent.
         PeerTimeoutError
             The headers did not arrive within `ExchangeTimeouts.first_byte_ms`.
         TruncatedResponseError
@@ -398,6 +407,13 @@
             The response is not valid HTTP.
         """
         reader = self._reader
+        if reader.was_used:
+            self.close()
+            raise ConnectError(
+                "the peer used the connection before the request was sent",
+                step="connect",
+                peer=self.peer,
+            )
         reader.is_head_request = request.method == "HEAD"
         try:
             reader.transport.write(_encode_request(request, self.peer))
--- a/libs/wire/tests/test_exchange.py
+++ b/libs/wire/tests/test_exchange.py
@@ -294,6 +294,29 @@
         assert await exchange.body() == body
 
 
+@pytest.mark.parametrize("early", [b"HTTP/1.1 421 Misdirected\r\n\r\n", b"H", b""])
+async def test_no_request_is_sent_after_data_or_the_end_of_the_connection(early):
+    # Guards against a late response to another request that is taken for the own one.
+    received = []
+
+    async def handle(reader, writer):
+        writer.write(early)
+        if not early:
+            writer.close()
+        received.append(await reader.read())
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        exchange = await Exchange.connect(f"{host}:{port}", TIMEOUTS)
+        await asyncio.sleep(0.05)
+        with pytest.raises(ConnectError):
+            await exchange.send(REQUEST)
+        await asyncio.sleep(0.05)
+    assert b"".join(received) == b""
+
+
 async def test_interim_responses_are_skipped():
     # Guards against 100 Continue being returned as the final response.
     interim = b"HTTP/1.1 100 Continue\r\nA: b\r\n\r\n"
