--- a/libs/agent/src/bulrushbend/agent/attempt.py
+++ b/libs/agent/src/bulrushbend/agent/attempt.py
@@ -12,7 +12,11 @@
 from bulrushbend.agent.endpoint import Endpoint
 from bulrushbend.agent.errors import ReaderStalledError
 from bulrushbend.agent.replay import ReplayBuffer
-from bulrushbend.agent.resume import ResumingStream, is_event_stream
+from bulrushbend.agent.resume import (
+    ResumingStream,
+    is_event_stream,
+    iter_whole_stream,
+)
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import (
     ConnectError,
@@ -231,8 +235,11 @@
         )
 
     def _iter_body(self, exchange: Exchange) -> AsyncGenerator[bytes, None]:
-        if not (self._request.resumable and is_event_stream(exchange)):
+        is_head_request = self._request.forward.method == "HEAD"
+        if is_head_request or not is_event_stream(exchange):
             return exchange.chunks()
+        if not self._request.resumable:
+            return iter_whole_stream(exchange)
         stream = ResumingStream(
             self._endpoint,
             self._request.attempt_id,
--- a/libs/agent/src/bulrushbend/agent/resume.py
+++ b/libs/agent/src/bulrushbend/agent/resume.py
@@ -6,7 +6,7 @@
 from bulrushbend.agent.endpoint import Endpoint
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import PeerError, PeerTimeoutError, TruncatedResponseError
-from bulrushbend.wire.eventstream import EventFramer
+from bulrushbend.wire.eventstream import EventFramer, StreamTail
 from bulrushbend.wire.exchange import Exchange
 
 _MIN_BACKOFF_MS = 20.0
@@ -62,8 +62,10 @@
         """
         try:
             while True:
+                tail = StreamTail()
                 try:
                     async for chunk in exchange.chunks():
+                        tail.feed(chunk)
                         events = self._framer.feed(chunk)
                         if events:
                             yield events
@@ -71,6 +73,10 @@
                             self._record_progress()
                         else:
                             self._check_stall()
+                    tail.check_end(
+                        exchange.peer,
+                        ends_with_connection=exchange.ends_with_connection,
+                    )
                     yield self._framer.finish()
                     return
                 except (TruncatedResponseError, PeerTimeoutError) as error:
@@ -121,6 +127,22 @@
         raise cause
 
 
+async def iter_whole_stream(exchange: Exchange) -> AsyncGenerator[bytes, None]:
+    """Yield the chunks of an event stream that cannot be resumed.
+
+    Raises
+    ------
+    TruncatedResponseError
+        The stream ended inside an event. The other errors are those of
+        `Exchange.chunks`.
+    """
+    tail = StreamTail()
+    async for chunk in exchange.chunks():
+        tail.feed(chunk)
+        yield chunk
+    tail.check_end(exchange.peer, ends_with_connection=exchange.ends_with_connection)
+
+
 def is_event_stream(exchange: Exchange) -> bool:
     """Return whether an answer is a stream of server-sent events."""
     content_type = exchange.headers.get("Content-Type", "")
--- a/libs/agent/tests/test_attempts.py
+++ b/libs/agent/tests/test_attempts.py
@@ -240,6 +240,45 @@
         assert resumed == [f"/v1/streams/{attempt_id}"] * 3
 
 
+LENGTH_14_EVENTS = EVENTS.replace(b"Transfer-Encoding: chunked", b"Content-Length: 14")
+
+
+@pytest.mark.parametrize("resume", ["none", "last-event-id"])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        EVENTS + chunk(b"id: 0\ndata: 0\n") + LAST_CHUNK,
+        EVENTS + chunk(b"id: 0\ndata: 0\n\ndata:") + LAST_CHUNK,
+        LENGTH_14_EVENTS + b"id: 0\ndata: 0\n",
+    ],
+)
+async def test_framed_stream_that_ends_inside_an_event_ends_truncated(raw, resume):
+    # Guards against half an event that reaches the router as a complete answer.
+    async def cut(request, writer):
+        writer.write(raw)
+
+    manifest = build_manifest(resume=resume)
+    async with running_agent(cut, manifest, endpoint_idle_ms=200) as parts:
+        exchange = await parts[3].post(await parts[3].claim())
+        async with asyncio.timeout(2):
+            with pytest.raises(TruncatedResponseError):
+                await exchange.body()
+
+
+async def test_framed_stream_that_ended_inside_an_event_is_resumed():
+    async def end_early(request, writer):
+        if request.method == "POST":
+            writer.write(EVENTS + chunk(b"id: 0\ndata: 0\n\nid: 1") + LAST_CHUNK)
+        else:
+            writer.write(EVENTS + chunk(b"id: 1\ndata: 1\n\n") + LAST_CHUNK)
+
+    manifest = build_manifest(resume="last-event-id")
+    async with running_agent(end_early, manifest) as (_, _, endpoint, router):
+        exchange = await router.post(await router.claim())
+        assert await exchange.body() == b"id: 0\ndata: 0\n\nid: 1\ndata: 1\n\n"
+        assert endpoint.requests[1].headers["Last-Event-ID"] == "0"
+
+
 async def test_event_stream_is_not_resumed_unless_the_service_supports_it():
     async def cut(request, writer):
         writer.write(EVENTS + chunk(b"id: 0\ndata: 0\n\n"))
--- a/libs/gateway/src/bulrushbend/gateway/attempt.py
+++ b/libs/gateway/src/bulrushbend/gateway/attempt.py
@@ -341,7 +341,7 @@
             self._framer = None
         if self._framer is None:
             self._stop_watching()
-        if is_event_stream and exchange.ends_with_connection:
+        if is_event_stream and self._call.method != "HEAD":
             self._tail = StreamTail()
         self._record_notices(self._endpoint, status, headers)
         # A refusal of another request proves nothing about this one.
@@ -407,8 +407,9 @@
     def _response_headers(self, exchange: Exchange) -> HTTPHeaders:
         headers = self._context.header_codec.caller_headers(exchange.headers)
         length = exchange.headers.get("Content-Length")
-        # The rest of a resumable stream may come from another endpoint.
-        if length is not None and self._framer is None:
+        # A stream may be broken off at its last byte, and the rest of a resumable one
+        # may come from another endpoint.
+        if length is not None and self._tail is None:
             headers["Content-Length"] = length
         return headers
 
@@ -416,13 +417,11 @@
         self._sink.set_flow_control(exchange.pause, exchange.resume)
         await exchange.forward(self._forward_chunk)
         self._context.health.record_event_gaps(self._endpoint.id, self._gaps_ms)
-        rest = b"" if self._framer is None else self._framer.finish()
-        if (self._tail is not None and not self._tail.is_after_event) or (
-            self._is_resumed and rest.strip()
-        ):
-            raise TruncatedResponseError(
-                "stream ended inside an event", step="body", peer=exchange.peer
+        if self._tail is not None:
+            self._tail.check_end(
+                exchange.peer, ends_with_connection=exchange.ends_with_connection
             )
+        rest = b"" if self._framer is None else self._framer.finish()
         if rest:
             self._sink.write(rest)
 
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -636,15 +636,55 @@
         assert result.verdict is Verdict.ANSWERED
 
 
+def framed_stream(framing, body):
+    if framing == "length":
+        return plain_response(body, **EVENT_STREAM)
+    return stream_head() + (chunk(body) if body else b"") + END_OF_CHUNKS
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks"])
 @pytest.mark.parametrize("route", [STREAM, RESUMABLE])
-async def test_framed_stream_is_complete_although_its_last_event_is_not(framing, route):
-    # Guards against a whole body that is broken off because of its content.
-    body = event(1) + b"id: 2\ndata: t2"
-    script = stream_head() + chunk(body) + END_OF_CHUNKS
-    if framing == "length":
-        script = plain_response(body, **EVENT_STREAM)
-    async with running_dispatcher([[script]]) as fixture:
+@pytest.mark.parametrize("whole", [b"", event(1)])
+@pytest.mark.parametrize(
+    "cut", [b"id: 2\ndata: t2", b"id: 2\ndata: t2\n", b"id", b": comment\n"]
+)
+async def test_framed_stream_that_ends_inside_an_event_is_no_answer(
+    framing, route, whole, cut
+):
+    # Guards against half an event that reaches the caller as a complete 200.
+    script = framed_stream(framing, whole + cut)
+    async with running_dispatcher([[script]], budget=0) as fixture:
+        if whole or route is STREAM:
+            result = await fixture.serve(route=route)
+            assert result.verdict is Verdict.BROKEN_OFF
+            # A caller that got the length would take the response for complete.
+            assert "Content-Length" not in fixture.sink.headers
+        else:
+            assert (await fixture.serve_error(route=route)).status == 502
+        shown = whole if route is RESUMABLE else whole + cut
+        assert fixture.sink.body == shown
+        assert not fixture.sink.finished
+        assert fixture.is_idle
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+async def test_framed_stream_that_ended_inside_an_event_is_resumed(framing):
+    first = framed_stream(framing, event(1) + b"id: 2\nda")
+    second = framed_stream(framing, event(2) + event(3))
+    async with running_dispatcher([[first]], [[second]]) as fixture:
+        fixture.components.health.record_failure("e1", "the test")
+        result = await fixture.serve(route=RESUMABLE)
+        assert result.verdict is Verdict.ANSWERED
+        assert fixture.sink.body == event(1) + event(2) + event(3)
+        assert b"Last-Event-Id: 1" in fixture.endpoints[1].requests[0]
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("route", [STREAM, RESUMABLE])
+@pytest.mark.parametrize("body", [b"", event(1), event(1) + b"\n", b": comment\n\n"])
+async def test_framed_stream_that_ends_after_an_event_is_complete(framing, route, body):
+    # Guards against whole streams that are broken off, also those without an event.
+    async with running_dispatcher([[framed_stream(framing, body)]]) as fixture:
         result = await fixture.serve(route=route)
         assert result.verdict is Verdict.ANSWERED
         assert fixture.sink.body == body
--- a/libs/wire/src/bulrushbend/wire/eventstream.py
+++ b/libs/wire/src/bulrushbend/wire/eventstream.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Sequence
 
-from bulrushbend.core.errors import PeerProtocolError
+from bulrushbend.core.errors import PeerProtocolError, TruncatedResponseError
 from bulrushbend.wire.buffer_budget import BufferBudget
 
 # Bounds the memory used for an endpoint that never ends an event.
@@ -25,24 +25,42 @@
 
 
 class StreamTail:
-    """Tells from the last bytes of an event stream whether it ends after an event.
+    """Tells from the last bytes of an event stream whether the stream is whole.
 
-    A stream that ends with its connection has been broken off otherwise. A comment has
-    to end with a blank line as well: it may be the first line of an event.
+    A stream that ends inside an event has been broken off, however the response is
+    framed. A comment has to end with a blank line as well: it may be the first line of
+    an event.
     """
 
     def __init__(self) -> None:
         self._tail = b""
 
-    @property
-    def is_after_event(self) -> bool:
-        """Whether the stream ends with a blank line."""
-        return self._tail.endswith(_BLANK_LINE_ENDS)
-
     def feed(self, data: bytes) -> None:
         """Append `data` to the stream."""
         self._tail = data[-3:] if len(data) > 2 else (self._tail + data)[-3:]
 
+    def check_end(self, peer: str, *, ends_with_connection: bool) -> None:
+        """Check that the stream is whole where its response ends.
+
+        Parameters
+        ----------
+        peer : str
+            Address of the endpoint, for the error.
+        ends_with_connection : bool
+            Whether only the end of the connection ends the response. A stream without
+            any byte has been broken off then, and is empty otherwise.
+
+        Raises
+        ------
+        TruncatedResponseError
+            The stream does not end with a blank line.
+        """
+        is_empty = not self._tail and not ends_with_connection
+        if not is_empty and not self._tail.endswith(_BLANK_LINE_ENDS):
+            raise TruncatedResponseError(
+                "stream ended inside an event", step="body", peer=peer
+            )
+
 
 def contains_event_end(data: bytes) -> bool:
     """Return whether an event that is not only a comment ends within `data`."""
@@ -114,7 +132,7 @@
         return b"".join([event for event in events if self._is_new(event)])
 
     def finish(self) -> bytes:
-        """Return the bytes after the last event, at the regular end of the stream."""
+        """Return the line ends after the last event of a stream that is whole."""
         rest = bytes(self._partial)
         self.close()
         return rest
