--- a/libs/control/src/bulrushbend/control/daemon.py
+++ b/libs/control/src/bulrushbend/control/daemon.py
@@ -22,6 +22,7 @@
 )
 from bulrushbend.control.server import ClosingServer
 from bulrushbend.control.service import FleetService
+from bulrushbend.control.vote_handover import hand_over_vote
 from bulrushbend.control.watcher import WatchOptions
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.errors import NoQuorumError, SettingsError, StoreFailedError
@@ -112,6 +113,7 @@
         self._transport = transport or GrpcTransport()
         self._publisher: HighestVersionPublisher | None = None
         self._stop_listening: Callable[[], None] | None = None
+        self._joining: asyncio.Task[None] | None = None
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -151,10 +153,13 @@
             raise
 
     async def drain(self) -> None:
-        """Accept no more connections of operators and finish their calls."""
+        """Hand over the vote, and finish the calls of operators."""
         if self._stop_listening is None:
             return
         self._events.write(EventKind.PROCESS_DRAINING)
+        if self._joining is not None:
+            self._joining.cancel()
+            await hand_over_vote(self._replica, self._settings.name, self._clock)
         self._stop_listening()
         await self._clock.sleep_ms(_LATE_CALLS_GRACE_MS)
         await self._publisher.wait_idle(_DRAIN_MS)
@@ -253,11 +258,12 @@
             self._replica, own_node, self._known_replicas, self._transport, self._clock
         )
         self._start_task(voter_repair.run())
-        self._start_task(join_requester.run())
+        self._joining = self._start_task(join_requester.run())
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
         self._stack.callback(task.cancel)
+        return task
 
     async def _sweep(self) -> None:
         """Expire members and keys and update the metrics at a fixed interval."""
--- a/libs/control/tests/test_repair.py
+++ b/libs/control/tests/test_repair.py
@@ -5,8 +5,11 @@
 import shutil
 from pathlib import Path
 
+import pytest
+
 from bulrushbend.control.daemon import ControlDaemon
 from bulrushbend.core.settings import PeerAddress
+from bulrushbend.store.voter_repair import REPLACE_AFTER_MS
 from bulrushbend.wire.control_pb2 import Command
 
 from .control_builders import control_settings, publish_request, spare_settings
@@ -32,6 +35,29 @@
     async def stop(self, name):
         await self.daemons.pop(name).stop()
 
+    async def terminate(self, name):
+        """Stop a replica as SIGTERM does."""
+        await self.daemons[name].drain()
+        await self.stop(name)
+
+    def leader(self):
+        return next(n for n, d in self.daemons.items() if d.replica.is_leader)
+
+    async def add_learner(self, name, folder):
+        self.add(name, folder)
+        await self.start(name)
+
+        def has_caught_up():
+            peers = self.daemons[self.leader()].replica.peers()
+            return name in peers and peers[name].has_caught_up
+
+        await self.wait_until(has_caught_up)
+
+    async def lose_disk(self, name):
+        await self.stop(name)
+        self.delete_data(name)
+        await self.start(name)
+
     def add(self, name, folder):
         """Add settings of a replica outside of the initial configuration."""
         template = self.settings[NAMES[0]]
@@ -123,3 +149,76 @@
         assert all(
             isinstance(peer, PeerAddress) for peer in fleet.settings["c1"].control
         )
+
+
+@pytest.mark.parametrize("stops_leader", [False, True])
+async def test_disk_lost_after_a_planned_replacement_loses_nothing(
+    tmp_path, stops_leader
+):
+    # Guards against a successor without a vote when the old replica has ended.
+    async with running_fleet(tmp_path) as fleet:
+        await fleet.add_learner("c4", tmp_path)
+        followers = [name for name in NAMES if name != fleet.leader()]
+        old = fleet.leader() if stops_leader else followers[0]
+        await fleet.terminate(old)
+        lost = followers[1]
+        remaining = {*NAMES, "c4"} - {old}
+        await fleet.publish(5)
+        await fleet.lose_disk(lost)
+        await fleet.wait_until(lambda: fleet.all_vote(*remaining))
+        await fleet.wait_until(lambda: fleet.has_version(lost, 5))
+
+
+async def test_voter_that_was_killed_is_replaced_at_once(tmp_path):
+    # Guards against waiting for the silence of a replica whose process has ended.
+    async with running_fleet(tmp_path) as fleet:
+        await fleet.add_learner("c4", tmp_path)
+        old = next(name for name in NAMES if name != fleet.leader())
+        await fleet.stop(old)
+        remaining = {*NAMES, "c4"} - {old}
+        limit_s = REPLACE_AFTER_MS / 2_000.0
+        await fleet.wait_until(lambda: fleet.all_vote(*remaining), limit_s)
+
+
+async def test_command_is_acknowledged_when_a_dead_voter_has_been_replaced(tmp_path):
+    # Guards against a disk that is lost right after the acknowledgement.
+    async with running_fleet(tmp_path) as fleet:
+        await fleet.add_learner("c4", tmp_path)
+        old, lost = (name for name in NAMES if name != fleet.leader())
+        await fleet.stop(old)
+        await fleet.publish(5)
+        await fleet.lose_disk(lost)
+        await fleet.wait_until(lambda: fleet.all_vote(*({*NAMES, "c4"} - {old})))
+        await fleet.wait_until(lambda: fleet.has_version(lost, 5))
+
+
+async def test_rolling_restart_without_a_learner_keeps_the_voters(tmp_path):
+    # Guards against restarts that remove voters, and against stops that wait for none.
+    async with running_fleet(tmp_path) as fleet:
+        for name in NAMES:
+            async with asyncio.timeout(1.5):
+                await fleet.terminate(name)
+            others = set(NAMES) - {name}
+            assert all(
+                set(fleet.daemons[other].replica.status().voters) == set(NAMES)
+                for other in others
+            )
+            await fleet.start(name)
+            await fleet.wait_until(lambda: fleet.all_vote(*NAMES))
+
+
+async def test_rolling_restart_with_a_learner_leaves_all_voters_running(tmp_path):
+    # Guards against votes that stay with replicas that have been replaced.
+    async with running_fleet(tmp_path) as fleet:
+        await fleet.add_learner("c4", tmp_path)
+        await fleet.publish(3)
+        for name in (*NAMES, "c4"):
+            await fleet.terminate(name)
+            await fleet.start(name)
+            await fleet.wait_until(
+                lambda: len(fleet.voters() or ()) == 3 and fleet.all_ready()
+            )
+            await fleet.wait_until(
+                lambda: len(fleet.daemons[fleet.leader()].replica.status().learners)
+            )
+        await fleet.publish(4)
--- a/libs/store/src/bulrushbend/store/configuration.py
+++ b/libs/store/src/bulrushbend/store/configuration.py
@@ -1,7 +1,7 @@
 """Voters and learners, and their changes in the log."""
 
-from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, replace
 
 from bulrushbend.store.records import Entry
 from bulrushbend.wire.control_pb2 import Command, SetVoters, VoterEntry
@@ -29,28 +29,45 @@
 
 @dataclass(frozen=True)
 class Configuration:
-    """Voters and learners, sorted by name."""
+    """Voters and learners, sorted by name.
+
+    Attributes
+    ----------
+    voters : tuple of Node
+        Replicas that vote.
+    learners : tuple of Node
+        Replicas that receive the log without a vote.
+    outgoing : tuple of Node
+        The previous voters while one of them is being replaced (joint consensus),
+        empty otherwise. A majority of them is needed as well.
+    """
 
     voters: tuple[Node, ...] = ()
     learners: tuple[Node, ...] = ()
+    outgoing: tuple[Node, ...] = ()
 
     @property
-    def nodes(self) -> tuple[Node, ...]:
-        """Voters and learners."""
-        return self.voters + self.learners
+    def is_joint(self) -> bool:
+        """Whether a voter is being replaced."""
+        return bool(self.outgoing)
+
+    @property
+    def electorate(self) -> tuple[Node, ...]:
+        """All replicas that vote, also those that are being replaced."""
+        return _sorted({*self.voters, *self.outgoing})
 
     @property
-    def majority(self) -> int:
-        """Smallest number of voters that is a majority."""
-        return len(self.voters) // 2 + 1
+    def nodes(self) -> tuple[Node, ...]:
+        """Voters and learners."""
+        return self.electorate + self.learners
 
     def node(self, name: str) -> Node | None:
         """Return the voter or learner called `name`."""
         return next((node for node in self.nodes if node.name == name), None)
 
     def voter(self, name: str) -> Node | None:
-        """Return the voter called `name`."""
-        return next((node for node in self.voters if node.name == name), None)
+        """Return the voter called `name`, also one that is being replaced."""
+        return next((node for node in self.electorate if node.name == name), None)
 
     def may_vote(self, name: str, disk_id: str) -> bool:
         """Return whether the replica votes on the data folder `disk_id`."""
@@ -59,8 +76,24 @@
 
     def has_majority(self, names: Collection[str]) -> bool:
         """Return whether a majority of the voters is among `names`."""
-        count = sum(node.name in names for node in self.voters)
-        return bool(self.voters) and count >= self.majority
+        return bool(self.voters) and all(
+            sum(node.name in names for node in group) > len(group) // 2
+            for group in self._groups
+        )
+
+    def agreed_index(self, indexes: Mapping[str, int]) -> int:
+        """Return the highest log index that a majority of the voters has reached.
+
+        Parameters
+        ----------
+        indexes : mapping of str to int
+            Last matching log index of the replicas that may vote, by name.
+        """
+        agreed = []
+        for group in self._groups:
+            reached = sorted(indexes.get(node.name, 0) for node in group)
+            agreed.append(reached[(len(group) - 1) // 2] if group else 0)
+        return min(agreed)
 
     def without(self, name: str) -> "Configuration":
         """Return the configuration without the replica called `name`."""
@@ -79,19 +112,39 @@
         remaining = self.without(node.name)
         return Configuration(_sorted([*remaining.voters, node]), remaining.learners)
 
+    def with_replacement(self, name: str, voter: Node) -> "Configuration":
+        """Return the joint configuration in which `voter` replaces the one called name.
+
+        Every majority of it has a replica in common with every majority of this
+        configuration, and with every one of its own `completed` form.
+        """
+        replaced = self.without(name).with_voter(voter)
+        return replace(replaced, outgoing=self.voters)
+
+    def completed(self) -> "Configuration":
+        """Return the configuration after the replacement of a voter."""
+        return replace(self, outgoing=())
+
     def message(self) -> SetVoters:
         """Return the command that carries this configuration."""
         return SetVoters(
             voters=[_pack(node) for node in self.voters],
             learners=[_pack(node) for node in self.learners],
+            outgoing=[_pack(node) for node in self.outgoing],
         )
 
+    @property
+    def _groups(self) -> tuple[tuple[Node, ...], ...]:
+        """Groups of voters of each of which a majority is needed."""
+        return (self.voters, self.outgoing) if self.outgoing else (self.voters,)
+
 
 def configuration_from_message(message: SetVoters) -> Configuration:
     """Return the configuration that a command carries."""
     return Configuration(
         _sorted(_unpack(entry) for entry in message.voters),
         _sorted(_unpack(entry) for entry in message.learners),
+        _sorted(_unpack(entry) for entry in message.outgoing),
     )
 
 
--- a/libs/store/src/bulrushbend/store/election.py
+++ b/libs/store/src/bulrushbend/store/election.py
@@ -145,7 +145,7 @@
         before = core.term
         configuration = core.configuration
         replies = await self._request_votes(
-            configuration.voters, self._vote_request(term, pre_vote)
+            configuration.electorate, self._vote_request(term, pre_vote)
         )
         if core.role is not Role.CANDIDATE or core.term != before:
             return False
--- a/libs/store/src/bulrushbend/store/leadership.py
+++ b/libs/store/src/bulrushbend/store/leadership.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from bulrushbend.core.errors import (
+    ConnectError,
     NoQuorumError,
     PeerError,
     PeerTimeoutError,
@@ -31,6 +32,12 @@
 # silent, and of later ones, which double, since a slow disk or link needs longer.
 FIRST_SNAPSHOT_TIMEOUT_MS = 2_000
 SNAPSHOT_TIMEOUT_MS = 30_000
+# Time for which a committed command waits for a voter that may have to be replaced, and
+# the interval of checks. Clients wait about a second for a reply.
+_SECURE_TIMEOUT_MS = 800.0
+_SECURE_POLL_MS = 10.0
+# Time after which a replica that said that it stops counts as running again.
+_LEAVING_TTL_MS = 10_000.0
 
 
 @dataclass
@@ -45,6 +52,7 @@
     sent_commit_index: int = 0
     disk_id: str = ""
     snapshot_timeout_ms: float = FIRST_SNAPSHOT_TIMEOUT_MS
+    is_refusing: bool = False
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -61,11 +69,14 @@
         Identity of the peer's data folder, empty before its first reply.
     has_caught_up : bool
         Whether the peer holds all committed entries.
+    is_refusing : bool
+        Whether the peer's address refused the last connection: its process has ended.
     """
 
     silent_ms: float
     disk_id: str
     has_caught_up: bool
+    is_refusing: bool = False
 
 
 @dataclass(frozen=True)
@@ -98,6 +109,8 @@
         self._pending_reads: list[tuple[int, asyncio.Future[None]]] = []
         self._started_ms = core.clock.now_ms()
         self._write_started_ms: float | None = None
+        # Times at which replicas said that they stop.
+        self._leaving_ms: dict[str, float] = {}
         self.change_lock = asyncio.Lock()
 
     @property
@@ -122,10 +135,22 @@
                 now_ms - max(peer.last_contact_ms, self._started_ms),
                 peer.disk_id,
                 bool(peer.disk_id) and peer.match_index >= self._core.commit_index,
+                peer.is_refusing,
             )
             for name, peer in self._peers.items()
         }
 
+    def record_leaving(self, name: str) -> None:
+        """Record that the replica called `name` is stopping."""
+        self._leaving_ms[name] = self._core.clock.now_ms()
+
+    def leaving_replicas(self) -> frozenset[str]:
+        """Return the replicas that are stopping."""
+        oldest_ms = self._core.clock.now_ms() - _LEAVING_TTL_MS
+        return frozenset(
+            n for n, at_ms in self._leaving_ms.items() if at_ms > oldest_ms
+        )
+
     async def run(self) -> None:
         """Act as the leader until the replica steps down."""
         writer = asyncio.create_task(self._write_batches())
@@ -153,6 +178,30 @@
         self._submitted.set()
         return await future
 
+    async def wait_until_secure(self) -> None:
+        """Wait until all voters hold what is committed, if a learner can replace one.
+
+        With a voter that has ended and is not replaced yet, the loss of a further disk
+        would leave no majority. Without a learner, or for a voter that merely does not
+        answer, waiting longer than some time does not help.
+        """
+        index = self._core.commit_index
+        deadline_ms = self._core.clock.now_ms() + _SECURE_TIMEOUT_MS
+        while self.is_active and self._awaits_replacement(index):
+            if self._core.clock.now_ms() >= deadline_ms:
+                return
+            await self._core.clock.sleep_ms(_SECURE_POLL_MS)
+
+    def _awaits_replacement(self, index: int) -> bool:
+        configuration = self._core.configuration
+        if configuration.is_joint:
+            return True
+        learners = [self._peers.get(node.name) for node in configuration.learners]
+        voters = [self._peers.get(node.name) for node in configuration.voters]
+        oldest_ms = self._core.clock.now_ms() - self._core.options.election_timeout_ms
+        has_learner = any(p and p.last_contact_ms > oldest_ms for p in learners)
+        return has_learner and any(p and p.match_index < index for p in voters)
+
     async def confirm_read(self) -> int:
         """Return an index that covers everything committed before the call.
 
@@ -302,6 +351,7 @@
             try:
                 await self._send(peer)
             except PeerError as error:
+                peer.is_refusing = isinstance(error, ConnectError)
                 _log.info("replication failed, retrying: %s", error)
                 await self._core.clock.sleep_ms(self._core.options.append_interval_ms)
                 continue
@@ -365,6 +415,7 @@
             peer.disk_id = reply.disk_id
             peer.match_index = 0
         peer.last_contact_ms = sent_ms
+        peer.is_refusing = False
         if not reply.success:
             peer.next_index = max(1, min(peer.next_index - 1, reply.match_index + 1))
             return
@@ -411,13 +462,10 @@
         if not self.is_active:
             return
         log, configuration = self._core.stores.log, self._core.configuration
-        matches = [peer.match_index for _, peer in self._voting_peers()]
+        indexes = {name: peer.match_index for name, peer in self._voting_peers()}
         if configuration.may_vote(self._core.name, self._core.disk_id):
-            matches.append(log.last.index)
-        matches.sort(reverse=True)
-        if len(matches) < configuration.majority:
-            return
-        index = matches[configuration.majority - 1]
+            indexes[self._core.name] = log.last.index
+        index = configuration.agreed_index(indexes)
         if index <= self._core.commit_index or log.term_at(index) != self._term:
             return
         self._core.commit(index)
--- a/libs/store/src/bulrushbend/store/replica.py
+++ b/libs/store/src/bulrushbend/store/replica.py
@@ -137,6 +137,13 @@
             return {}
         return leadership.peer_statuses()
 
+    def leaving_replicas(self) -> frozenset[str]:
+        """Return the replicas that are stopping; empty unless this replica leads."""
+        leadership = self._leadership
+        if leadership is None or not leadership.is_active:
+            return frozenset()
+        return leadership.leaving_replicas()
+
     def status(self) -> ReplicaStatus:
         """Return the consensus status as this replica sees it."""
         configuration = self._core.configuration
@@ -144,7 +151,7 @@
             leader=self._core.leader,
             term=self._core.term,
             commit_index=self._core.commit_index,
-            voters=tuple(node.name for node in configuration.voters),
+            voters=tuple(node.name for node in configuration.electorate),
             learners=tuple(node.name for node in configuration.learners),
         )
 
@@ -218,7 +225,10 @@
             raise NotLeaderError(
                 "not the leader", step="propose", peer=self._core.leader
             )
-        return await self._leadership.submit(command)
+        leadership = self._leadership
+        result = await leadership.submit(command)
+        await leadership.wait_until_secure()
+        return result
 
     async def read_index_as_leader(self) -> int:
         """Return a confirmed index if this replica leads.
--- a/libs/store/src/bulrushbend/store/transport.py
+++ b/libs/store/src/bulrushbend/store/transport.py
@@ -7,7 +7,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from bulrushbend.core.errors import PeerError, PeerTimeoutError
+from bulrushbend.core.errors import ConnectError, PeerError, PeerTimeoutError
 from bulrushbend.core.settings import split_address
 from bulrushbend.store.configuration import Node
 from bulrushbend.wire.fleet_grpc import ConsensusStub, FleetStub
@@ -34,6 +34,8 @@
 
         Raises
         ------
+        ConnectError
+            The peer's address refused the connection.
         PeerError
             The call failed; the peer may have executed it.
         """
@@ -76,6 +78,10 @@
             raise PeerTimeoutError(
                 f"no answer within {timeout_ms:.0f} ms", step=method, peer=peer.name
             ) from None
+        except ConnectionRefusedError as error:
+            self._close_channel(connection_key, channel)
+            reason = error.strerror or str(error)
+            raise ConnectError(reason, step=method, peer=peer.name) from None
         except (
             GRPCError,
             ProtocolError,
--- a/libs/store/src/bulrushbend/store/voters.py
+++ b/libs/store/src/bulrushbend/store/voters.py
@@ -24,8 +24,10 @@
 class VoterChange:
     """One change of the voter list, made by the leader.
 
-    Changing one replica at a time keeps a replica in common between every majority of
-    the old list and every majority of the new one.
+    Adding or removing one replica at a time keeps a replica in common between every
+    majority of the old list and every majority of the new one. A replacement needs a
+    majority of both lists until it is complete: with one voter more or less in between,
+    the loss of a further disk could leave no majority.
 
     Parameters
     ----------
@@ -41,6 +43,9 @@
 
     async def run(self, request: VotersRequest) -> VotersReply:
         """Check and commit the change; one that is already in effect is accepted."""
+        if request.change == VotersRequest.LEAVE:
+            self._leadership.record_leaving(request.name)
+            return self._reply(True, "")
         try:
             async with self._leadership.change_lock:
                 await self._run_locked(request)
@@ -50,10 +55,20 @@
 
     async def _run_locked(self, request: VotersRequest) -> None:
         await self._wait_until_ready()
+        await self._complete()
         changed = await self._change(request)
         if changed != self._core.configuration:
-            command = Command(set_voters=changed.message())
-            await self._leadership.submit(command.SerializeToString())
+            await self._commit(changed)
+            await self._complete()
+
+    async def _complete(self) -> None:
+        """Complete the replacement that this leader or an earlier one has begun."""
+        if self._core.configuration.is_joint:
+            await self._commit(self._core.configuration.completed())
+
+    async def _commit(self, configuration: Configuration) -> None:
+        command = Command(set_voters=configuration.message())
+        await self._leadership.submit(command.SerializeToString())
 
     async def _change(self, request: VotersRequest) -> Configuration:
         match request.change:
@@ -63,7 +78,13 @@
                 return await self._promote(request.name)
             case VotersRequest.REMOVE:
                 return self._remove(request.name)
-        raise _ChangeRefusedError("the change must be ADD_LEARNER, PROMOTE or REMOVE")
+            case VotersRequest.REPLACE:
+                return await self._replace(request.name, request.replacement)
+            case VotersRequest.COMPLETE:
+                return self._core.configuration
+        raise _ChangeRefusedError(
+            "the change must be ADD_LEARNER, PROMOTE, REMOVE or REPLACE"
+        )
 
     async def _wait_until_ready(self) -> None:
         """Wait until the previous change and an entry of this term are committed."""
@@ -95,11 +116,32 @@
             raise _ChangeRefusedError(f"{name} is not a learner; add it first")
         if configuration.voter(name) is not None:
             return configuration
+        return configuration.with_voter(await self._wait_until_caught_up(node))
+
+    async def _replace(self, name: str, replacement: str) -> Configuration:
+        configuration = self._core.configuration
+        node = configuration.node(replacement)
+        if node is None:
+            raise _ChangeRefusedError(f"{replacement} is not a learner; add it first")
+        is_voter = configuration.voter(replacement) is not None
+        if configuration.voter(name) is None:
+            if is_voter:
+                return configuration
+            raise _ChangeRefusedError(f"{name} is not a voter")
+        if is_voter:
+            raise _ChangeRefusedError(f"{replacement} is a voter already")
+        voter = await self._wait_until_caught_up(node)
+        return configuration.with_replacement(name, voter)
+
+    async def _wait_until_caught_up(self, node: Node) -> Node:
+        """Return a learner as a voter on its data folder, once it holds the state."""
         await self._poll(
-            lambda: self._has_caught_up(name), f"{name} does not hold the state yet"
+            lambda: self._has_caught_up(node.name),
+            f"{node.name} does not hold the state yet",
+        )
+        return Node(
+            node.name, node.address, self._leadership.progress(node.name).disk_id
         )
-        disk_id = self._leadership.progress(name).disk_id
-        return configuration.with_voter(Node(name, node.address, disk_id))
 
     def _has_caught_up(self, name: str) -> bool:
         progress = self._leadership.progress(name)
@@ -127,6 +169,6 @@
         return VotersReply(
             accepted=accepted,
             message=message,
-            voters=[node.name for node in configuration.voters],
+            voters=[node.name for node in configuration.electorate],
             learners=[node.name for node in configuration.learners],
         )
