--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -20,6 +20,10 @@
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.endpoints import DiscoveredEndpoint
 from bulrushbend.gateway.health import EndpointHealth
+from bulrushbend.gateway.known_quarantines import (
+    KnownQuarantine,
+    quarantine_from_message,
+)
 from bulrushbend.gateway.placement_client import DatagramSender
 from bulrushbend.gateway.quarantine import PromptQuarantine, Suspect
 from bulrushbend.gateway.request_quarantine import RequestQuarantine
@@ -46,6 +50,8 @@
 # suspect of the usual size stays under 8 KB.
 _MAX_REPEATED_CRASHES = 8
 _MAX_NOTE_BYTES = 6_144
+# Quarantines that are repeated, for as long again as they last.
+_MAX_REPEATED_QUARANTINES = 8
 # Requests of one crash that a gateway reports as suspects.
 _MAX_SUSPECTS = 16
 # Time for which complete responses to suspected requests are collected into one note.
@@ -256,6 +262,12 @@
             if is_new:
                 self._health.record_crash(crash.endpoint)
             completed.update(answered)
+        for described in note.quarantines:
+            known = quarantine_from_message(described, now_ms)
+            if isinstance(known.subject, frozenset):
+                sound.update(self._quarantine.adopt(known))
+            elif self._request_quarantine.adopt(known):
+                completed.add(known.subject)
         if sound or completed:
             correction = self._build_correction(sound, completed)
             self._send(sender, GatewayDatagram(crash_note=correction))
@@ -314,9 +326,17 @@
     def _send_known(
         self, recipients: Collection[str], is_complete: bool = False
     ) -> None:
-        """Send all known crashes, or those to repeat."""
-        described = self._describe_known(is_complete) if recipients else ()
-        for note in _build_notes(described) if described else ():
+        """Send all known crashes and quarantines, or those to repeat."""
+        if not recipients:
+            return
+        described = self._describe_known(is_complete)
+        notes = _build_notes(described) if described else []
+        now_ms = self._clock.now_ms()
+        known = [*self._quarantine.known, *self._request_quarantine.known]
+        if not is_complete:
+            known = [q for q in known if now_ms < q.until_ms + q.duration_ms]
+            known = known[-_MAX_REPEATED_QUARANTINES:]
+        for note in notes + _build_quarantine_notes(known, now_ms):
             self._send_to(recipients, note)
 
     def _choose_peers(self) -> list[str]:
@@ -533,3 +553,19 @@
                 part.suspects.append(suspect)
                 size += added
     return notes
+
+
+def _build_quarantine_notes(
+    quarantines: Iterable[KnownQuarantine], now_ms: float
+) -> list[CrashNote]:
+    """Return notes about quarantines, each in one datagram."""
+    notes: list[CrashNote] = []
+    size = _MAX_NOTE_BYTES
+    for quarantine in quarantines:
+        message = quarantine.message(now_ms)
+        if size + message.ByteSize() > _MAX_NOTE_BYTES:
+            notes.append(CrashNote())
+            size = 0
+        notes[-1].quarantines.append(message)
+        size += message.ByteSize()
+    return notes
--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -26,6 +26,7 @@
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.gateway.known_quarantines import KnownQuarantine
 from bulrushbend.gateway.sound_parts import SoundParts
 from bulrushbend.gateway.trials import Trials
 
@@ -105,14 +106,6 @@
     is_established: bool = False
 
 
-@dataclass
-class _Quarantine:
-    until_ms: float
-    duration_ms: float
-    crashed_ms: float
-    is_established: bool
-
-
 class PromptQuarantine:
     """Collects the evidence about crashes and quarantines prompt parts.
 
@@ -131,7 +124,8 @@
         self._crashes: list[EndpointCrash] = []
         self._suspected: set[str] = set()
         # Quarantines in force and past ones, which determine the next duration.
-        self._quarantines: OrderedDict[frozenset[str], _Quarantine] = OrderedDict()
+        self._quarantines: OrderedDict[frozenset[str], KnownQuarantine] = OrderedDict()
+        self._started_ms = clock.now_ms()
         # Parts that explain several crashes which may have had a common cause.
         self._restricted: set[frozenset[str]] = set()
         self._trials = Trials(clock)
@@ -153,6 +147,44 @@
         """Parts that are suspected or have been quarantined."""
         return self._suspected
 
+    @property
+    def known(self) -> tuple[KnownQuarantine, ...]:
+        """Quarantines in force and past ones, the latest last."""
+        return tuple(self._quarantines.values())
+
+    def adopt(self, quarantine: KnownQuarantine) -> dict[str, float]:
+        """Adopt a quarantine that another gateway or an earlier process imposed.
+
+        The evidence decides about crashes that this gateway could observe.
+
+        Returns
+        -------
+        sound : dict of str to float
+            Parts with which responses began since, and the times of these; the
+            quarantine has ended then.
+        """
+        parts = quarantine.subject
+        sound = {digest: self._sound.last_ms(digest) for digest in parts}
+        sound = {
+            d: at_ms for d, at_ms in sound.items() if at_ms >= quarantine.crashed_ms
+        }
+        if sound:
+            return sound
+        observed_ms = max(self._started_ms, self._clock.now_ms() - _EVIDENCE_TTL_MS)
+        known = self._quarantines.get(parts)
+        if quarantine.crashed_ms < observed_ms and (
+            known is None or quarantine.is_newer_than(known)
+        ):
+            self._set(quarantine)
+            self._suspected |= parts
+            self._events.write(
+                EventKind.PROMPT_QUARANTINED,
+                digests=sorted(parts),
+                reason="adopted",
+                pause_ms=round(quarantine.until_ms - self._clock.now_ms()),
+            )
+        return {}
+
     def remaining_ms(
         self, digests: Iterable[str], request: Hashable | None = None
     ) -> float:
@@ -265,11 +297,20 @@
         if began_ms is None:
             began_ms = self._clock.now_ms()
         released = []
+        quarantined = list(self._quarantines)
         for digest in digests:
             self._sound.record(digest, began_ms, is_observed)
-            if digest in self._suspected and self._release(digest, began_ms):
+            if digest in self._suspected and (
+                self._release(digest, began_ms)
+                # A part before may have ended their common quarantine.
+                or any(
+                    digest in parts and parts not in self._quarantines
+                    for parts in quarantined
+                )
+            ):
                 released.append(digest)
         if released:
+            self._expire()
             self._index()
             self._evaluate()
         return released
@@ -513,14 +554,14 @@
             duration_ms = min(_MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
         elif cause.is_established:
             duration_ms = _MIN_ESTABLISHED_QUARANTINE_MS
-        until_ms = cause.last_ms + duration_ms
-        self._quarantines[cause.parts] = _Quarantine(
-            until_ms, duration_ms, cause.last_ms, cause.is_established
+        self._set(
+            KnownQuarantine(
+                cause.parts,
+                cause.last_ms,
+                duration_ms,
+                is_established=cause.is_established,
+            )
         )
-        self._quarantines.move_to_end(cause.parts)
-        self._trials.end(cause.parts)
-        if len(self._quarantines) > _MAX_QUARANTINES:
-            self._quarantines.popitem(last=False)
         self._events.write(
             EventKind.PROMPT_QUARANTINED,
             digests=sorted(cause.parts),
@@ -529,6 +570,14 @@
             pause_ms=round(duration_ms),
         )
 
+    def _set(self, quarantine: KnownQuarantine) -> None:
+        parts = quarantine.subject
+        self._quarantines[parts] = quarantine
+        self._quarantines.move_to_end(parts)
+        self._trials.end(parts)
+        if len(self._quarantines) > _MAX_QUARANTINES:
+            self._quarantines.popitem(last=False)
+
     def _end(self, parts: frozenset[str]) -> None:
         del self._quarantines[parts]
         self._trials.end(parts)
--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -17,6 +17,7 @@
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
+from bulrushbend.gateway.known_quarantines import KnownQuarantine
 from bulrushbend.gateway.trials import Trials
 
 # Crashes after which a request is quarantined, by whether it is the only candidate of
@@ -73,27 +74,6 @@
     is_simultaneous: bool
 
 
-@dataclass
-class _Quarantine:
-    """Quarantine of a request, in force or past.
-
-    Attributes
-    ----------
-    until_ms, duration_ms : float
-        End and duration.
-    crashed_ms : float
-        Time of the latest crash that it explains.
-    is_simultaneous : bool
-        Whether the only evidence is that all endpoints that crashed at one moment ran
-        the request.
-    """
-
-    until_ms: float
-    duration_ms: float
-    crashed_ms: float
-    is_simultaneous: bool = False
-
-
 class RequestQuarantine:
     """Collects the evidence about crashes and quarantines requests by identity.
 
@@ -122,7 +102,8 @@
         # Times at which complete responses to former candidates began.
         self._completed: OrderedDict[str, float] = OrderedDict()
         # Quarantines in force and past ones, which determine the next duration.
-        self._quarantines: OrderedDict[str, _Quarantine] = OrderedDict()
+        self._quarantines: OrderedDict[str, KnownQuarantine] = OrderedDict()
+        self._started_ms = clock.now_ms()
         self._trials = Trials(clock)
 
     @property
@@ -152,6 +133,42 @@
         )
         return crashes
 
+    @property
+    def known(self) -> tuple[KnownQuarantine, ...]:
+        """Quarantines in force and past ones, the latest last."""
+        self._expire()
+        return tuple(self._quarantines.values())
+
+    def adopt(self, quarantine: KnownQuarantine) -> bool:
+        """Adopt a quarantine that another gateway or an earlier process imposed.
+
+        The evidence decides about crashes that this gateway could observe.
+
+        Returns
+        -------
+        is_disproved : bool
+            Whether there was a complete response since, so that it has ended.
+        """
+        identity = quarantine.subject
+        if self.completed_ms(identity) >= quarantine.crashed_ms:
+            return True
+        now_ms = self._clock.now_ms()
+        observed_ms = max(self._started_ms, now_ms - _EVIDENCE_TTL_MS)
+        known = self._quarantines.get(identity)
+        if (
+            quarantine.crashed_ms < observed_ms
+            and now_ms < quarantine.until_ms + quarantine.duration_ms
+            and (known is None or quarantine.is_newer_than(known))
+        ):
+            self._set(quarantine)
+            self._events.write(
+                EventKind.REQUEST_QUARANTINED,
+                identity=identity,
+                reason="adopted",
+                pause_ms=round(quarantine.until_ms - now_ms),
+            )
+        return False
+
     def remaining_ms(self, identity: str, request: Hashable | None = None) -> float:
         """Return the time for which a request is quarantined, or 0.
 
@@ -424,14 +441,14 @@
             duration_ms = _MIN_QUARANTINE_MS
             if past is not None:
                 duration_ms = min(_MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
-            until_ms = cause.last_ms + duration_ms
-            self._quarantines[identity] = _Quarantine(
-                until_ms, duration_ms, cause.last_ms, cause.is_simultaneous
+            self._set(
+                KnownQuarantine(
+                    identity,
+                    cause.last_ms,
+                    duration_ms,
+                    is_simultaneous=cause.is_simultaneous,
+                )
             )
-            self._quarantines.move_to_end(identity)
-            self._trials.end(identity)
-            if len(self._quarantines) > _MAX_QUARANTINES:
-                self._quarantines.popitem(last=False)
             self._events.write(
                 EventKind.REQUEST_QUARANTINED,
                 identity=identity,
@@ -440,6 +457,14 @@
                 pause_ms=round(duration_ms),
             )
 
+    def _set(self, quarantine: KnownQuarantine) -> None:
+        identity = quarantine.subject
+        self._quarantines[identity] = quarantine
+        self._quarantines.move_to_end(identity)
+        self._trials.end(identity)
+        if len(self._quarantines) > _MAX_QUARANTINES:
+            self._quarantines.popitem(last=False)
+
     def _end(self, identity: str) -> None:
         del self._quarantines[identity]
         self._trials.end(identity)
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -5,14 +5,16 @@
 import socket
 import struct
 
+import pytest
 from tornado.httputil import HTTPHeaders
 
-from bulrushbend.core.clock import ManualClock
+from bulrushbend.core.clock import Clock, ManualClock
 from bulrushbend.core.errors import PeerError
 from bulrushbend.core.events import MemoryEventLog
 from bulrushbend.core.manifest import Route, RouteKind, Split
 from bulrushbend.gateway.admission import AdmissionQueue
 from bulrushbend.gateway.call import Call, CallDetails, Placement, PromptPart
+from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.demand import Demand, demand_of
 from bulrushbend.gateway.endpoint_limits import EndpointLimits
@@ -364,3 +366,82 @@
 
     def abort_response(self):
         self.aborted = True
+
+
+PROMPT = (("aa", 100), ("bad", 50), ("own", 30))
+
+
+class CrashReportFleet:
+    """Gateways that deliver crash notes to each other at once."""
+
+    def __init__(self, *names, clock=None):
+        self.clock = clock or Clock()
+        self.components = {}
+        self.reports = {}
+        self.coordinators = []
+        self.sent = []
+        for name in names:
+            self.start(name, names)
+
+    def start(self, name, names):
+        """Start a gateway that knows nothing, beside those called `names`."""
+        components = GatewayComponents(clock=self.clock, name=name)
+        coordinators = Coordinators(name, self.clock, components.events)
+        coordinators.set_peers({n: n for n in names if n != name})
+        self.coordinators.append(coordinators)
+        self.components[name] = components
+        self.reports[name] = components.make_crash_reports(
+            coordinators, self._sender(name)
+        )
+
+    def _sender(self, name):
+        def send(address, datagram):
+            self.sent.append((name, address))
+            self.reports[address].handle_note(datagram.crash_note, name)
+
+        return send
+
+    def set_services(self, *services):
+        for coordinators in self.coordinators:
+            coordinators.set_services(services)
+
+    def suspects(self, name):
+        return {
+            digest
+            for crash in self.components[name].quarantine.crashes
+            for suspect in crash.suspects.values()
+            for digest in suspect.digests
+        }
+
+
+def crashed_endpoint(name="e1"):
+    return make_endpoint(name, "127.0.0.1:1")
+
+
+def make_prompt_call(request_id="r1"):
+    return make_call(prefix=PROMPT, request_id=request_id, body=request_id.encode())
+
+
+BAD = ("aa", "bad")
+MINUTE_MS = 60_000.0
+IDENTITY = make_call(body=b"crashes").identity
+PROMPT_SUBJECT = (make_prompt_call, lambda c: c.quarantine.remaining_ms(BAD, "r9"))
+REQUEST_SUBJECT = (
+    lambda request_id: make_call(request_id=request_id, body=b"crashes"),
+    lambda c: c.request_quarantine.remaining_ms(IDENTITY, "r9"),
+)
+SUBJECTS = pytest.mark.parametrize(
+    ("make_deadly", "remaining_ms"), [PROMPT_SUBJECT, REQUEST_SUBJECT]
+)
+
+
+async def quarantined_fleet(clock, make_deadly):
+    """Return gateways that have quarantined the cause of two crashes."""
+    fleet = CrashReportFleet("g1", "g2", clock=clock)
+    for number in (1, 2):
+        endpoint = crashed_endpoint(f"e{number}")
+        reports = fleet.reports["g1"]
+        await reports.examine(endpoint, make_deadly(f"r{number}"), False)
+        await asyncio.gather(*reports._probes.values())
+        await clock.advance(1_000.0)
+    return fleet
--- a/libs/gateway/tests/test_crash_reports.py
+++ b/libs/gateway/tests/test_crash_reports.py
@@ -4,69 +4,21 @@
 import time
 
 from gateway_builders import (
-    GatewayComponents,
+    PROMPT,
+    CrashReportFleet,
     ScriptedEndpoint,
+    crashed_endpoint,
     make_call,
     make_endpoint,
+    make_prompt_call,
 )
 
-from bulrushbend.core.clock import Clock
 from bulrushbend.gateway import crash_reports
-from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import _Candidate
 
-PROMPT = (("aa", 100), ("bad", 50), ("own", 30))
-
-
-class Fleet:
-    """Gateways that deliver crash notes to each other at once."""
-
-    def __init__(self, *names):
-        clock = Clock()
-        self.components = {}
-        self.reports = {}
-        self.coordinators = []
-        self.sent = []
-        for name in names:
-            components = GatewayComponents(clock=clock, name=name)
-            coordinators = Coordinators(name, clock, components.events)
-            coordinators.set_peers({n: n for n in names if n != name})
-            self.coordinators.append(coordinators)
-            self.components[name] = components
-            self.reports[name] = components.make_crash_reports(
-                coordinators, self._sender(name)
-            )
-
-    def _sender(self, name):
-        def send(address, datagram):
-            self.sent.append((name, address))
-            self.reports[address].handle_note(datagram.crash_note, name)
-
-        return send
-
-    def set_services(self, *services):
-        for coordinators in self.coordinators:
-            coordinators.set_services(services)
-
-    def suspects(self, name):
-        return {
-            digest
-            for crash in self.components[name].quarantine.crashes
-            for suspect in crash.suspects.values()
-            for digest in suspect.digests
-        }
-
-
-def crashed_endpoint(name="e1"):
-    return make_endpoint(name, "127.0.0.1:1")
-
-
-def make_prompt_call(request_id="r1"):
-    return make_call(prefix=PROMPT, request_id=request_id, body=request_id.encode())
-
 
 async def test_suspects_of_a_crash_are_known_to_all_gateways():
-    fleet = Fleet("g1", "g2", "g3")
+    fleet = CrashReportFleet("g1", "g2", "g3")
     assert await fleet.reports["g1"].examine(
         crashed_endpoint(), make_prompt_call(), False
     )
@@ -76,7 +28,7 @@
 
 async def test_endpoint_that_accepts_connections_did_not_crash():
     # Guards against prompts that are suspected since an endpoint resets connections.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     async with ScriptedEndpoint(["hang"]).running() as endpoint:
         assert not await fleet.reports["g1"].examine(
             make_endpoint("e1", endpoint.address), make_prompt_call(), False
@@ -86,7 +38,7 @@
 
 async def test_gateway_that_saw_a_response_corrects_the_one_that_suspects_its_prompt():
     # Guards against a quarantine of parts that are rare at the reporting gateway.
-    fleet = Fleet("g1", "g2", "g3")
+    fleet = CrashReportFleet("g1", "g2", "g3")
     fleet.components["g3"].quarantine.record_sound(["aa"])
     await fleet.reports["g1"].examine(crashed_endpoint(), make_prompt_call(), False)
     for name in fleet.reports:
@@ -95,7 +47,7 @@
 
 async def test_second_crash_quarantines_the_prompt_at_all_gateways():
     # Guards against requests that crash further endpoints through another gateway.
-    fleet = Fleet("g1", "g2", "g3")
+    fleet = CrashReportFleet("g1", "g2", "g3")
     await fleet.reports["g1"].examine(crashed_endpoint(), make_prompt_call("r1"), False)
     for components in fleet.components.values():
         components.quarantine.record_sound(["aa"])
@@ -110,7 +62,7 @@
 
 
 async def test_crash_during_responses_is_reported_without_suspects():
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     endpoint = crashed_endpoint()
     assert not await fleet.reports["g1"].examine(endpoint, make_prompt_call(), True)
     await fleet.reports["g1"]._probes[endpoint.id]
@@ -124,7 +76,7 @@
 
 async def test_replaced_endpoint_is_avoided_by_the_coordinator():
     # Guards against requests that are sent to the address of an ended endpoint.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     fleet.set_services("llm")
     for _ in range(5):
         fleet.reports["g1"].record_replaced("e1")
@@ -136,7 +88,7 @@
 
 async def test_notes_stay_under_the_size_of_a_datagram():
     # Guards against crashes with many long prompts that no other gateway receives.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     reports = fleet.reports["g1"]
     sizes = []
     reports._send = lambda address, datagram: sizes.append(datagram.ByteSize())
@@ -153,7 +105,7 @@
 
 async def test_parts_that_are_not_suspected_any_more_are_forgotten():
     # Guards against memory that grows with each crash.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     reports = fleet.reports["g1"]
     await reports.examine(crashed_endpoint(), make_prompt_call("r1"), False)
     for crash in fleet.components["g1"].quarantine.crashes:
@@ -178,7 +130,7 @@
 
 async def test_request_whose_parts_are_sound_is_quarantined_at_all_gateways():
     # Guards against a request that crashes endpoints and shares its parts with others.
-    fleet = Fleet("g1", "g2", "g3")
+    fleet = CrashReportFleet("g1", "g2", "g3")
     record_sound_parts(fleet)
     reports = fleet.reports
     assert not await reports["g1"].examine(crashed_endpoint(), make_copy("r1"), False)
@@ -198,7 +150,7 @@
 
 async def test_copies_of_one_request_do_not_quarantine_its_parts():
     # Guards against sound requests that are refused for a part of a crashing one.
-    fleet = Fleet("g1")
+    fleet = CrashReportFleet("g1")
     quarantine = fleet.components["g1"].quarantine
     for number in range(3):
         call = make_copy(f"r{number}")
@@ -209,7 +161,7 @@
 
 
 async def test_request_that_responded_for_some_time_is_no_candidate():
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     call = make_copy("r1")
     reports = fleet.reports["g1"]
     endpoint = crashed_endpoint()
@@ -220,7 +172,7 @@
 
 async def test_latest_requests_of_a_crash_are_its_candidates():
     # Guards against a crashing request that is left out beside many that wait longer.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     reports = fleet.reports["g1"]
     record_sound_parts(fleet)
     for number in range(30):
@@ -236,7 +188,7 @@
 
 async def test_complete_response_releases_a_request_at_all_gateways():
     # Guards against a popular request that is refused where nobody saw its response.
-    fleet = Fleet("g1", "g2", "g3")
+    fleet = CrashReportFleet("g1", "g2", "g3")
     record_sound_parts(fleet)
     call = make_copy("r1")
     await fleet.reports["g1"].examine(crashed_endpoint(), call, False)
@@ -257,7 +209,7 @@
 
 async def test_gateway_that_starts_learns_of_known_crashes_at_once():
     # Guards against a request that a new gateway sends before crashes are repeated.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     identity = make_copy("r1").identity
     record_two_crashes(fleet.components["g1"], identity)
     task = asyncio.create_task(fleet.reports["g2"].run())
@@ -270,7 +222,7 @@
     # Guards against notes that were lost while the process did not read its socket.
     monkeypatch.setattr(crash_reports, "_REPEAT_INTERVAL_MS", 100.0)
     monkeypatch.setattr(crash_reports, "_STALL_MS", 50.0)
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     identity = make_copy("r1").identity
     task = asyncio.create_task(fleet.reports["g2"].run())
     await asyncio.sleep(0.01)
@@ -283,7 +235,7 @@
 
 async def test_victim_of_two_crashes_by_a_prompt_is_not_quarantined():
     # Guards against a sound request whose retry met the next crash by a prompt part.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     victim = make_call(request_id="v1", body=b"sound")
     for components in fleet.components.values():
         components.quarantine.record_sound(["aa"])
@@ -299,7 +251,7 @@
 
 async def test_request_whose_part_is_released_as_sound_is_quarantined_itself():
     # Guards against a request that crashes one more endpoint after such a release.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     for components in fleet.components.values():
         components.quarantine.record_sound(["aa"])
     for number in range(2):
@@ -318,7 +270,7 @@
 
 async def test_gateway_that_starts_learns_of_all_quarantined_requests():
     # Guards against a request that each new gateway sends as others crashed later.
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     requests = fleet.components["g1"].request_quarantine
     now_ms = fleet.components["g1"].clock.now_ms()
     identities = [f"identity-{number}" for number in range(8)]
@@ -340,7 +292,7 @@
     monkeypatch.setattr(crash_reports, "_REPEAT_INTERVAL_MS", 50.0)
     monkeypatch.setattr(crash_reports, "_REPEAT_RECIPIENTS", 1)
     names = [f"g{number}" for number in range(8)]
-    fleet = Fleet(*names)
+    fleet = CrashReportFleet(*names)
     everybody = fleet.coordinators[0]
     everybody.set_peers({name: name for name in names[1:7]})
     task = asyncio.create_task(fleet.reports["g0"].run())
@@ -355,7 +307,7 @@
 
 async def test_gateway_that_stops_hands_over_what_it_knows():
     # Guards against evidence of a gateway that stops before it repeats it.
-    fleet = Fleet("g1", "g2", "g3")
+    fleet = CrashReportFleet("g1", "g2", "g3")
     identity = make_copy("r1").identity
     record_two_crashes(fleet.components["g1"], identity)
     fleet.reports["g1"].hand_over()
@@ -366,7 +318,7 @@
 
 async def test_correction_of_older_responses_does_not_release_a_part():
     # Guards against gateways that clear a part of crashes that came later (review/2).
-    fleet = Fleet("g1", "g2")
+    fleet = CrashReportFleet("g1", "g2")
     for components in fleet.components.values():
         components.quarantine.record_sound(["aa", "bad"])
     await asyncio.sleep(0.05)
