Store the quarantines of a gateway on its disk

Cause: what a gateway knows about crashes was in memory only, so that nobody was left to tell a new one.

--- a/libs/core/src/bulrushbend/core/settings.py
+++ b/libs/core/src/bulrushbend/core/settings.py
@@ -157,7 +157,8 @@
 
     `front_address` serves callers, `http_address` the operational pages. Gateways send
     each other their load in datagrams to `spread_address`. `processor` is the CPU
-    capacity available to the gateway, in cores.
+    capacity available to the gateway, in cores. `data_folder` is a folder on a disk, if
+    there is one, for what is known about requests that crash endpoints.
     """
 
     front_address: Address
@@ -172,6 +173,7 @@
     retry_burst: float = Field(50.0, ge=0.0)
     drain_notice_ms: PositiveMs = 2500
     processor: float = Field(1.0, ge=0.0)
+    data_folder: str | None = None
 
 
 SettingsModel = TypeVar("SettingsModel", bound=_Settings)
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -6,6 +6,7 @@
 import random
 import resource
 from collections.abc import Callable, Sequence
+from pathlib import Path
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -54,6 +55,7 @@
 from bulrushbend.gateway.placer import PlacementLimits, Placer
 from bulrushbend.gateway.prefix_cache import PrefixCacheIndex
 from bulrushbend.gateway.quarantine import PromptQuarantine
+from bulrushbend.gateway.quarantine_file import QuarantineFile
 from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.gateway.routes import RouteTable, choose_service
 from bulrushbend.gateway.server import INTERNAL_ERROR, CallerServer
@@ -208,6 +210,12 @@
         )
         quarantine = PromptQuarantine(clock, events)
         request_quarantine = RequestQuarantine(clock, events, quarantine.explains)
+        self._quarantine_file: QuarantineFile | None = None
+        if settings.data_folder is not None:
+            self._quarantine_file = QuarantineFile(
+                Path(settings.data_folder), quarantine, request_quarantine, clock
+            )
+            self._quarantine_file.load()
         self._crash_reports = CrashReports(
             quarantine,
             request_quarantine,
@@ -387,6 +395,8 @@
             "crash-reports": self._crash_reports.run,
             "load-events": self._write_load_events,
         }
+        if self._quarantine_file is not None:
+            tasks["quarantine-file"] = self._quarantine_file.run
         await run_supervised(tasks, self._clock, self._events)
 
     def update_control_replicas(self, replicas: Sequence[PeerAddress]) -> None:
