Let one gateway at a time try a request after its quarantine

Cause: requests without a prompt are placed by each gateway, and the quarantine ends at the same time everywhere.

Change: gateways take turns of 3 s, ranked by rendezvous hashing of the request's identity. One that gets no copy lets the next one try.

--- a/libs/gateway/src/bulrushbend/gateway/coordinators.py
+++ b/libs/gateway/src/bulrushbend/gateway/coordinators.py
@@ -111,6 +111,16 @@
         """Return whether this gateway is the first in rank for a service."""
         return self._ranked(service)[0] == self._name
 
+    def turn(self, subject: str) -> int:
+        """Return how many gateways come before this one for a subject.
+
+        For a work that any gateway can do, but no two at the same time.
+        """
+        own_rank = rendezvous_rank(subject, self._name)
+        return sum(
+            rendezvous_rank(subject, name) > own_rank for name in self._addresses
+        )
+
     def addresses_in_use(self) -> set[str]:
         """Return the addresses of the coordinators chosen most recently."""
         found = {self._addresses.get(name) for name in self._in_use.values()}
--- a/libs/gateway/src/bulrushbend/gateway/daemon.py
+++ b/libs/gateway/src/bulrushbend/gateway/daemon.py
@@ -209,7 +209,9 @@
             settings.data_centre,
         )
         quarantine = PromptQuarantine(clock, events)
-        request_quarantine = RequestQuarantine(clock, events, quarantine.explains)
+        request_quarantine = RequestQuarantine(
+            clock, events, quarantine.explains, self._coordinators.turn
+        )
         self._quarantine_file: QuarantineFile | None = None
         if settings.data_folder is not None:
             self._quarantine_file = QuarantineFile(
--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -38,6 +38,9 @@
 # quarantine of twice the duration.
 _MIN_QUARANTINE_MS = 60_000.0
 _MAX_QUARANTINE_MS = 3_600_000.0
+# Time in which one gateway may send a copy after a quarantine, and learn whether the
+# endpoint crashed, before the next one does.
+_TRIAL_TURN_MS = 3_000.0
 # Bounds on the memory used.
 _MAX_CRASHES = 64
 _MAX_CANDIDATES = 32
@@ -85,6 +88,8 @@
         Records the requests that are quarantined and released.
     is_explained : callable
         Returns whether the crash of an endpoint at a time has another known cause.
+    turn : callable, optional
+        Returns how many gateways try a request before this one, by its identity.
     """
 
     def __init__(
@@ -92,8 +97,10 @@
         clock: Clock,
         events: EventLog,
         is_explained: Callable[[str, float], bool],
+        turn: Callable[[str], int] = lambda identity: 0,
     ):
         self._is_explained = is_explained
+        self._turn = turn
         self._clock = clock
         self._events = events
         # Crashes in the order of their times, and their number by candidate.
@@ -185,11 +192,26 @@
             return 0.0
         remaining_ms = max(0.0, entry.until_ms - self._clock.now_ms())
         if remaining_ms <= 0.0 and request is not None:
-            remaining_ms = self._trials.waiting_ms(identity, request)
+            remaining_ms = self._waiting_ms(identity, entry, request)
             if remaining_ms <= 0.0:
                 self._trials.begin(identity, request)
         return remaining_ms
 
+    def _waiting_ms(
+        self, identity: str, quarantine: KnownQuarantine, request: Hashable
+    ) -> float:
+        """Return the time for which a copy waits for its trial, 0 if it is admitted.
+
+        The gateways take turns: copies may arrive at all of them at the same time, and
+        each of those would crash an endpoint. A gateway that gets none lets the next
+        one have its turn.
+        """
+        turn_ms = quarantine.until_ms + self._turn(identity) * _TRIAL_TURN_MS
+        left_ms = turn_ms - self._clock.now_ms()
+        if left_ms > 0.0:
+            return min(left_ms, _TRIAL_TURN_MS)
+        return self._trials.waiting_ms(identity, request)
+
     def end_request(self, request: Hashable) -> None:
         """End the trial of a copy that has ended."""
         self._trials.end_request(request)
--- a/libs/gateway/tests/gateway_builders.py
+++ b/libs/gateway/tests/gateway_builders.py
@@ -139,6 +139,7 @@
         most_waiting=100,
         clock=None,
         name="g1",
+        turn=lambda identity: 0,
     ):
         self.clock = clock or ManualClock()
         self.events = MemoryEventLog()
@@ -158,7 +159,7 @@
         self.directory.add_listener(lambda ended: self.notices.update())
         self.quarantine = PromptQuarantine(self.clock, self.events)
         self.request_quarantine = RequestQuarantine(
-            self.clock, self.events, self.quarantine.explains
+            self.clock, self.events, self.quarantine.explains, turn
         )
         self.shares = TeamShares(self.clock)
         self.placer = Placer(
@@ -385,7 +386,9 @@
 
     def start(self, name, names):
         """Start a gateway that knows nothing, beside those called `names`."""
-        components = GatewayComponents(clock=self.clock, name=name)
+        components = GatewayComponents(
+            clock=self.clock, name=name, turn=lambda subject: coordinators.turn(subject)
+        )
         coordinators = Coordinators(name, self.clock, components.events)
         coordinators.set_peers({n: n for n in names if n != name})
         self.coordinators.append(coordinators)
@@ -425,22 +428,29 @@
 BAD = ("aa", "bad")
 MINUTE_MS = 60_000.0
 IDENTITY = make_call(body=b"crashes").identity
-PROMPT_SUBJECT = (make_prompt_call, lambda c: c.quarantine.remaining_ms(BAD, "r9"))
+PROMPT_SUBJECT = (make_prompt_call, lambda c: c.quarantine.remaining_ms(BAD))
+
+
+def make_copy(request_id):
+    """Return a copy of a request without a prompt."""
+    return make_call(request_id=request_id, body=b"crashes")
+
+
 REQUEST_SUBJECT = (
-    lambda request_id: make_call(request_id=request_id, body=b"crashes"),
-    lambda c: c.request_quarantine.remaining_ms(IDENTITY, "r9"),
+    make_copy,
+    lambda c: c.request_quarantine.remaining_ms(IDENTITY),
 )
 SUBJECTS = pytest.mark.parametrize(
     ("make_deadly", "remaining_ms"), [PROMPT_SUBJECT, REQUEST_SUBJECT]
 )
 
 
-async def quarantined_fleet(clock, make_deadly):
+async def quarantined_fleet(clock, make_deadly, names=("g1", "g2")):
     """Return gateways that have quarantined the cause of two crashes."""
-    fleet = CrashReportFleet("g1", "g2", clock=clock)
+    fleet = CrashReportFleet(*names, clock=clock)
     for number in (1, 2):
         endpoint = crashed_endpoint(f"e{number}")
-        reports = fleet.reports["g1"]
+        reports = fleet.reports[names[0]]
         await reports.examine(endpoint, make_deadly(f"r{number}"), False)
         await asyncio.gather(*reports._probes.values())
         await clock.advance(1_000.0)
--- a/libs/gateway/tests/test_known_quarantines.py
+++ b/libs/gateway/tests/test_known_quarantines.py
@@ -5,10 +5,12 @@
 import pytest
 from gateway_builders import (
     BAD,
+    IDENTITY,
     MINUTE_MS,
     SUBJECTS,
     GatewayComponents,
     crashed_endpoint,
+    make_copy,
     make_prompt_call,
     quarantined_fleet,
 )
@@ -123,3 +125,45 @@
     for known in fleet.components["g1"].quarantine.known:
         witness.quarantine.adopt(known)
     assert witness.quarantine.known == ()
+
+
+@pytest.mark.parametrize("size", [2, 6])
+async def test_one_gateway_at_a_time_tries_a_request_after_its_quarantine(size):
+    # Guards against a copy of a deadly request that each gateway sends on trial.
+    names = [f"g{number}" for number in range(size)]
+    clock = ManualClock(1e6)
+    fleet = await quarantined_fleet(clock, make_copy, names)
+    await clock.advance(MINUTE_MS)
+
+    def admitted():
+        return [
+            name
+            for name, components in fleet.components.items()
+            if not components.request_quarantine.remaining_ms(IDENTITY, f"at-{name}")
+        ]
+
+    [first] = admitted()
+    await fleet.reports[first].examine(crashed_endpoint("e3"), make_copy("r5"), False)
+    assert admitted() == []
+    for components in fleet.components.values():
+        assert components.request_quarantine.remaining_ms(IDENTITY) > MINUTE_MS
+
+
+async def test_next_gateway_tries_a_request_that_the_first_does_not_get():
+    # Guards against a sound request that is refused until its callers find the first.
+    names = [f"g{number}" for number in range(4)]
+    clock = ManualClock(1e6)
+    fleet = await quarantined_fleet(clock, make_copy, names)
+    await clock.advance(MINUTE_MS)
+    waits_ms = sorted(
+        components.request_quarantine.remaining_ms(IDENTITY, "copy")
+        for components in fleet.components.values()
+    )
+    assert waits_ms[0] == 0.0
+    assert 0.0 < waits_ms[1] <= waits_ms[-1] <= 3_000.0
+    await clock.advance(9_000.0)
+    last = [
+        components.request_quarantine.remaining_ms(IDENTITY, "copy")
+        for components in fleet.components.values()
+    ]
+    assert last == [0.0] * 4
