Hold the first election although a replica was killed before it had a disk id

Cause: it is started again without bootstrap on an empty folder and gets a random disk id, while the first election needed the votes of all initial voters.

Change: the first election needs a majority once all initial voters have a disk id, whichever it is. A folder records that it is at its first start, so that a restart without bootstrap goes on with it. The founding disk id is given under the same conditions as before; two lost disks of three still elect nobody.

--- a/libs/control/tests/test_repair.py
+++ b/libs/control/tests/test_repair.py
@@ -222,3 +222,49 @@
                 lambda: len(fleet.daemons[fleet.leader()].replica.status().learners)
             )
         await fleet.publish(4)
+
+
+@contextlib.asynccontextmanager
+async def empty_fleet(folder):
+    fleet = ControlFleet(folder)
+    try:
+        yield fleet
+    finally:
+        for name in list(fleet.daemons):
+            await fleet.stop(name)
+
+
+async def test_first_election_follows_a_kill_before_a_replica_stored_its_disk_id(
+    tmp_path,
+):
+    # Guards against a first start that one killed process stops for good.
+    async with empty_fleet(tmp_path) as fleet:
+        await asyncio.gather(*(fleet.start(name, bootstrap=True) for name in NAMES[:2]))
+        await fleet.start("c3")
+        await fleet.wait_until(lambda: fleet.all_vote(*NAMES))
+        await fleet.publish(1)
+
+
+async def test_first_start_goes_on_after_kills_while_it_waits_for_the_others(tmp_path):
+    # Guards against a bootstrap that is forgotten with the process that began it.
+    async with empty_fleet(tmp_path) as fleet:
+        for name in NAMES:
+            await fleet.start(name, bootstrap=True)
+            await asyncio.sleep(0.1)
+            await fleet.stop(name)
+        await asyncio.gather(*(fleet.start(name) for name in NAMES))
+        await fleet.wait_until(lambda: fleet.all_vote(*NAMES))
+        await fleet.publish(1)
+
+
+async def test_no_leader_is_elected_after_two_of_three_disks_were_lost(tmp_path):
+    # Guards against a new fleet that takes the place of one with acknowledged data.
+    async with running_fleet(tmp_path) as fleet:
+        await fleet.publish(3)
+        for name in NAMES:
+            await fleet.stop(name)
+        for name in NAMES[1:]:
+            fleet.delete_data(name)
+        await asyncio.gather(*(fleet.start(name) for name in NAMES))
+        await asyncio.sleep(2.0)
+        assert not any(daemon.is_ready for daemon in fleet.daemons.values())
--- a/libs/store/src/bulrushbend/store/election.py
+++ b/libs/store/src/bulrushbend/store/election.py
@@ -83,11 +83,16 @@
 
         Only a folder that was never used in a fleet gets the disk id of the initial
         voters. All other initial voters must answer first, because one that cannot be
-        reached may know of votes that this replica cast before its folder was lost.
+        reached may know of votes that this replica cast before its folder was lost. A
+        process that ends meanwhile may be started again without `bootstrap`, so the
+        folder tells that it is at its first start.
         """
         core = self._core
         initial_configuration = core.options.initial_configuration
-        if not core.options.bootstrap or initial_configuration.voter(core.name) is None:
+        is_listed = initial_configuration.voter(core.name) is not None
+        if core.options.bootstrap and is_listed and not core.disk_id:
+            core.save_vote(is_initial=True)
+        if not core.stores.votes.vote.is_initial or not is_listed:
             self.assign_random_disk_id(
                 "started without --bootstrap or not an initial voter"
             )
@@ -98,7 +103,7 @@
             if any(reply.term > 0 for _, reply in replies):
                 self.assign_random_disk_id("the fleet has already been bootstrapped")
             elif len(replies) == len(initial_configuration.voters) - 1:
-                core.save_vote(disk_id=BOOTSTRAP_DISK_ID)
+                core.save_vote(disk_id=BOOTSTRAP_DISK_ID, is_initial=False)
                 core.reset_history()
                 _log.info(
                     "replica %s starts on an empty data folder as an initial voter",
@@ -110,7 +115,7 @@
     def assign_random_disk_id(self, reason: str) -> None:
         """Assign an empty data folder a random disk id, with which it has no vote."""
         if not self._core.disk_id:
-            self._core.save_vote(disk_id=secrets.token_hex(8))
+            self._core.save_vote(disk_id=secrets.token_hex(8), is_initial=False)
             _log.warning(
                 "replica %s starts on an empty data folder without a vote: %s",
                 self._core.name,
@@ -155,9 +160,12 @@
             return False
         granted = {core.name} | {node.name for node, r in replies if r.granted}
         if before == 0 and pre_vote:
-            # The first election needs all initial voters, so that none of them
-            # receives a term above 0 while it still has to assign its disk id.
-            return len(granted) == len(configuration.voters)
+            # Before the first election all initial voters must have a disk id: one that
+            # receives a term above 0 meanwhile gets no vote. One that has another id
+            # than that of the initial voters will join as a learner.
+            decided = {node.name for node, reply in replies if reply.disk_id}
+            if len(decided) < len(configuration.voters) - 1:
+                return False
         return configuration.has_majority(granted)
 
     def _vote_request(self, term: int, pre_vote: bool) -> VoteRequest:
--- a/libs/store/src/bulrushbend/store/vote.py
+++ b/libs/store/src/bulrushbend/store/vote.py
@@ -26,11 +26,15 @@
     disk_id : str
         Identity of the data folder: `BOOTSTRAP_DISK_ID`, a random id, or empty
         until it is assigned.
+    is_initial : bool
+        Whether the data folder without a disk id is that of an initial voter at the
+        first start of its fleet.
     """
 
     term: int = 0
     candidate: str = ""
     disk_id: str = ""
+    is_initial: bool = False
 
 
 class BaseVoteStore(abc.ABC):
@@ -100,7 +104,11 @@
 
 def encode_vote(vote: Vote) -> bytes:
     """Return the content of the vote file: a JSON line and its CRC-32."""
-    line = json.dumps(asdict(vote), separators=(",", ":")).encode()
+    fields = asdict(vote)
+    if not vote.is_initial:
+        # Earlier versions do not know the field.
+        del fields["is_initial"]
+    line = json.dumps(fields, separators=(",", ":")).encode()
     return line + b"\n%08x\n" % zlib.crc32(line)
 
 
