Bound the exponent of the backoff of an endpoint

Callers saw (users, by calls in a loop): the 1,025th failure in a row of one endpoint raised OverflowError, and requests that would have gone elsewhere got 502.

Cause: the number of failures was the exponent of a float.

Evidence: test_endpoint_that_fails_for_long_is_avoided_for_the_longest_backoff failed before with OverflowError.

Change: the exponent is bounded; the backoff is the same as before.

Result: the test passes.

--- a/libs/gateway/src/bulrushbend/gateway/health.py
+++ b/libs/gateway/src/bulrushbend/gateway/health.py
@@ -13,6 +13,8 @@
 # a crashed endpoint.
 _MIN_BACKOFF_MS = 300.0
 _MAX_BACKOFF_MS = 3_000.0
+# Enough to reach the longest backoff; a float does not hold thousands of doublings.
+_MAX_DOUBLINGS = 10
 # Weight of the newest response in the moving average of the slowness.
 _SLOWNESS_SMOOTHING = 0.2
 _MAX_SLOWNESS = 10.0
@@ -137,7 +139,8 @@
         """Record a failure of an endpoint and avoid it for its backoff."""
         record = self._records.setdefault(endpoint, _EndpointRecord())
         record.failures += 1
-        backoff_ms = min(_MAX_BACKOFF_MS, _MIN_BACKOFF_MS * 2 ** (record.failures - 1))
+        doublings = min(record.failures - 1, _MAX_DOUBLINGS)
+        backoff_ms = min(_MAX_BACKOFF_MS, _MIN_BACKOFF_MS * 2**doublings)
         record.avoided_until_ms = self._clock.now_ms() + backoff_ms
         self._avoided_until_ms = max(self._avoided_until_ms, record.avoided_until_ms)
         self._events.write(
