Take no memory for a request behind a rejected one

Read by the review, not shown in use: a connection with a pending error kept the memory of a request that was read in the same piece, and rejecting it did nothing, so that with full budgets reserve_request searched for memory without end and the gateway served nobody.

Cause: on_headers_complete did not look at the pending error, unlike on_body and on_message_complete.

Change: nothing is reserved once an error is pending, and a rejection that frees no memory ends the search.

--- a/libs/gateway/src/bulrushbend/gateway/server.py
+++ b/libs/gateway/src/bulrushbend/gateway/server.py
@@ -215,9 +215,12 @@
         """
         while not self._requests.reserve(size):
             largest = max(self._connections, key=lambda c: c.unread_bytes)
-            if not largest.unread_bytes:
+            unread_bytes = largest.unread_bytes
+            if not unread_bytes:
                 return False
             largest.reject_for_memory()
+            if largest.unread_bytes == unread_bytes:
+                return False
         return True
 
     def release_request(self, size: int) -> None:
@@ -424,7 +427,7 @@
             self._headers.add(name.decode("latin1"), value.decode("latin1"))
 
     def on_headers_complete(self) -> None:
-        if self._is_head_repeated:
+        if self._is_head_repeated or self._pending_error is not None:
             return
         headers = self._headers
         method = self._parser.get_method().decode("latin1")
--- a/libs/gateway/tests/test_server.py
+++ b/libs/gateway/tests/test_server.py
@@ -579,6 +579,31 @@
         assert all(answer.startswith(b"HTTP/1.1 503") for answer in refused)
 
 
+async def test_request_behind_a_rejected_one_takes_no_memory():
+    # Guards against a search for memory that never ends, as such a request keeps its.
+    handler = EchoHandler()
+    is_released = asyncio.Event()
+
+    async def wait(start_line, headers, body, sink):
+        await is_released.wait()
+        await handler.echo(start_line, headers, body, sink)
+
+    handler.respond = wait
+    rejected = get("/large", "A: " + "x" * 1_000)
+    behind = b"POST /behind HTTP/1.1\r\nHost: a\r\nContent-Length: 500\r\n\r\n"
+    async with serving(handler) as (server, port):
+        sending = send_request(port, get("/slow") + rejected + behind)
+        response = asyncio.create_task(sending)
+        await asyncio.sleep(0.05)
+        [connection] = server._connections
+        assert connection._pending_error is not None
+        assert connection.unread_bytes == 0
+        is_released.set()
+        answer = await response
+    assert answer.index(b"GET /slow") < answer.index(b"HTTP/1.1 431")
+    assert [path for _, path, _ in handler.requests] == ["/slow"]
+
+
 async def test_memory_of_ended_requests_is_released():
     # Guards against a server that rejects all requests in the end.
     handler = EchoHandler()
