--- a/tests/adapter/test_config.py
+++ b/tests/adapter/test_config.py
@@ -49,6 +49,13 @@
     "no version": encode({"routes": [], "services": []}),
     "no routes": encode({"version": 1, "services": []}),
     "unknown service": encode(make_config(routes=[make_route(service="nowhere")])),
+    "unknown service beside a split": encode(
+        make_config(
+            routes=[
+                make_route(service="nowhere", split=[{"service": "llm", "weight": 1}])
+            ]
+        )
+    ),
     "no service": encode(make_config(routes=[make_route(service=None)])),
     "same host and path": encode(
         make_config(
