Hear a gateway that starts after its clock was set back

Read by the review: incarnations are taken from the time of day, so the reports of a process that starts after its clock was set back looked older than those of the process before, and its load counted nowhere until it started again.

Cause: a report is only applied if its incarnation is not lower.

Evidence: the new test failed before.

Result: the tests of test_loads.py pass.

--- a/libs/gateway/src/bulrushbend/gateway/loads.py
+++ b/libs/gateway/src/bulrushbend/gateway/loads.py
@@ -186,7 +186,9 @@
     ) -> None:
         """Record that a grant arrived; the next reports acknowledge it."""
         newest = self._acknowledged_grants.get(coordinator, (0, 0))
-        self._acknowledged_grants[coordinator] = max(newest, (incarnation, serial))
+        if newest[0] == incarnation:
+            serial = max(newest[1], serial)
+        self._acknowledged_grants[coordinator] = (incarnation, serial)
 
     def end_prefill(self, endpoint: str, unread: int) -> None:
         """Remove the prompt tokens of a request after its first event or its end."""
@@ -299,8 +301,7 @@
         known = self._peers.get(report.gateway) or self._silent_peers.get(
             report.gateway
         )
-        order = (report.incarnation, report.sequence)
-        if known is not None and order <= (known.incarnation, known.sequence):
+        if known is not None and not self._is_newer(report, known):
             return False
         is_same_incarnation = (
             known is not None and known.incarnation == report.incarnation
@@ -344,6 +345,17 @@
                 self._remove_grants(report.gateway, mark.serial)
         return known is None or not report.is_brief or has_decreased
 
+    def _is_newer(self, report: LoadReport, known: _Peer) -> bool:
+        """Return whether a report is newer than the last one of its gateway.
+
+        The incarnation of a gateway whose clock was set back is lower than that of its
+        earlier process, which is silent then.
+        """
+        if report.incarnation < known.incarnation:
+            return report.gateway in self._silent_peers
+        order = (report.incarnation, report.sequence)
+        return order > (known.incarnation, known.sequence)
+
     def _handle_limits(self, report: LoadReport) -> None:
         if self._limits is None:
             return
--- a/libs/gateway/tests/test_loads.py
+++ b/libs/gateway/tests/test_loads.py
@@ -53,6 +53,27 @@
     assert first.pop_charges() == []
 
 
+async def test_gateway_that_starts_after_its_clock_was_set_back_is_heard():
+    # Guards against a gateway whose load nobody counts until it starts again.
+    clock = ManualClock()
+    first, ended = make_view("g1", clock), make_view("g2", clock, incarnation=9)
+    begin(ended, "e1", "crew-b", 300, 10)
+    first.handle_report(ended.report())
+    started = make_view("g2", clock, incarnation=5)
+    begin(started, "e1", "crew-b", 700, 10)
+    await clock.advance(REPORT_TTL_MS + 1)
+    assert first.total("e1") == Load()
+    first.handle_report(started.report())
+    assert first.total("e1") == Load(1, 700)
+    first.handle_report(started.report())
+    assert first.total("e1") == Load(1, 700)
+    first.acknowledge_grant(4, "g2", 9)
+    first.acknowledge_grant(2, "g2", 5)
+    first.acknowledge_grant(1, "g2", 5)
+    [mark] = first.report().grants
+    assert (mark.incarnation, mark.serial) == (5, 2)
+
+
 def test_peer_usage_is_charged_as_difference_of_reports():
     first, second = make_view("g1"), make_view("g2")
     first.handle_report(second.report())
