Replace the base and the entries of the log in one step

Read by the review: the log is compacted in a thread, which replaced the entries first and the base afterwards. The event loop could read the new entries with the old base in between, and send or apply entries under a wrong index.

--- a/libs/store/src/bulrushbend/store/disklog.py
+++ b/libs/store/src/bulrushbend/store/disklog.py
@@ -86,8 +86,7 @@
             return
         decoded = decode_log(data, str(self._path))
         self._repaired_bytes = decoded.torn_bytes
-        self._base = decoded.base
-        self._entries = decoded.entries
+        self._contents = (decoded.base, decoded.entries)
         self._command_bytes = sum(len(e.command) for e in decoded.entries)
         # What was read may be in the page cache only, and after a failed sync another
         # one need not store it, so the entries are written again. The sync of the
--- a/libs/store/src/bulrushbend/store/leadership.py
+++ b/libs/store/src/bulrushbend/store/leadership.py
@@ -1,6 +1,7 @@
 """Leader role: batched appends, replication and confirmed reads."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from bulrushbend.core.errors import (
@@ -376,20 +377,25 @@
             pass
 
     async def _send(self, peer: Progress) -> None:
-        if peer.next_index <= self._core.stores.log.base.index:
+        previous_index = peer.next_index - 1
+        following = self._core.stores.log.entries_after(previous_index, BATCH_BYTES)
+        if following is None:
             await self._send_snapshot(peer)
         else:
-            await self._send_entries(peer)
-
-    async def _send_entries(self, peer: Progress) -> None:
-        log = self._core.stores.log
-        previous_index = peer.next_index - 1
-        entries = log.entries(peer.next_index, BATCH_BYTES)
+            await self._send_entries(peer, previous_index, *following)
+
+    async def _send_entries(
+        self,
+        peer: Progress,
+        previous_index: int,
+        previous_term: int,
+        entries: Sequence[Entry],
+    ) -> None:
         request = AppendRequest(
             leader=self._core.name,
             term=self._term,
             previous_index=previous_index,
-            previous_term=log.term_at(previous_index),
+            previous_term=previous_term,
             entries=[
                 LogEntry(index=e.index, term=e.term, command=e.command) for e in entries
             ],
--- a/libs/store/src/bulrushbend/store/log.py
+++ b/libs/store/src/bulrushbend/store/log.py
@@ -13,21 +13,23 @@
     """
 
     def __init__(self) -> None:
-        self._base = Position()
-        self._entries: list[Entry] = []
+        # The base and the entries after it. They are replaced together: the log is
+        # compacted in a thread while the event loop reads it.
+        self._contents: tuple[Position, list[Entry]] = (Position(), [])
         self._command_bytes = 0
 
     @property
     def base(self) -> Position:
         """Position before the first entry."""
-        return self._base
+        return self._contents[0]
 
     @property
     def last(self) -> Position:
         """Position of the last entry, or the base if there is none."""
-        if not self._entries:
-            return self._base
-        entry = self._entries[-1]
+        base, entries = self._contents
+        if not entries:
+            return base
+        entry = entries[-1]
         return Position(entry.index, entry.term)
 
     @property
@@ -37,11 +39,12 @@
 
     def term_at(self, index: int) -> int | None:
         """Return the term of the entry at `index`, None if it is not in the log."""
-        if index == self._base.index:
-            return self._base.term
-        offset = index - self._base.index - 1
-        if 0 <= offset < len(self._entries):
-            return self._entries[offset].term
+        base, entries = self._contents
+        if index == base.index:
+            return base.term
+        offset = index - base.index - 1
+        if 0 <= offset < len(entries):
+            return entries[offset].term
         return None
 
     def entries(self, first: int, limit_bytes: int | None = None) -> list[Entry]:
@@ -54,16 +57,22 @@
         limit_bytes : int, optional
             Stop when the commands exceed this size; at least one entry is returned.
         """
-        selected: list[Entry] = []
-        size = 0
-        start = first - self._base.index - 1
-        for position in range(start, len(self._entries)):
-            entry = self._entries[position]
-            size += len(entry.command)
-            if selected and limit_bytes is not None and size > limit_bytes:
-                break
-            selected.append(entry)
-        return selected
+        base, entries = self._contents
+        return _select(entries, first - base.index - 1, limit_bytes)
+
+    def entries_after(
+        self, index: int, limit_bytes: int | None = None
+    ) -> tuple[int, list[Entry]] | None:
+        """Return the term of the entry at `index` and the entries that follow it.
+
+        None if the log does not hold `index`, as after it was compacted.
+        """
+        base, entries = self._contents
+        offset = index - base.index
+        if not 0 <= offset <= len(entries):
+            return None
+        term = entries[offset - 1].term if offset else base.term
+        return term, _select(entries, offset, limit_bytes)
 
     def index_before_last(self, index: int, limit_bytes: int) -> int:
         """Return the index before the last entries up to `index` within a size limit.
@@ -75,9 +84,10 @@
         limit_bytes : int
             Limit for the total length of their commands in bytes.
         """
+        base, entries = self._contents
         remaining = limit_bytes
-        while index > self._base.index:
-            remaining -= len(self._entries[index - self._base.index - 1].command)
+        while index > base.index:
+            remaining -= len(entries[index - base.index - 1].command)
             if remaining < 0:
                 break
             index -= 1
@@ -94,7 +104,7 @@
         self._check_order(entries)
         if entries:
             self._write(entries)
-            self._entries.extend(entries)
+            self._contents[1].extend(entries)
             self._command_bytes += _total_command_bytes(entries)
 
     def truncate_after(self, index: int) -> None:
@@ -105,11 +115,12 @@
         StoreFailedError
             The removal could not be made durable.
         """
-        kept_count = max(0, index - self._base.index)
-        if kept_count < len(self._entries):
+        base, entries = self._contents
+        kept_count = max(0, index - base.index)
+        if kept_count < len(entries):
             self._truncate(kept_count)
-            self._command_bytes -= _total_command_bytes(self._entries[kept_count:])
-            del self._entries[kept_count:]
+            self._command_bytes -= _total_command_bytes(entries[kept_count:])
+            del entries[kept_count:]
 
     def compact(self, base: Position) -> None:
         """Remove the entries up to and including `base`.
@@ -123,13 +134,12 @@
             The removal could not be made durable.
         """
         if self.term_at(base.index) == base.term:
-            remaining = self._entries[base.index - self._base.index :]
+            remaining = self._contents[1][base.index - self.base.index :]
         else:
             remaining = []
         self._rewrite(base, remaining)
-        self._entries = remaining
+        self._contents = (base, remaining)
         self._command_bytes = _total_command_bytes(remaining)
-        self._base = base
 
     @abc.abstractmethod
     def close(self) -> None:
@@ -157,6 +167,20 @@
         """Durably replace base and entries."""
 
 
+def _select(
+    entries: Sequence[Entry], start: int, limit_bytes: int | None
+) -> list[Entry]:
+    selected: list[Entry] = []
+    size = 0
+    for position in range(start, len(entries)):
+        entry = entries[position]
+        size += len(entry.command)
+        if selected and limit_bytes is not None and size > limit_bytes:
+            break
+        selected.append(entry)
+    return selected
+
+
 def _total_command_bytes(entries: Sequence[Entry]) -> int:
     return sum(len(entry.command) for entry in entries)
 
--- a/libs/store/tests/test_stores.py
+++ b/libs/store/tests/test_stores.py
@@ -6,6 +6,8 @@
 from store_builders import FaultyFileSystem
 
 from bulrushbend.core.errors import CorruptLogError, StoreFailedError
+from bulrushbend.store import log
+from bulrushbend.store.log import MemoryLogStore
 from bulrushbend.store.records import Entry, Position
 from bulrushbend.store.snapshots import (
     DiskSnapshotStore,
@@ -130,3 +132,32 @@
     with contextlib.ExitStack() as stack:
         stores = open_stores(tmp_path, stack, files)
         stores.log.append([Entry(2, 1, b"b")])
+
+
+def test_log_is_consistent_while_it_is_compacted(monkeypatch):
+    # Guards against entries that are sent or applied under a wrong index.
+    store = MemoryLogStore()
+    store.append(
+        [Entry(index, 1 + index // 4, b"%d" % index) for index in range(1, 11)]
+    )
+    seen = []
+    count_bytes = log._total_command_bytes
+
+    def look_meanwhile(entries):
+        seen.append(
+            (
+                store.base.index,
+                store.term_at(8),
+                [entry.index for entry in store.entries(8)],
+                store.entries_after(7)[0],
+                store.last.index,
+            )
+        )
+        return count_bytes(entries)
+
+    monkeypatch.setattr(log, "_total_command_bytes", look_meanwhile)
+    store.compact(Position(5, 2))
+    assert seen == [(5, 3, [8, 9, 10], 2, 10)]
+    assert store.entries_after(4) is None
+    assert store.entries_after(5)[0] == 2
+    assert store.entries_after(11) is None
