--- a/libs/gateway/tests/test_known_quarantines.py
+++ b/libs/gateway/tests/test_known_quarantines.py
@@ -10,6 +10,7 @@
     SUBJECTS,
     GatewayComponents,
     crashed_endpoint,
+    make_call,
     make_copy,
     make_prompt_call,
     quarantined_fleet,
@@ -167,3 +168,22 @@
         for components in fleet.components.values()
     ]
     assert last == [0.0] * 4
+
+
+async def test_new_gateway_learns_a_conclusion_that_depended_on_the_order_of_reports():
+    # Guards against a deadly request that a restarted gateway cannot tell from another.
+    clock = ManualClock(1e6)
+    fleet = await quarantined_fleet(clock, make_copy)
+    sound = make_call(request_id="s1", body=b"sound")
+    for components in fleet.components.values():
+        for crash in components.request_quarantine.crashes:
+            components.request_quarantine.record_crash(
+                crash.endpoint, crash.crashed_ms, [(sound.identity, "s1")]
+            )
+        assert components.request_quarantine.remaining_ms(IDENTITY) > 0.0
+        assert components.request_quarantine.remaining_ms(sound.identity) == 0.0
+    fleet.start("g3", ["g1", "g2", "g3"])
+    ask(fleet, "g3", "g1")
+    fresh = fleet.components["g3"].request_quarantine
+    assert fresh.remaining_ms(IDENTITY) > 0.0
+    assert fresh.remaining_ms(sound.identity) == 0.0
