Wait at most 500 ms for the replacement of a dead voter before an acknowledgement

Callers of control move on after a second without a reply; with 800 ms and a slow disk a reply could come later than that. A voter whose address refuses connections is replaced in about 300 ms.

--- a/libs/store/src/bulrushbend/store/leadership.py
+++ b/libs/store/src/bulrushbend/store/leadership.py
@@ -35,7 +35,7 @@
 SNAPSHOT_TIMEOUT_MS = 30_000
 # Time for which a committed command waits for a voter that may have to be replaced, and
 # the interval of checks. Clients wait about a second for a reply.
-_SECURE_TIMEOUT_MS = 800.0
+_SECURE_TIMEOUT_MS = 500.0
 _SECURE_POLL_MS = 10.0
 # Time after which a replica that said that it stops counts as running again.
 _LEAVING_TTL_MS = 10_000.0
