Let requests wait for the result of a trial instead of refusing them

Cause: whatever a trial held back was refused at once, with a Retry-After of up to a second. During a trial it is not known that it cannot be served.

Evidence: test_request_waits_for_the_result_of_a_trial fails without the wait.

Change: a request waits for the trial for up to a second, and at most half of its time, at its gateway and at the coordinator. If an endpoint crashes, it is refused at once with the rest of the quarantine.

--- a/libs/gateway/src/bulrushbend/gateway/call.py
+++ b/libs/gateway/src/bulrushbend/gateway/call.py
@@ -79,6 +79,8 @@
         Ids of the endpoints of earlier attempts.
     uncertain_attempts : int
         Attempts that may have run the request.
+    trial_limit_ms : float
+        Time until which the request waits for the trial of what was quarantined.
     """
 
     details: CallDetails
@@ -93,6 +95,7 @@
     limit_ms: float
     tried: set[str] = field(default_factory=set)
     uncertain_attempts: int = 0
+    trial_limit_ms: float = 0.0
     last_event_id: str = ""
     endpoint: str = ""
     coordinator: str = ""
--- a/libs/gateway/src/bulrushbend/gateway/dispatch.py
+++ b/libs/gateway/src/bulrushbend/gateway/dispatch.py
@@ -33,6 +33,7 @@
 from bulrushbend.gateway.quarantine import PromptQuarantine
 from bulrushbend.gateway.request_quarantine import RequestQuarantine
 from bulrushbend.gateway.sink import ResponseSink
+from bulrushbend.gateway.trials import TRIAL_RETRY_MS
 from bulrushbend.wire.buffer_budget import BufferBudget
 from bulrushbend.wire.eventstream import EventFramer
 
@@ -46,6 +47,8 @@
 # Retry-After is at most this fraction of the remaining time of the caller: a request
 # repeated later could not end in time either.
 _MAX_RETRY_AFTER_SHARE = 0.5
+# Interval at which a request looks for the result of a trial.
+_TRIAL_POLL_MS = 50.0
 
 
 class ServicePlacement(Protocol):
@@ -109,9 +112,14 @@
         RequestError
             No endpoint completed the request, and nothing was sent to the caller.
         """
+        wait_ms = min(
+            TRIAL_RETRY_MS,
+            _MAX_RETRY_AFTER_SHARE * call.remaining_ms(self._clock.now_ms()),
+        )
+        call.trial_limit_ms = self._clock.now_ms() + wait_ms
         try:
-            self._check_quarantine(call)
-        except RequestError:
+            await self._pass_trials(call)
+        except BaseException:
             self._end_trials(call)
             raise
         self._budgets.for_service(call.service).record_request()
@@ -205,6 +213,16 @@
                 call.last_event_id = framer.last_id or call.details.last_event_id
 
     async def _place(self, call: Call, withheld: set[str]) -> Placement:
+        """Return a placement, after the trial at a coordinator if there is one."""
+        while True:
+            try:
+                return await self._place_once(call, withheld)
+            except RequestError as error:
+                if not self._may_await_trial(call, error):
+                    raise
+            await self._clock.sleep_ms(_TRIAL_POLL_MS)
+
+    async def _place_once(self, call: Call, withheld: set[str]) -> Placement:
         demand = demand_of(call, self._clock.now_ms())
         if withheld:
             avoided = demand.avoided | withheld
@@ -292,6 +310,30 @@
             raise outcome_unknown_error(error.code, error.message)
         raise error
 
+    async def _pass_trials(self, call: Call) -> None:
+        """Raise `RequestError` if a request is quarantined; wait for a trial first.
+
+        What is on trial may be sound. Its result is known within the time after which
+        the caller would be asked to return.
+        """
+        while True:
+            try:
+                self._check_quarantine(call)
+                return
+            except RequestError as error:
+                if not self._may_await_trial(call, error):
+                    raise
+            await self._clock.sleep_ms(_TRIAL_POLL_MS)
+
+    def _may_await_trial(self, call: Call, error: RequestError) -> bool:
+        """Return whether a refused request waits for the result of a trial."""
+        return (
+            error.code in (QUARANTINED, REQUEST_QUARANTINED)
+            and error.retry_after_ms is not None
+            and error.retry_after_ms <= TRIAL_RETRY_MS
+            and self._clock.now_ms() < call.trial_limit_ms
+        )
+
     def _end_trials(self, call: Call) -> None:
         """End the trials that a request has begun, whatever they showed."""
         self._quarantine.end_request(call)
--- a/libs/gateway/src/bulrushbend/gateway/trials.py
+++ b/libs/gateway/src/bulrushbend/gateway/trials.py
@@ -8,7 +8,7 @@
 # the wait for an endpoint and the prefill of a long prompt.
 _TRIAL_TIMEOUT_MS = 10_000.0
 # Retry-After of a request that a trial holds back; most trials end sooner.
-_TRIAL_RETRY_MS = 1_000.0
+TRIAL_RETRY_MS = 1_000.0
 
 
 class Trials:
@@ -31,7 +31,7 @@
         if running is None or running[0] == request:
             return 0.0
         left_ms = running[1] - self._clock.now_ms()
-        return max(0.0, min(left_ms, _TRIAL_RETRY_MS))
+        return max(0.0, min(left_ms, TRIAL_RETRY_MS))
 
     def begin(self, subject: Hashable, request: Hashable) -> None:
         """Begin the trial of a subject, unless the request is on trial already."""
--- a/libs/gateway/tests/test_dispatch.py
+++ b/libs/gateway/tests/test_dispatch.py
@@ -27,6 +27,7 @@
 from bulrushbend.gateway.coordinators import Coordinators
 from bulrushbend.gateway.crash_reports import CrashReports
 from bulrushbend.gateway.dispatch import Dispatcher
+from bulrushbend.gateway.known_quarantines import KnownQuarantine
 from bulrushbend.gateway.quarantine import Suspect
 from bulrushbend.wire.exchange import Exchange, _ResponseReader
 
@@ -1139,6 +1140,46 @@
         assert result.verdict is Verdict.ANSWERED
 
 
+def end_quarantine(fixture, digest):
+    """Let the next request with a part be the trial after its quarantine."""
+    crashed_ms = fixture.clock.now_ms() - 70_000.0
+    known = KnownQuarantine(frozenset([digest]), crashed_ms, 60_000.0)
+    fixture.components.quarantine.adopt(known)
+
+
+async def serve_beside_a_trial(fixture):
+    """Return the results of a trial and of a request that comes during it."""
+    end_quarantine(fixture, "bad")
+    prefix = (("bad", 100), ("own", 30))
+    trial = asyncio.create_task(fixture.serve(route=ONCE, prefix=prefix))
+    await asyncio.sleep(0.1)
+    call = make_call(
+        now_ms=fixture.clock.now_ms(), route=ONCE, prefix=prefix, request_id="r2"
+    )
+    second = fixture.dispatcher.serve(call, RecordingSink())
+    return await asyncio.gather(trial, second, return_exceptions=True)
+
+
+async def test_request_waits_for_the_result_of_a_trial():
+    # Guards against requests with a sound part that are refused during its trial.
+    script = [0.4, plain_response(b"done")]
+    async with running_dispatcher([script]) as fixture:
+        trial, second = await serve_beside_a_trial(fixture)
+        assert trial.verdict is second.verdict is Verdict.ANSWERED
+        assert fixture.is_idle
+
+
+async def test_request_is_refused_when_the_trial_crashes_its_endpoint():
+    # Guards against a trial after which the requests that waited crash endpoints.
+    script = [0.4, "stop", "reset"]
+    async with running_dispatcher([script], [script]) as fixture:
+        _, second = await serve_beside_a_trial(fixture)
+        assert (second.status, second.code) == (503, "prompt-quarantined")
+        assert second.retry_after_ms > 60_000.0
+        assert runs(fixture) == 1
+        assert fixture.is_idle
+
+
 async def test_prompt_quarantined_while_its_request_waits_reaches_no_endpoint():
     # Guards against requests in the queue that crash further endpoints.
     async with running_dispatcher([RESPONSE]) as fixture:
