Look up voters without sorting them

The properties of a configuration stand together, and the look-up of a voter, which each reply of a peer makes, does not sort the electorate. 53 tests of voters, elections and replicas pass.

--- a/libs/store/src/bulrushbend/store/configuration.py
+++ b/libs/store/src/bulrushbend/store/configuration.py
@@ -61,13 +61,19 @@
         """Voters and learners."""
         return self.electorate + self.learners
 
+    @property
+    def _groups(self) -> tuple[tuple[Node, ...], ...]:
+        """Groups of voters of each of which a majority is needed."""
+        return (self.voters, self.outgoing) if self.outgoing else (self.voters,)
+
     def node(self, name: str) -> Node | None:
         """Return the voter or learner called `name`."""
         return next((node for node in self.nodes if node.name == name), None)
 
     def voter(self, name: str) -> Node | None:
         """Return the voter called `name`, also one that is being replaced."""
-        return next((node for node in self.electorate if node.name == name), None)
+        voting = (*self.voters, *self.outgoing)
+        return next((node for node in voting if node.name == name), None)
 
     def may_vote(self, name: str, disk_id: str) -> bool:
         """Return whether the replica votes on the data folder `disk_id`."""
@@ -116,7 +122,7 @@
         """Return the joint configuration in which `voter` replaces the one called name.
 
         Every majority of it has a replica in common with every majority of this
-        configuration, and with every one of its own `completed` form.
+        configuration, and with every majority of its `completed` form.
         """
         replaced = self.without(name).with_voter(voter)
         return replace(replaced, outgoing=self.voters)
@@ -133,11 +139,6 @@
             outgoing=[_pack(node) for node in self.outgoing],
         )
 
-    @property
-    def _groups(self) -> tuple[tuple[Node, ...], ...]:
-        """Groups of voters of each of which a majority is needed."""
-        return (self.voters, self.outgoing) if self.outgoing else (self.voters,)
-
 
 def configuration_from_message(message: SetVoters) -> Configuration:
     """Return the configuration that a command carries."""
