Ignore a note about a quarantine without a subject or beyond the longest duration

Read in the diff: an empty note would have refused all prompts, as an empty set of parts is in each of them, and a duration without bound would have done so for good.

--- a/libs/gateway/src/bulrushbend/gateway/crash_reports.py
+++ b/libs/gateway/src/bulrushbend/gateway/crash_reports.py
@@ -264,6 +264,8 @@
             completed.update(answered)
         for described in note.quarantines:
             known = quarantine_from_message(described, now_ms)
+            if not known.is_valid:
+                continue
             if isinstance(known.subject, frozenset):
                 sound.update(self._quarantine.adopt(known))
             elif self._request_quarantine.adopt(known):
--- a/libs/gateway/src/bulrushbend/gateway/known_quarantines.py
+++ b/libs/gateway/src/bulrushbend/gateway/known_quarantines.py
@@ -4,6 +4,9 @@
 
 from bulrushbend.wire.fleet_pb2 import QuarantineNote
 
+# Longest duration of a quarantine.
+MAX_QUARANTINE_MS = 3_600_000.0
+
 
 @dataclass(frozen=True)
 class KnownQuarantine:
@@ -29,6 +32,11 @@
     is_established: bool = False
     is_simultaneous: bool = False
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether it has a subject and a duration that gateways impose."""
+        return bool(self.subject) and 0.0 < self.duration_ms <= MAX_QUARANTINE_MS
+
     @property
     def until_ms(self) -> float:
         """End of the quarantine."""
--- a/libs/gateway/src/bulrushbend/gateway/quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine.py
@@ -26,7 +26,10 @@
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
-from bulrushbend.gateway.known_quarantines import KnownQuarantine
+from bulrushbend.gateway.known_quarantines import (
+    MAX_QUARANTINE_MS,
+    KnownQuarantine,
+)
 from bulrushbend.gateway.sound_parts import SoundParts
 from bulrushbend.gateway.trials import Trials
 
@@ -48,7 +51,6 @@
 # quarantine of twice the duration.
 _MIN_QUARANTINE_MS = 60_000.0
 _MIN_ESTABLISHED_QUARANTINE_MS = 10_000.0
-_MAX_QUARANTINE_MS = 3_600_000.0
 # Bounds on the memory used.
 _MAX_CRASHES = 64
 _MAX_SUSPECTS = 16
@@ -551,7 +553,7 @@
             return
         duration_ms = _MIN_QUARANTINE_MS
         if past is not None:
-            duration_ms = min(_MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
+            duration_ms = min(MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
         elif cause.is_established:
             duration_ms = _MIN_ESTABLISHED_QUARANTINE_MS
         self._set(
--- a/libs/gateway/src/bulrushbend/gateway/quarantine_file.py
+++ b/libs/gateway/src/bulrushbend/gateway/quarantine_file.py
@@ -83,9 +83,11 @@
             return
         for entry in stored.quarantines:
             known = self._from_stored(entry)
+            if not known.is_valid:
+                continue
             if isinstance(known.subject, str):
                 self._request_quarantine.adopt(known)
-            elif known.subject:
+            else:
                 self._quarantine.adopt(known)
 
     async def run(self) -> None:
--- a/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
+++ b/libs/gateway/src/bulrushbend/gateway/request_quarantine.py
@@ -17,7 +17,10 @@
 
 from bulrushbend.core.clock import Clock
 from bulrushbend.core.events import EventKind, EventLog
-from bulrushbend.gateway.known_quarantines import KnownQuarantine
+from bulrushbend.gateway.known_quarantines import (
+    MAX_QUARANTINE_MS,
+    KnownQuarantine,
+)
 from bulrushbend.gateway.trials import Trials
 
 # Crashes after which a request is quarantined, by whether it is the only candidate of
@@ -37,7 +40,6 @@
 # may no longer be the cause. Within the same time a single crash suffices for another
 # quarantine of twice the duration.
 _MIN_QUARANTINE_MS = 60_000.0
-_MAX_QUARANTINE_MS = 3_600_000.0
 # Time in which one gateway may send a copy after a quarantine, and learn whether the
 # endpoint crashed, before the next one does.
 _TRIAL_TURN_MS = 3_000.0
@@ -462,7 +464,7 @@
                 continue
             duration_ms = _MIN_QUARANTINE_MS
             if past is not None:
-                duration_ms = min(_MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
+                duration_ms = min(MAX_QUARANTINE_MS, 2.0 * past.duration_ms)
             self._set(
                 KnownQuarantine(
                     identity,
--- a/libs/gateway/tests/test_known_quarantines.py
+++ b/libs/gateway/tests/test_known_quarantines.py
@@ -8,6 +8,7 @@
     IDENTITY,
     MINUTE_MS,
     SUBJECTS,
+    CrashReportFleet,
     GatewayComponents,
     crashed_endpoint,
     make_call,
@@ -17,7 +18,7 @@
 )
 
 from bulrushbend.core.clock import ManualClock
-from bulrushbend.wire.fleet_pb2 import CrashNote
+from bulrushbend.wire.fleet_pb2 import CrashNote, QuarantineNote
 
 
 def ask(fleet, name, other):
@@ -187,3 +188,21 @@
     fresh = fleet.components["g3"].request_quarantine
     assert fresh.remaining_ms(IDENTITY) > 0.0
     assert fresh.remaining_ms(sound.identity) == 0.0
+
+
+@pytest.mark.parametrize(
+    "note",
+    [
+        QuarantineNote(age_ms=61_000, duration_ms=60_000),
+        QuarantineNote(digests=["bad"], age_ms=61_000),
+        QuarantineNote(digests=["bad"], age_ms=61_000, duration_ms=1 << 63),
+        QuarantineNote(identity=IDENTITY, age_ms=1 << 63, duration_ms=1 << 63),
+    ],
+)
+async def test_invalid_quarantine_is_ignored(note):
+    # Guards against one message after which all prompts are refused.
+    fleet = CrashReportFleet("g1", "g2", clock=ManualClock(1e6))
+    fleet.reports["g1"].handle_note(CrashNote(quarantines=[note]), "g2")
+    components = fleet.components["g1"]
+    assert components.quarantine.remaining_ms(["bad", "x"], "r1") == 0.0
+    assert components.quarantine.known == components.request_quarantine.known == ()
